--- /dev/null
+++ b/crates/base/src/clock.rs
@@ -0,0 +1,64 @@
+//! Time as an interface, so that decisions can be tested without waiting.
+
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+/// Source of monotonic and wall-clock time.
+pub trait Clock: Send + Sync {
+    /// Monotonic time, for deadlines and intervals.
+    fn now(&self) -> Instant;
+
+    /// Wall-clock time, for idempotency keys and sheets only.
+    fn wall(&self) -> SystemTime;
+}
+
+/// The operating system's clock.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SystemClock;
+
+impl Clock for SystemClock {
+    fn now(&self) -> Instant {
+        Instant::now()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
+
+/// Clock that moves only when a test advances it.
+#[derive(Debug)]
+pub struct ManualClock {
+    start: Instant,
+    wall: SystemTime,
+    elapsed: Mutex<Duration>,
+}
+
+impl ManualClock {
+    /// Creates a clock whose wall-clock time starts at `wall`.
+    pub fn new(wall: SystemTime) -> ManualClock {
+        ManualClock { start: Instant::now(), wall, elapsed: Mutex::new(Duration::ZERO) }
+    }
+
+    /// Moves both times forward.
+    pub fn advance(&self, by: Duration) {
+        *self.elapsed.lock().unwrap_or_else(PoisonError::into_inner) += by;
+    }
+
+    fn elapsed(&self) -> Duration {
+        *self.elapsed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Clock for ManualClock {
+    fn now(&self) -> Instant {
+        self.start + self.elapsed()
+    }
+
+    fn wall(&self) -> SystemTime {
+        self.wall + self.elapsed()
+    }
+}
--- /dev/null
+++ b/crates/base/src/lib.rs
@@ -0,0 +1,17 @@
+//! Shared vocabulary of chervillink: identifiers, the clock, the catalog of
+//! services and backend servers, coverage and outcomes.
+
+mod macros;
+
+pub mod catalog;
+pub mod clock;
+pub mod coverage;
+pub mod digest;
+pub mod index;
+pub mod shards;
+
+/// Hash map with a fast, non-cryptographic hasher.
+pub type HashMap<K, V> = std::collections::HashMap<K, V, rustc_hash::FxBuildHasher>;
+
+/// Hash set with a fast, non-cryptographic hasher.
+pub type HashSet<T> = std::collections::HashSet<T, rustc_hash::FxBuildHasher>;
--- /dev/null
+++ b/crates/canary/src/lib.rs
@@ -0,0 +1,1 @@
+//! Canary permits and suspect requests.
--- /dev/null
+++ b/crates/claim/src/lib.rs
@@ -0,0 +1,1 @@
+//! Part of chervillink; see docs/design.md.
--- /dev/null
+++ b/crates/members/src/lib.rs
@@ -0,0 +1,3 @@
+//! Membership decisions: votes, the quorum lease, and ownership of groups.
+
+pub mod rank;
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,10 @@
+//! What every chervillink process needs: command line, settings, logs,
+//! metrics, traces, admin endpoints and graceful shutdown.
+
+pub mod admin;
+pub mod cli;
+pub mod logs;
+pub mod metrics;
+pub mod settings;
+pub mod shutdown;
+pub mod trace;
--- /dev/null
+++ b/crates/node/src/trace.rs
@@ -0,0 +1,112 @@
+//! Traces: a span for each hop, with W3C trace context passed on.
+
+use std::thread;
+
+use opentelemetry::global;
+use opentelemetry::propagation::Extractor;
+use opentelemetry::propagation::Injector;
+use opentelemetry::trace::TracerProvider as _;
+use opentelemetry_otlp::ExporterBuildError;
+use opentelemetry_otlp::SpanExporter;
+use opentelemetry_otlp::WithExportConfig as _;
+use opentelemetry_sdk::Resource;
+use opentelemetry_sdk::propagation::TraceContextPropagator;
+use opentelemetry_sdk::trace::SdkTracerProvider;
+use snafu::ResultExt as _;
+use snafu::Snafu;
+use tracing::Span;
+use tracing_opentelemetry::OpenTelemetrySpanExt as _;
+use tracing_subscriber::layer::SubscriberExt as _;
+use tracing_subscriber::util::SubscriberInitExt as _;
+
+const HEADER: &str = "traceparent";
+
+/// Why traces cannot be set up.
+#[derive(Debug, Snafu)]
+pub enum TraceError {
+    /// The exporter cannot be built.
+    #[snafu(display("cannot export traces: {source}; set `otlp` to the collector's URL"))]
+    Exporter {
+        /// Cause.
+        source: ExporterBuildError,
+    },
+    /// The thread that builds the exporter failed.
+    #[snafu(display("cannot start the trace exporter; check the host's limit on threads"))]
+    Start,
+    /// Another subscriber is set.
+    #[snafu(display("traces are set up twice in one process; call `trace::init` once"))]
+    Twice,
+}
+
+/// Exports what is left when it is dropped.
+#[derive(Debug)]
+pub struct Traces {
+    provider: Option<SdkTracerProvider>,
+}
+
+impl Drop for Traces {
+    fn drop(&mut self) {
+        if let Some(provider) = self.provider.take() {
+            // The exporter blocks and the caller may be inside a runtime.
+            let _ = thread::spawn(move || provider.shutdown()).join();
+        }
+    }
+}
+
+/// Sets up traces; without a collector no span is recorded.
+pub fn init(service: &'static str, otlp: Option<&str>) -> Result<Traces, TraceError> {
+    global::set_text_map_propagator(TraceContextPropagator::new());
+    let Some(endpoint) = otlp else {
+        return Ok(Traces { provider: None });
+    };
+    let endpoint = endpoint.to_owned();
+    // The blocking HTTP client must not be built inside a runtime.
+    let exporter =
+        thread::spawn(move || SpanExporter::builder().with_http().with_endpoint(endpoint).build());
+    let exporter = exporter.join().ok().ok_or(TraceError::Start)?.context(ExporterSnafu)?;
+    let provider = SdkTracerProvider::builder()
+        .with_batch_exporter(exporter)
+        .with_resource(Resource::builder().with_service_name(service).build())
+        .build();
+    let layer = tracing_opentelemetry::layer().with_tracer(provider.tracer(service));
+    let set = tracing_subscriber::registry().with(layer).try_init();
+    set.map_err(|_| TraceError::Twice)?;
+    Ok(Traces { provider: Some(provider) })
+}
+
+/// Trace context of a span, to be passed to the next hop.
+pub fn context_of(span: &Span) -> Option<Box<str>> {
+    let mut carrier = Carrier(None);
+    global::get_text_map_propagator(|p| p.inject_context(&span.context(), &mut carrier));
+    carrier.0
+}
+
+/// Makes `span` a child of the span whose context came from the hop before.
+pub fn set_parent(span: &Span, context: Option<&str>) {
+    if let Some(context) = context {
+        let carrier = Carrier(Some(context.into()));
+        let parent = global::get_text_map_propagator(|p| p.extract(&carrier));
+        // Fails only when no collector is set, and then nothing is recorded.
+        let _ = span.set_parent(parent);
+    }
+}
+
+struct Carrier(Option<Box<str>>);
+
+impl Injector for Carrier {
+    fn set(&mut self, key: &str, value: String) {
+        if key == HEADER {
+            self.0 = Some(value.into());
+        }
+    }
+}
+
+impl Extractor for Carrier {
+    fn get(&self, key: &str) -> Option<&str> {
+        if key == HEADER { self.0.as_deref() } else { None }
+    }
+
+    fn keys(&self) -> Vec<&str> {
+        vec![HEADER]
+    }
+}
--- /dev/null
+++ b/crates/rpc/src/secret.rs
@@ -0,0 +1,46 @@
+//! Shared secret that peers present at the handshake.
+
+use std::fmt;
+
+use serde::Deserialize;
+
+/// Shortest accepted secret, in bytes.
+pub const MIN_SECRET_LEN: usize = 16;
+
+/// Secret shared by all processes of one installation; never printed.
+#[derive(Clone, PartialEq, Eq, Deserialize)]
+#[serde(try_from = "Box<str>")]
+pub struct Secret(Box<str>);
+
+impl Secret {
+    /// Value of the `authorization` header.
+    pub fn header(&self) -> Box<str> {
+        format!("Bearer {}", self.0).into()
+    }
+
+    /// Whether a header carries this secret; takes the same time for every
+    /// header of the right length.
+    pub fn accepts(&self, header: &[u8]) -> bool {
+        let expected = self.header();
+        let expected = expected.as_bytes();
+        expected.len() == header.len()
+            && expected.iter().zip(header).fold(0, |acc, (a, b)| acc | (a ^ b)) == 0
+    }
+}
+
+impl TryFrom<Box<str>> for Secret {
+    type Error = &'static str;
+
+    fn try_from(text: Box<str>) -> Result<Secret, &'static str> {
+        if text.len() < MIN_SECRET_LEN || !text.bytes().all(|b| b.is_ascii_graphic()) {
+            return Err("the shared secret needs at least 16 printable ASCII characters");
+        }
+        Ok(Secret(text))
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(..)")
+    }
+}
--- /dev/null
+++ b/crates/rpc/src/server.rs
@@ -0,0 +1,69 @@
+//! Server side: refuses peers that do not present the shared secret.
+
+use std::io;
+use std::net::SocketAddr;
+
+use jsonrpsee::Methods;
+use jsonrpsee::server::PingConfig;
+use jsonrpsee::server::Server;
+use jsonrpsee::server::ServerConfig;
+use jsonrpsee::server::ServerHandle;
+use snafu::ResultExt as _;
+use snafu::Snafu;
+
+use crate::client::MAX_MESSAGE;
+use crate::secret::Secret;
+
+mod auth;
+
+/// Most connections that a process accepts from its peers.
+const MAX_CONNECTIONS: u32 = 8192;
+
+/// Most subscriptions of one connection; one is a batch of a query.
+const MAX_SUBSCRIPTIONS: u32 = 65_536;
+
+/// Why a server could not be started.
+#[derive(Debug, Snafu)]
+#[snafu(display(
+    "cannot listen on {address}: {source}; set `listen` to a free address of this host"
+))]
+pub struct ServeError {
+    address: SocketAddr,
+    source: io::Error,
+}
+
+/// A running server; it stops when the handle is stopped.
+#[derive(Debug)]
+pub struct Serving {
+    /// Address that the server listens on.
+    pub address: SocketAddr,
+    /// Stops the server.
+    pub handle: ServerHandle,
+}
+
+/// Serves `methods` on `address` to peers that present `secret`.
+pub async fn serve<M>(
+    address: SocketAddr,
+    secret: &Secret,
+    methods: M,
+) -> Result<Serving, ServeError>
+where
+    M: Into<Methods>,
+{
+    let config = ServerConfig::builder()
+        .max_request_body_size(MAX_MESSAGE)
+        .max_response_body_size(MAX_MESSAGE)
+        .max_connections(MAX_CONNECTIONS)
+        .max_subscriptions_per_connection(MAX_SUBSCRIPTIONS)
+        .set_message_buffer_capacity(65_536)
+        .enable_ws_ping(PingConfig::new())
+        .build();
+    let server = Server::builder()
+        .set_config(config)
+        .set_http_middleware(tower::ServiceBuilder::new().layer(auth::Layer::new(secret.clone())))
+        .build(address)
+        .await
+        .context(ServeSnafu { address })?;
+    let address = server.local_addr().context(ServeSnafu { address })?;
+    Ok(Serving { address, handle: server.start(methods) })
+}
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point.
+
+fn main() {}
--- /dev/null
+++ b/demo.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+echo "demo: no binaries yet"
