Add the gate: slots, backend connections and the chervil-gate binary

The crates were empty. The state machine in chervil-slots decides when each item starts and on which connection; chervil-backend speaks HTTP/1.1 to the servers, one connection an object; chervil-gate joins both to the agent and to the entries.

--- /dev/null
+++ b/crates/backend/src/dial.rs
@@ -0,0 +1,66 @@
+//! Connector layer that dials at most once.
+
+use std::error::Error;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use tokio::time;
+
+/// Time that the HTTP client may take to return the connection to its pool
+/// after a reply. A second dial that is requested sooner would exceed the
+/// connection limit of the server although the connection is still usable.
+const REUSE_GRACE: Duration = Duration::from_millis(20);
+
+type BoxError = Box<dyn Error + Send + Sync>;
+
+/// Lets the first dial through and fails the others.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct DialOnce {
+    dialed: Arc<AtomicBool>,
+}
+
+impl<S> tower::Layer<S> for DialOnce {
+    type Service = DialOnceService<S>;
+
+    fn layer(&self, inner: S) -> DialOnceService<S> {
+        DialOnceService { inner, dialed: self.dialed.clone() }
+    }
+}
+
+/// Connector that dials at most once.
+#[derive(Clone, Debug)]
+pub(crate) struct DialOnceService<S> {
+    inner: S,
+    dialed: Arc<AtomicBool>,
+}
+
+impl<S, R> tower::Service<R> for DialOnceService<S>
+where
+    S: tower::Service<R, Error = BoxError>,
+    S::Future: Send + 'static,
+    S::Response: 'static,
+{
+    type Response = S::Response;
+    type Error = BoxError;
+    type Future = Pin<Box<dyn Future<Output = Result<S::Response, BoxError>> + Send>>;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), BoxError>> {
+        self.inner.poll_ready(cx)
+    }
+
+    fn call(&mut self, request: R) -> Self::Future {
+        if !self.dialed.swap(true, Ordering::SeqCst) {
+            return Box::pin(self.inner.call(request));
+        }
+        Box::pin(async {
+            time::sleep(REUSE_GRACE).await;
+            Err("the connection was closed".into())
+        })
+    }
+}
--- /dev/null
+++ b/crates/backend/src/http.rs
@@ -0,0 +1,233 @@
+//! Adapter for the HTTP/1.1 protocol of `chervil-standin`.
+
+use std::error::Error as _;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use chervil_base::value;
+use reqwest::Client;
+use reqwest::Request;
+use reqwest::RequestBuilder;
+use reqwest::Response;
+use reqwest::StatusCode;
+use serde::de::DeserializeOwned;
+use tokio::time;
+
+use crate::dial::DialOnce;
+use crate::link::AskAnswer;
+use crate::link::AskCall;
+use crate::link::BackendLink;
+use crate::link::Connection;
+use crate::link::LinkError;
+use crate::link::Opened;
+use crate::link::RunCall;
+use crate::link::ServerStatus;
+use crate::wire::AskBody;
+use crate::wire::RefusalBody;
+use crate::wire::StatusBody;
+use crate::wire::VersionsBody;
+
+/// Probes of the operating system before it gives up a connection.
+const KEEPALIVE_PROBES: u32 = 3;
+
+value! {
+    /// Limits of a link.
+    #[derive(Copy, Eq)]
+    pub struct HttpSettings {
+        /// Largest reply, in bytes.
+        pub max_reply: usize,
+        /// Idle time after which the operating system probes a connection.
+        pub keepalive: Duration,
+        /// Time that written data may stay unacknowledged.
+        pub user_timeout: Duration,
+    }
+}
+
+impl Default for HttpSettings {
+    fn default() -> HttpSettings {
+        HttpSettings {
+            max_reply: 4 * 1024 * 1024,
+            keepalive: Duration::from_secs(1),
+            user_timeout: Duration::from_secs(3),
+        }
+    }
+}
+
+/// Opens HTTP/1.1 connections.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct HttpLink {
+    settings: HttpSettings,
+}
+
+impl HttpLink {
+    /// Creates a link with these limits.
+    pub fn new(settings: HttpSettings) -> HttpLink {
+        HttpLink { settings }
+    }
+
+    fn client(&self) -> Result<Client, LinkError> {
+        let s = self.settings;
+        let builder = Client::builder()
+            .http1_only()
+            .no_proxy()
+            .redirect(reqwest::redirect::Policy::none())
+            .retry(reqwest::retry::never())
+            .pool_max_idle_per_host(1)
+            .pool_idle_timeout(None)
+            .tcp_nodelay(true)
+            .tcp_keepalive(s.keepalive)
+            .tcp_keepalive_interval(s.keepalive)
+            .tcp_keepalive_retries(KEEPALIVE_PROBES)
+            .connector_layer(DialOnce::default());
+        #[cfg(target_os = "linux")]
+        let builder = builder.tcp_user_timeout(s.user_timeout);
+        builder.build().map_err(|e| LinkError::NotConnected { cause: chain(&e) })
+    }
+}
+
+#[async_trait]
+impl BackendLink for HttpLink {
+    async fn open(&self, address: SocketAddr, timeout: Duration) -> Result<Opened, LinkError> {
+        let base = format!("http://{address}").into();
+        let connection =
+            HttpConnection { client: self.client()?, base, limit: self.settings.max_reply };
+        match connection.status(timeout).await {
+            Ok(status) => Ok(Opened { connection: Box::new(connection), status }),
+            // No work was sent, so that every failure means "not started".
+            Err(e) => Err(LinkError::NotConnected { cause: e.to_string().into() }),
+        }
+    }
+}
+
+/// One connection; its client dials once and keeps one pooled connection.
+struct HttpConnection {
+    client: Client,
+    base: Box<str>,
+    limit: usize,
+}
+
+impl HttpConnection {
+    fn post(&self, path: &str, timeout: Duration, trace: Option<&str>) -> RequestBuilder {
+        let mut request = self.client.post(format!("{}{path}", self.base));
+        request = request.header("x-timeout-ms", timeout.as_millis().to_string());
+        if let Some(trace) = trace {
+            request = request.header("traceparent", trace);
+        }
+        request
+    }
+
+    async fn send(&self, builder: RequestBuilder, timeout: Duration) -> Result<Reply, LinkError> {
+        let request = builder.build().map_err(|e| LinkError::NotConnected { cause: chain(&e) })?;
+        let exchange = self.exchange(request);
+        time::timeout(timeout, exchange).await.unwrap_or(Err(LinkError::TimedOut))
+    }
+
+    async fn exchange(&self, request: Request) -> Result<Reply, LinkError> {
+        let response = self.client.execute(request).await.map_err(send_error)?;
+        let status = response.status();
+        let body = self.read(response).await?;
+        Ok(Reply { status, body })
+    }
+
+    async fn read(&self, mut response: Response) -> Result<Vec<u8>, LinkError> {
+        let mut body = Vec::new();
+        loop {
+            let chunk = response.chunk().await;
+            let chunk = chunk.map_err(|e| LinkError::Lost { cause: chain(&e) })?;
+            let Some(chunk) = chunk else {
+                return Ok(body);
+            };
+            if body.len() + chunk.len() > self.limit {
+                let cause = format!("it exceeds {} bytes", self.limit).into();
+                return Err(LinkError::Unreadable { cause });
+            }
+            body.extend_from_slice(&chunk);
+        }
+    }
+}
+
+#[async_trait]
+impl Connection for HttpConnection {
+    async fn ask(&self, call: &AskCall) -> Result<AskAnswer, LinkError> {
+        let path = format!("/shard/{}/{}", call.service, call.shard);
+        let request = self.post(&path, call.timeout, call.trace.as_deref());
+        let request = request
+            .header("x-index-version", call.version)
+            .header("x-request-id", &*call.request)
+            .body(String::from(call.body.clone()));
+        let reply = self.send(request, call.timeout).await?;
+        reply.accepted()?.json::<AskBody>().map(AskAnswer::from)
+    }
+
+    async fn run(&self, call: &RunCall) -> Result<Box<str>, LinkError> {
+        let path = format!("/run/{}", call.service);
+        let request = self.post(&path, call.timeout, call.trace.as_deref());
+        let request =
+            request.header("idempotency-key", &*call.key).body(String::from(call.body.clone()));
+        let reply = self.send(request, call.timeout).await?.accepted()?;
+        let body = String::from_utf8(reply.body);
+        let body = body.map_err(|e| LinkError::Unreadable { cause: e.to_string().into() })?;
+        Ok(body.into())
+    }
+
+    async fn status(&self, timeout: Duration) -> Result<ServerStatus, LinkError> {
+        let request = self.client.get(format!("{}/status", self.base));
+        let reply = self.send(request, timeout).await?;
+        reply.accepted()?.json::<StatusBody>().map(ServerStatus::from)
+    }
+
+    fn close(self: Box<Self>) {}
+}
+
+struct Reply {
+    status: StatusCode,
+    body: Vec<u8>,
+}
+
+impl Reply {
+    /// Maps every status other than 200 to its error.
+    fn accepted(self) -> Result<Reply, LinkError> {
+        match self.status {
+            StatusCode::OK => Ok(self),
+            StatusCode::CONFLICT => {
+                let body: VersionsBody = self.json().unwrap_or_default();
+                Err(LinkError::WrongVersion { held: body.versions })
+            }
+            StatusCode::SERVICE_UNAVAILABLE => {
+                let body: RefusalBody = self.json()?;
+                Err(LinkError::Refused { refusal: body.refused.into() })
+            }
+            status => Err(LinkError::Unreadable { cause: format!("status {status}").into() }),
+        }
+    }
+
+    fn json<T>(&self) -> Result<T, LinkError>
+    where
+        T: DeserializeOwned,
+    {
+        let parsed = serde_json::from_slice(&self.body);
+        parsed.map_err(|e| LinkError::Unreadable { cause: e.to_string().into() })
+    }
+}
+
+fn send_error(error: reqwest::Error) -> LinkError {
+    let cause = chain(&error);
+    if error.is_connect() || error.is_builder() {
+        LinkError::NotConnected { cause }
+    } else {
+        LinkError::Lost { cause }
+    }
+}
+
+/// Text of an error with its causes.
+fn chain(error: &reqwest::Error) -> Box<str> {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(c) = cause {
+        text.push_str(": ");
+        text.push_str(&c.to_string());
+        cause = c.source();
+    }
+    text.into()
+}
--- /dev/null
+++ b/crates/gate/src/agent.rs
@@ -0,0 +1,105 @@
+//! Polls the host's agent for the view and the quorum lease.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervil_base::clock::Clock;
+use chervil_rpc::agent::AgentRpcClient as _;
+use chervil_rpc::agent::QuorumLease;
+use chervil_rpc::agent::View;
+use chervil_rpc::agent::ViewRequest;
+use chervil_rpc::client::Peers;
+use tokio::time;
+use tokio::time::MissedTickBehavior;
+use xtra::Address;
+
+use crate::rights::Rights;
+use crate::state::GateState;
+use crate::state::SetLease;
+use crate::state::SetView;
+
+/// Longest wait of one request for the view.
+const VIEW_WAIT: Duration = Duration::from_secs(5);
+
+/// Time in which the agent must answer beyond a wait.
+const REPLY_LIMIT: Duration = Duration::from_millis(500);
+
+/// Pause after a failed request for the view.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Link to the host's agent.
+#[derive(Clone)]
+pub(crate) struct AgentLink {
+    pub(crate) peers: Arc<Peers>,
+    pub(crate) address: SocketAddr,
+    pub(crate) clock: Arc<dyn Clock>,
+}
+
+impl AgentLink {
+    /// Reads the quorum lease at a fixed interval; its time counts from the
+    /// moment of the request, so that a paused gate or agent loses it.
+    pub(crate) async fn poll_lease(
+        self,
+        rights: Arc<Rights>,
+        state: Address<GateState>,
+        interval: Duration,
+    ) {
+        let mut timer = time::interval(interval);
+        timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            timer.tick().await;
+            let sent = self.clock.now();
+            let Some(lease) = self.lease().await else {
+                self.peers.forget(self.address).await;
+                continue;
+            };
+            let until = sent + Duration::from_millis(lease.remaining_ms);
+            rights.set_lease(until);
+            if state.send(SetLease { lease, until }).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Follows the view.
+    pub(crate) async fn poll_view(self, state: Address<GateState>) {
+        let mut after = 0;
+        let mut revision = 0;
+        loop {
+            let Some(view) = self.view(after, revision).await else {
+                // A restarted agent counts its views from the start.
+                after = 0;
+                time::sleep(PAUSE).await;
+                continue;
+            };
+            after = view.sequence;
+            if let Some(catalog) = &view.catalog {
+                revision = catalog.revision;
+            }
+            if state.send(SetView(view)).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Tells the agent that no work is left.
+    pub(crate) async fn release(&self) -> bool {
+        let Ok(client) = self.peers.get(self.address).await else {
+            return false;
+        };
+        matches!(time::timeout(REPLY_LIMIT, client.release()).await, Ok(Ok(())))
+    }
+
+    async fn lease(&self) -> Option<QuorumLease> {
+        let call = async { self.peers.get(self.address).await.ok()?.lease().await.ok() };
+        time::timeout(REPLY_LIMIT, call).await.ok().flatten()
+    }
+
+    async fn view(&self, after: u64, revision: u64) -> Option<View> {
+        let wait_ms = VIEW_WAIT.as_millis() as u32;
+        let request = ViewRequest { after, revision, wait_ms };
+        let call = async { self.peers.get(self.address).await.ok()?.view(request).await.ok() };
+        time::timeout(VIEW_WAIT + REPLY_LIMIT, call).await.ok().flatten()
+    }
+}
--- /dev/null
+++ b/crates/gate/src/rpc.rs
@@ -0,0 +1,88 @@
+//! Methods of the gate.
+
+use chervil_base::index::ServerIndex;
+use chervil_node::shutdown::Lifecycle;
+use chervil_rpc::gate::AskBatch;
+use chervil_rpc::gate::AskReply;
+use chervil_rpc::gate::GateRpcServer;
+use chervil_rpc::gate::Refusal;
+use chervil_rpc::gate::RunReply;
+use chervil_rpc::gate::RunRequest;
+use chervil_rpc::gate::WarmupLevel;
+use jsonrpsee::PendingSubscriptionSink;
+use jsonrpsee::SubscriptionSink;
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::core::SubscriptionResult;
+use jsonrpsee::core::async_trait;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use xtra::Address;
+
+use crate::state::Cancel;
+use crate::state::GateState;
+use crate::state::Hint;
+use crate::state::Index;
+use crate::state::SubmitBatch;
+use crate::state::SubmitRun;
+
+/// Serves the methods from the actor's state.
+pub(crate) struct GateMethods {
+    pub(crate) state: Address<GateState>,
+    pub(crate) lifecycle: Lifecycle,
+}
+
+#[async_trait]
+impl GateRpcServer for GateMethods {
+    async fn ask(&self, pending: PendingSubscriptionSink, batch: AskBatch) -> SubscriptionResult {
+        let _running = self.lifecycle.enter();
+        let sink = pending.accept().await?;
+        let expected = batch.items.len();
+        let (replies, inbox) = mpsc::unbounded_channel();
+        let works = self.state.send(SubmitBatch { batch, replies }).await?;
+        forward(&sink, inbox, expected).await;
+        // Ended items are unknown by now, so that this cancels only what is
+        // left when the subscriber has gone.
+        self.state.send(Cancel(works)).await?;
+        Ok(())
+    }
+
+    async fn run(&self, request: RunRequest) -> RpcResult<RunReply> {
+        let _running = self.lifecycle.enter();
+        let (reply, inbox) = oneshot::channel();
+        if self.state.send(SubmitRun { request, reply }).await.is_err() {
+            return Ok(RunReply::NotRun { reason: Refusal::Stopping });
+        }
+        Ok(inbox.await.unwrap_or(RunReply::Unknown))
+    }
+
+    async fn index(&self, service: Box<str>) -> RpcResult<Vec<ServerIndex>> {
+        Ok(self.state.send(Index(service)).await.unwrap_or_default())
+    }
+
+    async fn hint(&self, levels: Vec<WarmupLevel>) -> RpcResult<()> {
+        // A stopped gate has no use for levels.
+        let _ = self.state.send(Hint(levels)).await;
+        Ok(())
+    }
+}
+
+/// Passes on replies until all have come or the subscriber has gone.
+async fn forward(
+    sink: &SubscriptionSink,
+    mut inbox: mpsc::UnboundedReceiver<AskReply>,
+    expected: usize,
+) {
+    for _ in 0..expected {
+        let reply = tokio::select! {
+            reply = inbox.recv() => reply,
+            () = sink.closed() => None,
+        };
+        let message = reply.and_then(|r| serde_json::value::to_raw_value(&r).ok());
+        let Some(message) = message else {
+            return;
+        };
+        if sink.send(message).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gate/src/settings.rs
@@ -0,0 +1,92 @@
+//! Settings of a gate.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chervil_backend::http::HttpSettings;
+use chervil_node::settings::NodeSettings;
+use chervil_rpc::secret::Secret;
+use chervil_slots::types::SlotsSettings;
+use serde::Deserialize;
+
+/// Settings file of `chervil-gate`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GateSettings {
+    /// Settings common to all processes.
+    pub node: NodeSettings,
+    /// Address on which entries and other gates reach this gate.
+    pub listen: SocketAddr,
+    /// Secret shared by all processes.
+    pub secret: Secret,
+    /// Address of the host's agent.
+    pub agent: SocketAddr,
+    /// Tunables.
+    #[serde(default)]
+    pub tunables: Tunables,
+}
+
+/// Tunables of a gate; all have defaults.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Tunables {
+    /// Work items that may wait for one backend server.
+    pub queue: usize,
+    /// Interval of status requests to each backend server, in milliseconds.
+    pub probe_ms: u64,
+    /// Interval of status requests while work of others holds back items.
+    pub urgent_probe_ms: u64,
+    /// Time allowed for opening a connection or for a status reply.
+    pub open_timeout_ms: u64,
+    /// Longest pause between attempts to reach a backend server.
+    pub backoff_ms: u64,
+    /// Largest reply of a backend server, in bytes.
+    pub max_reply: usize,
+    /// Idle time after which a connection is probed by the operating system.
+    pub keepalive_ms: u64,
+    /// Time that sent data may stay unacknowledged.
+    pub user_timeout_ms: u64,
+    /// Interval at which the quorum lease is read.
+    pub lease_poll_ms: u64,
+    /// Longest time that running work may take at a stop.
+    pub stop_limit_ms: u64,
+}
+
+impl Default for Tunables {
+    fn default() -> Tunables {
+        Tunables {
+            queue: 64,
+            probe_ms: 1000,
+            urgent_probe_ms: 20,
+            open_timeout_ms: 500,
+            backoff_ms: 1000,
+            max_reply: 4 * 1024 * 1024,
+            keepalive_ms: 1000,
+            user_timeout_ms: 3000,
+            lease_poll_ms: 200,
+            stop_limit_ms: 30_000,
+        }
+    }
+}
+
+impl Tunables {
+    /// Settings of the state machine.
+    pub fn slots(&self, seed: u64) -> SlotsSettings {
+        SlotsSettings {
+            queue: self.queue,
+            probe: Duration::from_millis(self.probe_ms),
+            urgent: Duration::from_millis(self.urgent_probe_ms),
+            backoff: Duration::from_millis(self.backoff_ms),
+            seed,
+        }
+    }
+
+    /// Settings of connections to backend servers.
+    pub fn http(&self) -> HttpSettings {
+        HttpSettings {
+            max_reply: self.max_reply,
+            keepalive: Duration::from_millis(self.keepalive_ms),
+            user_timeout: Duration::from_millis(self.user_timeout_ms),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gate/src/state/view.rs
@@ -0,0 +1,118 @@
+//! The agent's view, the quorum lease and the ownership that follows.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use chervil_base::HashSet;
+use chervil_base::catalog::Catalog;
+use chervil_base::index::ServerIndex;
+use chervil_rpc::agent::QuorumLease;
+use chervil_rpc::agent::View;
+use chervil_slots::ownership;
+use xtra::Context;
+use xtra::Handler;
+
+use super::GateState;
+
+/// A newer view.
+pub(crate) struct SetView(pub(crate) View);
+
+/// A newer quorum lease.
+pub(crate) struct SetLease {
+    /// The agent's answer.
+    pub(crate) lease: QuorumLease,
+    /// When the lease ends, counted from the request.
+    pub(crate) until: Instant,
+}
+
+/// Asks for the index versions of a service's owned servers.
+pub(crate) struct Index(pub(crate) Box<str>);
+
+impl Handler<SetView> for GateState {
+    type Return = ();
+
+    async fn handle(&mut self, SetView(mut view): SetView, _: &mut Context<Self>) {
+        if let Some(spec) = view.catalog.take().filter(|s| s.revision >= self.catalog.revision) {
+            self.catalog = Catalog::new(&spec);
+        }
+        self.view = Some(view);
+        // Another host may come next in a group's order now.
+        self.resend_at = None;
+        self.reassign();
+        self.act();
+    }
+}
+
+impl Handler<SetLease> for GateState {
+    type Return = ();
+
+    async fn handle(&mut self, SetLease { lease, until }: SetLease, _: &mut Context<Self>) {
+        let now = self.now();
+        let held = self.slots.has_lease(now);
+        self.slots.set_lease(until, now);
+        if held != self.slots.has_lease(now) {
+            spdlog::info!("quorum lease changed", kv: { held = !held });
+        }
+        // A lapsed lease says nothing about ownership.
+        if lease.remaining_ms > 0 {
+            let changed = self.lease.as_ref().is_none_or(|l| {
+                l.epoch != lease.epoch || l.settled != lease.settled || l.down != lease.down
+            });
+            self.lease = Some(lease);
+            if changed {
+                self.reassign();
+            }
+        }
+        self.act();
+    }
+}
+
+impl Handler<Index> for GateState {
+    type Return = Vec<ServerIndex>;
+
+    async fn handle(&mut self, Index(service): Index, _: &mut Context<Self>) -> Vec<ServerIndex> {
+        let Some(key) = self.catalog.service(&service) else {
+            return Vec::new();
+        };
+        if !self.slots.has_lease(self.now()) {
+            return Vec::new();
+        }
+        let servers = self.catalog.services[key].servers.iter();
+        let names = servers.map(|s| &self.catalog.servers[*s].name);
+        let usable = names.filter(|n| self.slots.accepts(n));
+        usable
+            .filter_map(|n| {
+                let versions = self.index.get(n)?.clone();
+                Some(ServerIndex { server: n.clone(), versions })
+            })
+            .collect()
+    }
+}
+
+impl GateState {
+    /// Applies the catalog and the ownership that view and lease give.
+    fn reassign(&mut self) {
+        let (Some(view), Some(lease)) = (&self.view, &self.lease) else {
+            return;
+        };
+        let now = self.parts.clock.now();
+        let host = &self.parts.host;
+        let owned = ownership::owned_groups(host, &self.catalog, &view.members, lease);
+        // The rights shrink before the state machine and grow with it, as
+        // tasks check them without the actor.
+        let names = owned.iter().flat_map(|o| &self.catalog.groups[o.group].servers);
+        let names: HashSet<Box<str>> =
+            names.map(|s| self.catalog.servers[*s].name.clone()).collect();
+        self.index.retain(|name, _| names.contains(name));
+        self.parts.rights.set_servers(names);
+        self.slots.configure(&self.catalog, &owned, now);
+        spdlog::info!("ownership applied", kv: {
+            revision = self.catalog.revision,
+            epoch = view.members.epoch,
+            groups = owned.len(),
+        });
+    }
+}
+
+/// Interval of the actor's timer.
+pub(crate) const TICK: Duration = Duration::from_millis(10);
--- /dev/null
+++ b/crates/gate/src/state/work.rs
@@ -0,0 +1,179 @@
+//! Accepting and cancelling work.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervil_backend::link::AskCall;
+use chervil_backend::link::RunCall;
+use chervil_base::digest;
+use chervil_node::trace;
+use chervil_rpc::gate::AskBatch;
+use chervil_rpc::gate::AskItem;
+use chervil_rpc::gate::AskReply;
+use chervil_rpc::gate::RunReply;
+use chervil_rpc::gate::RunRequest;
+use chervil_slots::types::Work;
+use chervil_slots::types::WorkKey;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use xtra::Context;
+use xtra::Handler;
+
+use super::GateState;
+use super::Job;
+use super::Kind;
+use super::Recipient;
+
+/// Accepts the attempts of a query; returns the keys of those accepted.
+pub(crate) struct SubmitBatch {
+    pub(crate) batch: AskBatch,
+    pub(crate) replies: mpsc::UnboundedSender<AskReply>,
+}
+
+/// Accepts non-idempotent work.
+pub(crate) struct SubmitRun {
+    pub(crate) request: RunRequest,
+    pub(crate) reply: oneshot::Sender<RunReply>,
+}
+
+/// Cancels the items that have not ended.
+pub(crate) struct Cancel(pub(crate) Vec<WorkKey>);
+
+/// Begins a stop: new work is refused, accepted work runs.
+pub(crate) struct Stop;
+
+/// Asks for the number of queued and running items.
+pub(crate) struct Pending;
+
+impl Handler<SubmitBatch> for GateState {
+    type Return = Vec<WorkKey>;
+
+    async fn handle(&mut self, submit: SubmitBatch, _: &mut Context<Self>) -> Vec<WorkKey> {
+        let SubmitBatch { batch, replies } = submit;
+        let span = tracing::info_span!("gate.ask", service = &*batch.service, query = batch.query);
+        trace::set_parent(&span, batch.trace.as_deref());
+        self.parts.metrics.count("ask", batch.items.len() as i64);
+        let accepted = batch.items.iter().filter_map(|item| {
+            let job = self.ask_job(&batch, item, &replies, &span);
+            let work = Work {
+                server: item.server.clone(),
+                source: batch.incarnation,
+                query: batch.query,
+                fresh: item.fresh,
+                deadline: job.deadline,
+            };
+            self.submit(&work, job)
+        });
+        accepted.collect()
+    }
+}
+
+impl Handler<SubmitRun> for GateState {
+    type Return = ();
+
+    async fn handle(&mut self, SubmitRun { request, reply }: SubmitRun, _: &mut Context<Self>) {
+        let span = tracing::info_span!("gate.run", service = &*request.service);
+        trace::set_parent(&span, request.trace.as_deref());
+        self.parts.metrics.count("run", 1);
+        self.runs += 1;
+        let work = Work {
+            server: request.server.clone(),
+            source: digest::stable_hash(&request.key),
+            query: self.runs,
+            fresh: false,
+            deadline: self.now() + Duration::from_millis(request.timeout_ms.into()),
+        };
+        let call = RunCall {
+            service: request.service,
+            key: request.key,
+            timeout: Duration::ZERO,
+            body: request.body,
+            trace: request.trace,
+        };
+        let kind = Kind::Run { call: Arc::new(call), reply };
+        let job = Job { server: request.server, deadline: work.deadline, span, kind };
+        self.submit(&work, job);
+    }
+}
+
+impl Handler<Cancel> for GateState {
+    type Return = ();
+
+    async fn handle(&mut self, Cancel(works): Cancel, _: &mut Context<Self>) {
+        let now = self.now();
+        for work in works {
+            if self.jobs.remove(work).is_some() {
+                self.parts.metrics.count("cancelled", 1);
+                self.slots.cancel(work, now);
+            }
+        }
+        self.act();
+    }
+}
+
+impl Handler<Stop> for GateState {
+    type Return = ();
+
+    async fn handle(&mut self, _: Stop, _: &mut Context<Self>) {
+        self.slots.stop();
+    }
+}
+
+impl Handler<Pending> for GateState {
+    type Return = usize;
+
+    async fn handle(&mut self, _: Pending, _: &mut Context<Self>) -> usize {
+        self.slots.pending()
+    }
+}
+
+impl GateState {
+    fn submit(&mut self, work: &Work, job: Job) -> Option<WorkKey> {
+        let now = self.now();
+        let accepted = match self.slots.submit(work, now) {
+            Ok(key) => {
+                self.jobs.insert(key, job);
+                Some(key)
+            }
+            Err(refused) => {
+                self.count_refusal(refused.reason);
+                job.refuse(refused);
+                None
+            }
+        };
+        self.act();
+        accepted
+    }
+
+    fn ask_job(
+        &self,
+        batch: &AskBatch,
+        item: &AskItem,
+        replies: &mpsc::UnboundedSender<AskReply>,
+        span: &tracing::Span,
+    ) -> Job {
+        let request = format!("{:x}-{:x}-{}", batch.incarnation, batch.query, item.attempt);
+        let call = AskCall {
+            service: batch.service.clone(),
+            shard: item.shard,
+            version: batch.version,
+            request: request.into(),
+            timeout: Duration::ZERO,
+            body: batch.body.clone(),
+            trace: batch.trace.clone(),
+        };
+        let to = Recipient {
+            incarnation: batch.incarnation,
+            query: batch.query,
+            attempt: item.attempt,
+            replies: replies.clone(),
+        };
+        let span = tracing::info_span!(parent: span, "backend.ask", server = &*item.server, shard = item.shard);
+        Job {
+            server: item.server.clone(),
+            deadline: self.now() + Duration::from_millis(batch.timeout_ms.into()),
+            span,
+            kind: Kind::Ask { call: Arc::new(call), to },
+        }
+    }
+}
--- a/crates/slots/src/lib.rs
+++ b/crates/slots/src/lib.rs
@@ -1,1 +1,12 @@
-//! Part of chervillink; see docs/design.md.
+//! Decisions of a gate: which groups it owns, and when each work item starts
+//! on which connection. Performs no I/O and reads no clock.
+
+pub mod foreign;
+pub mod machine;
+pub mod ownership;
+pub mod queue;
+pub mod types;
+pub mod warmup;
+
+mod pool;
+mod server;
--- /dev/null
+++ b/crates/slots/src/machine/events.rs
@@ -0,0 +1,218 @@
+//! Ends of items, connections and status requests.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use chervil_rpc::gate::Refusal;
+
+use super::Item;
+use super::Slots;
+use super::Stage;
+use crate::pool::ConnState;
+use crate::types::ConnKey;
+use crate::types::End;
+use crate::types::Fate;
+use crate::types::Report;
+use crate::types::ServerKey;
+use crate::types::StatusReport;
+use crate::types::WorkKey;
+
+/// A newly owned server with a shorter uptime is cold, whatever level a former
+/// owner learned.
+const YOUNG: Duration = Duration::from_secs(10);
+
+impl Slots {
+    /// A connection was opened, and the server sent its status on it.
+    pub fn opened(&mut self, conn: ConnKey, status: &StatusReport, now: Instant) {
+        let Some(key) = self.conns.get(conn).map(|c| c.server) else {
+            return;
+        };
+        self.servers[key].failures = 0;
+        self.servers[key].retry_at = now;
+        self.release(conn, now);
+        self.take_status(key, status, now);
+    }
+
+    /// A connection could not be opened.
+    pub fn open_failed(&mut self, conn: ConnKey, now: Instant) {
+        let Some(key) = self.conns.get(conn).map(|c| c.server) else {
+            return;
+        };
+        self.servers[key].pool.remove(&mut self.conns, conn, now);
+        self.back_off(key, now);
+        if self.servers[key].pool.is_empty() {
+            self.reset_level(key);
+            self.refuse_queue(key, Refusal::Unreachable);
+        }
+        self.forget(key);
+    }
+
+    /// A status request ended; `None` when it failed.
+    pub fn probed(&mut self, conn: ConnKey, status: Option<&StatusReport>, now: Instant) {
+        let Some(c) = self.conns.get(conn) else {
+            return;
+        };
+        let (key, proven) = (c.server, c.proven);
+        if let Some(status) = status {
+            self.release(conn, now);
+            return self.take_status(key, status, now);
+        }
+        self.close(conn, now);
+        // Connections that were silent for longer are in greater doubt.
+        self.close_doubtful(key, proven, now);
+        self.servers[key].probe_at = now;
+        self.dispatch(key, now);
+        self.forget(key);
+    }
+
+    /// A started item ended.
+    pub fn finished(&mut self, work: WorkKey, end: &End, now: Instant) -> Fate {
+        let Some(Item { server: key, stage: Stage::Running(conn), .. }) = self.items.get(work)
+        else {
+            return Fate::Final;
+        };
+        let (key, conn) = (*key, *conn);
+        self.judge(key, work, end, now);
+        let fate = self.retire(key, work, end, now);
+        self.settle(key, conn, end, now);
+        self.dispatch(key, now);
+        if self.servers.contains_key(key) {
+            self.forget(key);
+        }
+        fate
+    }
+
+    /// Learns from the end of an item about the server's health.
+    fn judge(&mut self, key: ServerKey, work: WorkKey, end: &End, now: Instant) {
+        let server = &mut self.servers[key];
+        let started = server.running.iter().find(|r| r.work == work).map(|r| r.started);
+        let took = started.map(|s| now.saturating_duration_since(s)).unwrap_or_default();
+        let before = server.warmup.level();
+        match end {
+            End::Replied { report } => {
+                server.untouched = false;
+                server.warmup.reply(took, true, server.slots);
+                if let Some(report) = report {
+                    server.observe(report, now);
+                }
+            }
+            End::TimedOut => server.warmup.reply(took, false, server.slots),
+            End::Lost | End::Refused { reason: Refusal::Cold } => {
+                server.untouched = false;
+                server.warmup.reset();
+            }
+            End::Refused { reason: Refusal::Busy } => {
+                let others = server.slots.saturating_sub(server.running.len() as u32 - 1);
+                server.foreign.raise_to(others, now);
+            }
+            End::Refused { reason: Refusal::Draining } => server.draining = true,
+            _ => {}
+        }
+        if server.warmup.level() != before {
+            let group = server.group.clone();
+            self.changed.insert(group);
+        }
+        if self.servers[key].draining {
+            self.refuse_queue(key, Refusal::Draining);
+        }
+    }
+
+    /// Removes the item from the server, or puts it back into the queue.
+    fn retire(&mut self, key: ServerKey, work: WorkKey, end: &End, now: Instant) -> Fate {
+        let server = &mut self.servers[key];
+        match end {
+            End::TimedOut | End::Lost => server.give_up(work, now),
+            _ => server.end(work, now),
+        };
+        let item = &mut self.items[work];
+        let again = *end == End::NotWritten && !item.requeued && now < item.deadline;
+        if again && server.refusal().is_none() {
+            item.requeued = true;
+            item.stage = Stage::Queued;
+            server.queue.push_front(item.lane, work);
+            return Fate::Requeued;
+        }
+        self.items.remove(work);
+        Fate::Final
+    }
+
+    fn close_doubtful(&mut self, key: ServerKey, proven: Instant, now: Instant) {
+        for conn in self.servers[key].pool.doubtful(&self.conns, proven) {
+            self.close(conn, now);
+        }
+    }
+
+    /// Reuses or closes the connection of an item that ended.
+    fn settle(&mut self, key: ServerKey, conn: ConnKey, end: &End, now: Instant) {
+        let Some(c) = self.conns.get_mut(conn) else {
+            return;
+        };
+        let aside = matches!(c.state, ConnState::Aside(_));
+        let proven = c.proven;
+        match end {
+            End::Replied { .. } | End::WrongVersion | End::Refused { .. } if !aside => {
+                self.release(conn, now);
+            }
+            End::NoRight if !aside && self.servers[key].owned => c.state = ConnState::Idle,
+            End::NotWritten => {
+                self.close(conn, now);
+                self.close_doubtful(key, proven, now);
+            }
+            _ => self.close(conn, now),
+        }
+        match end {
+            End::TimedOut | End::Lost => self.urge(key, now),
+            End::Refused { .. } => self.servers[key].probe_at = now + self.settings.urgent,
+            _ => {}
+        }
+    }
+
+    fn release(&mut self, conn: ConnKey, now: Instant) {
+        let Some(c) = self.conns.get_mut(conn) else {
+            return;
+        };
+        c.state = ConnState::Idle;
+        c.proven = now;
+        let key = c.server;
+        let server = &self.servers[key];
+        // One spare connection lets a fresh attempt avoid a stalled one.
+        let spare = server.pool.idle(&self.conns).count() > server.slots as usize + 1;
+        if !server.owned {
+            self.close(conn, now);
+        } else if let Some(oldest) = server.pool.oldest(&self.conns).filter(|_| spare) {
+            self.close(oldest, now);
+        }
+    }
+
+    fn take_status(&mut self, key: ServerKey, status: &StatusReport, now: Instant) {
+        let Some(server) = self.servers.get_mut(key) else {
+            return;
+        };
+        let report: &Report = &status.load;
+        let restarted = server.observe(report, now);
+        let young = !server.known && server.untouched && report.uptime < YOUNG;
+        if young {
+            server.warmup.reset();
+        }
+        server.known = true;
+        server.draining = status.draining;
+        if restarted || young {
+            let group = server.group.clone();
+            self.changed.insert(group);
+        }
+        if status.draining {
+            self.refuse_queue(key, Refusal::Draining);
+        }
+        self.dispatch(key, now);
+        self.forget(key);
+    }
+
+    fn reset_level(&mut self, key: ServerKey) {
+        let server = &mut self.servers[key];
+        if server.warmup.level() != 1 {
+            server.warmup.reset();
+            let group = server.group.clone();
+            self.changed.insert(group);
+        }
+    }
+}
--- /dev/null
+++ b/crates/slots/src/machine/tick.rs
@@ -0,0 +1,61 @@
+//! Work that time alone makes due.
+
+use std::time::Instant;
+
+use chervil_rpc::gate::Refusal;
+
+use super::Slots;
+use crate::types::Refused;
+use crate::types::ServerKey;
+use crate::types::WorkKey;
+
+impl Slots {
+    /// Drops expired items and requests the status of servers when due.
+    pub fn tick(&mut self, now: Instant) {
+        let lease = self.has_lease(now);
+        let keys: Vec<ServerKey> = self.servers.keys().collect();
+        for key in keys {
+            self.expire(key, now);
+            if !lease {
+                self.refuse_queue(key, Refusal::NotOwner);
+            }
+            self.probe_due(key, now);
+            if lease {
+                self.dispatch(key, now);
+            }
+        }
+    }
+
+    fn expire(&mut self, key: ServerKey, now: Instant) {
+        let queue = &self.servers[key].queue;
+        let expired: Vec<WorkKey> =
+            queue.iter().filter(|w| now >= self.items[*w].deadline).collect();
+        for work in expired {
+            let lane = self.items[work].lane;
+            self.servers[key].queue.remove(lane, work);
+            self.refuse(work, Refused { reason: Refusal::Expired, retry: None });
+        }
+    }
+
+    fn probe_due(&mut self, key: ServerKey, now: Instant) {
+        let server = &self.servers[key];
+        if !server.owned || now < server.probe_at {
+            return;
+        }
+        let blocked = server.foreign.count() > 0 && !server.queue.is_empty();
+        let interval = match (blocked, server.foreign.count()) {
+            (true, _) => self.settings.urgent,
+            (false, 0) => self.settings.probe,
+            (false, _) => self.settings.probe / 5,
+        };
+        let oldest = server.pool.oldest(&self.conns);
+        // Busy connections prove themselves, unless work of others blocks.
+        let dial = server.pool.is_empty() || (blocked && !server.pool.is_asking(&self.conns));
+        self.servers[key].probe_at = now + interval;
+        match oldest {
+            Some(conn) => self.probe(conn),
+            None if dial => self.dial(key, now),
+            None => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/slots/src/server.rs
@@ -0,0 +1,155 @@
+//! State of one backend server.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use chervil_base::catalog::BackendServer;
+use chervil_rpc::gate::Refusal;
+
+use crate::foreign::Foreign;
+use crate::pool::Pool;
+use crate::queue::FairQueue;
+use crate::types::Refused;
+use crate::types::Report;
+use crate::types::WorkKey;
+use crate::warmup::Warmup;
+
+/// Shortest and longest retry hint of a refusal for lack of slots.
+const RETRY_RANGE: (Duration, Duration) = (Duration::from_millis(10), Duration::from_secs(1));
+
+/// Time that a reply is taken to need before the median is learned.
+const DEFAULT_MEDIAN: Duration = Duration::from_millis(20);
+
+/// Item that runs at the server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Running {
+    pub(crate) work: WorkKey,
+    pub(crate) started: Instant,
+}
+
+/// State of one backend server.
+#[derive(Clone, Debug)]
+pub(crate) struct Server {
+    pub(crate) name: Box<str>,
+    pub(crate) group: Box<str>,
+    pub(crate) address: SocketAddr,
+    pub(crate) slots: u32,
+    pub(crate) connections: u32,
+    pub(crate) connect_cost: Duration,
+    /// Whether this host owns it; otherwise only running items end.
+    pub(crate) owned: bool,
+    /// Whether it, its service and its zone are in service.
+    pub(crate) usable: bool,
+    pub(crate) draining: bool,
+    /// Whether its status was read since ownership was gained.
+    pub(crate) known: bool,
+    /// Whether no reply has corrected the start level yet.
+    pub(crate) untouched: bool,
+    /// Slots that the server itself reports; 0 when it does not.
+    pub(crate) reported: u32,
+    pub(crate) warmup: Warmup,
+    pub(crate) foreign: Foreign,
+    pub(crate) queue: FairQueue,
+    pub(crate) running: Vec<Running>,
+    pub(crate) pool: Pool,
+    pub(crate) failures: u32,
+    pub(crate) retry_at: Instant,
+    pub(crate) probe_at: Instant,
+}
+
+impl Server {
+    pub(crate) fn new(
+        spec: &BackendServer,
+        group: &str,
+        level: u32,
+        queue: usize,
+        now: Instant,
+    ) -> Server {
+        Server {
+            name: spec.name.clone(),
+            group: group.into(),
+            address: spec.address,
+            slots: spec.slots,
+            connections: spec.connections,
+            connect_cost: spec.connect_cost,
+            owned: true,
+            usable: true,
+            draining: false,
+            known: false,
+            untouched: true,
+            reported: 0,
+            warmup: Warmup::new(level.min(spec.slots)),
+            foreign: Foreign::default(),
+            queue: FairQueue::new(queue),
+            running: Vec::new(),
+            pool: Pool::default(),
+            failures: 0,
+            retry_at: now,
+            probe_at: now,
+        }
+    }
+
+    /// Items that may run at once, besides the work of others.
+    pub(crate) fn limit(&self) -> usize {
+        let slots = if self.reported > 0 { self.slots.min(self.reported) } else { self.slots };
+        let limit = slots.min(self.warmup.level());
+        limit.saturating_sub(self.foreign.count()) as usize
+    }
+
+    /// Items that may still be started.
+    pub(crate) fn room(&self) -> usize {
+        self.limit().saturating_sub(self.running.len())
+    }
+
+    /// Whether it gets new work, apart from the quorum lease.
+    pub(crate) fn refusal(&self) -> Option<Refusal> {
+        if !self.owned {
+            Some(Refusal::NotOwner)
+        } else if !self.usable {
+            Some(Refusal::OutOfService)
+        } else if self.draining {
+            Some(Refusal::Draining)
+        } else {
+            None
+        }
+    }
+
+    /// Refusal for lack of slots.
+    pub(crate) fn shed(&self) -> Refused {
+        let cold = self.warmup.level() < self.slots;
+        let reason = if cold { Refusal::Cold } else { Refusal::Busy };
+        let retry = self.wait().clamp(RETRY_RANGE.0, RETRY_RANGE.1);
+        Refused { reason, retry: Some(retry) }
+    }
+
+    /// Expected time until an item that is queued now starts.
+    pub(crate) fn wait(&self) -> Duration {
+        let median = self.warmup.median().unwrap_or(DEFAULT_MEDIAN);
+        let waiting = (self.queue.len() + self.running.len()) as u32;
+        median * waiting / self.limit().max(1) as u32
+    }
+
+    /// Takes a load report; returns whether the server restarted.
+    pub(crate) fn observe(&mut self, report: &Report, now: Instant) -> bool {
+        self.reported = report.slots;
+        let started: Vec<Instant> = self.running.iter().map(|r| r.started).collect();
+        self.foreign.observe(report, &started, now);
+        self.warmup.uptime(report, now)
+    }
+
+    /// Removes a running item; returns when it was started.
+    pub(crate) fn end(&mut self, work: WorkKey, now: Instant) -> Option<Instant> {
+        let at = self.running.iter().position(|r| r.work == work)?;
+        self.foreign.ended(now);
+        Some(self.running.swap_remove(at).started)
+    }
+
+    /// Removes a running item that may still run at the server.
+    pub(crate) fn give_up(&mut self, work: WorkKey, now: Instant) -> Option<Instant> {
+        let at = self.running.iter().position(|r| r.work == work)?;
+        self.foreign.add(now);
+        self.probe_at = now;
+        Some(self.running.swap_remove(at).started)
+    }
+}
