Add the sheet, the configuration in the store and the HTTP adapters

Agents and the operators' tool need a way to put a sheet into the store and to adopt it. Records hold at most 64 servers, split by a stable hash of the name; the head is replaced by compare-and-swap, and a lost reply is resolved by repeating the swap and looking for the operation id.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,1 +1,35 @@
-//! Part of chervillink; see docs/design.md.
+//! Configuration of an installation: how it lies in the platform's store, how
+//! operators change it, and how hosts adopt it.
+
+mod adopted;
+mod draft;
+mod editor;
+mod error;
+mod fetch;
+mod head;
+mod history;
+mod records;
+mod result;
+mod sweep;
+
+pub use adopted::Adopted;
+pub use draft::Change;
+pub use editor::Editor;
+pub use editor::EditorSettings;
+pub use error::ConfigError;
+pub use fetch::read_newer;
+pub use head::HEAD_KEY;
+pub use head::Head;
+pub use head::Operation;
+pub use head::Override;
+pub use head::RecordRef;
+pub use head::Target;
+pub use history::HISTORY_KEY;
+pub use history::read_history;
+pub use records::RECORD_PREFIX;
+pub use records::RECORD_SERVERS;
+pub use records::RecordBody;
+pub use records::record_key;
+pub use records::split;
+pub use result::Accepted;
+pub use result::ChangeResult;
--- /dev/null
+++ b/crates/config/tests/common/mod.rs
@@ -0,0 +1,83 @@
+//! Fixtures: sheets, stores and editors.
+#![allow(dead_code, reason = "each test file uses a part of the fixtures")]
+#![allow(clippy::unwrap_used, reason = "a fixture that fails should end its test")]
+
+use std::fmt::Write as _;
+use std::time::Duration;
+use std::time::SystemTime;
+
+use chervil_base::clock::ManualClock;
+use chervil_config::Adopted;
+use chervil_config::Change;
+use chervil_config::ChangeResult;
+use chervil_config::Editor;
+use chervil_config::EditorSettings;
+use chervil_config::Target;
+use chervil_config::read_newer;
+use chervil_fakes::FakeStore;
+use chervil_sheet::sheet::Sheet;
+
+/// 2026-12-04T06:00:00Z.
+pub const SIX: u64 = 1_796_364_000;
+
+pub fn clock() -> ManualClock {
+    ManualClock::new(SystemTime::UNIX_EPOCH + Duration::from_secs(SIX + 3600))
+}
+
+/// Text of a sheet with `servers` servers of one service in zones z1 and z2;
+/// all have `slots`.
+pub fn sheet_text(hour: u32, servers: usize, slots: u32) -> String {
+    let mut text =
+        String::from("kind,name,service,zone,address,slots,connections,connect_ms,shards,state\n");
+    writeln!(text, "sheet,2026-12-04T{hour:02}:00:00Z,,,,,,,,").unwrap();
+    text.push_str("zone,z1,,,,,,,,in\nzone,z2,,,,,,,,in\nservice,lookup,,,,,,,4,in\n");
+    for i in 0..servers {
+        let zone = i % 2 + 1;
+        let port = 10_000 + i;
+        writeln!(text, "server,l{i},lookup,z{zone},127.0.0.1:{port},{slots},50,6,0-3,in").unwrap();
+    }
+    text
+}
+
+pub fn sheet(hour: u32, servers: usize, slots: u32) -> Sheet {
+    Sheet::parse("sheet.csv", sheet_text(hour, servers, slots).as_bytes()).unwrap()
+}
+
+pub fn apply(sheet: Sheet) -> Change {
+    Change::Sheet { sheet, confirmed: None }
+}
+
+pub fn zone(name: &str) -> Target {
+    Target::Zone(name.into())
+}
+
+pub fn server(name: &str) -> Target {
+    Target::Server(name.into())
+}
+
+pub fn settings() -> EditorSettings {
+    EditorSettings { attempts: 3, pause: Duration::from_millis(1) }
+}
+
+pub async fn change(store: &FakeStore, change: &Change, id: &str) -> ChangeResult {
+    let clock = clock();
+    Editor::new(store, &clock, "alice", settings()).change(change, id).await
+}
+
+/// Revision of an accepted change.
+pub fn revision(result: &ChangeResult) -> u64 {
+    match result {
+        ChangeResult::Accepted(a) => a.operation.revision,
+        other => panic!("not accepted: {other:?}"),
+    }
+}
+
+/// Adopts what the store has.
+pub async fn pull(store: &FakeStore, adopted: &mut Adopted) -> bool {
+    let newer = read_newer(store, adopted).await.unwrap();
+    adopted.apply(&newer).unwrap()
+}
+
+pub fn zone_in_service(adopted: &Adopted, name: &str) -> bool {
+    adopted.catalog().zones.iter().any(|z| &*z.name == name && z.in_service)
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -8,6 +8,13 @@
 use chervil_base::message;
 use snafu::Snafu;
 
+mod http;
+
+pub use http::HttpError;
+pub use http::HttpHosts;
+pub use http::HttpSettings;
+pub use http::HttpStore;
+
 /// Largest value that the store holds, in bytes.
 pub const MAX_VALUE: usize = 1_000_000;
 
