Add chervilctl

Operators need to check, compare and apply sheets, to take zones and servers out of service, and to see where a revision is in force. Each command is one file; an accepted change is pushed to the agents and followed for some seconds.

--- a/crates/config/src/result.rs
+++ b/crates/config/src/result.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use chervil_base::value;
+use chervil_base::message;
 use chervil_platform::MAX_VALUE;
 use chervil_rpc::agent::PullReply;
 use chervil_sheet::diff::Removal;
@@ -11,17 +11,21 @@
 use crate::head::Operation;
 use crate::head::Target;
 
-value! {
+message! {
     /// Accepted change.
+    #[derive(Eq)]
     pub struct Accepted {
         /// What is in the head about it.
         pub operation: Operation,
-        /// What the hosts of the revision before lack.
+        /// What the hosts of the revision before lack; not part of reports.
+        #[serde(skip)]
         pub delta: PullReply,
     }
 
     /// How a change ended. Only [`ChangeResult::Accepted`] changed anything,
     /// and [`ChangeResult::Unknown`] may have.
+    #[derive(Eq)]
+    #[serde(tag = "result", rename_all = "snake_case")]
     pub enum ChangeResult {
         /// The change is in force.
         Accepted(Box<Accepted>),
--- /dev/null
+++ b/crates/ctl/src/agents.rs
@@ -0,0 +1,92 @@
+//! Calls to the agents of all hosts.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chervil_platform::HostList as _;
+use chervil_platform::Store as _;
+use chervil_rpc::agent::AgentRpcClient as _;
+use chervil_rpc::agent::HostStatus;
+use chervil_rpc::agent::MemberList;
+use chervil_rpc::agent::PullReply;
+use chervil_rpc::agent::PullRequest;
+use chervil_rpc::client::Peers;
+use chervil_rpc::secret::Secret;
+use futures::StreamExt as _;
+use futures::stream;
+use tokio::time;
+
+use crate::session::Session;
+
+/// Key of the member list in the store.
+const MEMBERS_KEY: &str = "members";
+
+/// Agents that are called at once.
+const PARALLEL_CALLS: usize = 64;
+
+/// Bound on a call to an agent, including the connection.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Host and where to reach its agent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct AgentHost {
+    /// Name of the host, or the address when only that is known.
+    pub(crate) name: Box<str>,
+    pub(crate) agent: SocketAddr,
+}
+
+#[derive(Debug)]
+pub(crate) struct Agents {
+    peers: Peers,
+}
+
+impl Agents {
+    pub(crate) fn new(secret: Secret) -> Agents {
+        Agents { peers: Peers::new(secret, CALL_TIMEOUT) }
+    }
+
+    /// Offers `state` to all hosts. One that does not take it gets the change
+    /// from its peers.
+    pub(crate) async fn push(&self, hosts: &[AgentHost], state: &PullReply) {
+        let calls = hosts.iter().map(|host| async {
+            let push =
+                async { self.peers.get(host.agent).await.ok()?.push(state.clone()).await.ok() };
+            let _ = time::timeout(CALL_TIMEOUT, push).await;
+        });
+        stream::iter(calls).buffer_unordered(PARALLEL_CALLS).collect::<Vec<()>>().await;
+    }
+
+    /// State of each host; `None` for those that do not answer.
+    pub(crate) async fn statuses(&self, hosts: &[AgentHost]) -> Vec<Option<HostStatus>> {
+        let calls = hosts.iter().map(|host| async {
+            let call = async { self.peers.get(host.agent).await.ok()?.status().await.ok() };
+            time::timeout(CALL_TIMEOUT, call).await.ok().flatten()
+        });
+        stream::iter(calls).buffered(PARALLEL_CALLS).collect().await
+    }
+
+    /// Whole configuration of one host.
+    pub(crate) async fn pull(&self, host: &AgentHost) -> Option<PullReply> {
+        let request = PullRequest { revision: 0, epoch: 0 };
+        let call = async { self.peers.get(host.agent).await.ok()?.pull(request).await.ok() };
+        time::timeout(CALL_TIMEOUT, call).await.ok().flatten()
+    }
+}
+
+/// Hosts of the installation: those of the settings, or else of the member
+/// list, or else of the platform's host list.
+pub(crate) async fn list(session: &Session) -> Vec<AgentHost> {
+    let given = &session.settings.agents;
+    if !given.is_empty() {
+        let host = |a: &SocketAddr| AgentHost { name: a.to_string().into(), agent: *a };
+        return given.iter().map(host).collect();
+    }
+    if let Ok(Some(found)) = session.store.get(MEMBERS_KEY).await
+        && let Ok(members) = serde_json::from_str::<MemberList>(&found.value)
+    {
+        let hosts = members.hosts.into_iter();
+        return hosts.map(|h| AgentHost { name: h.host, agent: h.agent }).collect();
+    }
+    let listed = session.hosts.hosts().await.unwrap_or_default();
+    listed.into_iter().map(|h| AgentHost { name: h.host, agent: h.agent }).collect()
+}
--- /dev/null
+++ b/crates/ctl/src/commands.rs
@@ -0,0 +1,81 @@
+//! The commands, one in each module.
+
+use chervil_config::Change;
+use chervil_config::Target;
+use pico_args::Arguments;
+
+use crate::error::CtlError;
+use crate::options::argument;
+use crate::report::Report;
+use crate::rollout;
+use crate::session::Session;
+use crate::settings::CtlSettings;
+
+pub(crate) mod apply;
+pub(crate) mod check;
+pub(crate) mod diff;
+pub(crate) mod drain;
+pub(crate) mod history;
+pub(crate) mod status;
+pub(crate) mod undrain;
+pub(crate) mod zone;
+
+/// What the command line asks for.
+#[derive(Debug)]
+pub(crate) enum Command {
+    Help,
+    Version,
+    CheckSettings,
+    Check(check::Args),
+    Diff(diff::Args),
+    Apply(apply::Args),
+    Status,
+    History,
+    Zone(zone::Args),
+    Drain(drain::Args),
+    Undrain(undrain::Args),
+}
+
+/// Parses the command and its arguments.
+pub(crate) fn parse(args: &mut Arguments) -> Result<Command, CtlError> {
+    let name = args.subcommand().map_err(argument)?;
+    let name = name.ok_or(CtlError::Missing { what: "the command" })?;
+    Ok(match name.as_str() {
+        "check" => Command::Check(check::parse(args)?),
+        "diff" => Command::Diff(diff::parse(args)?),
+        "apply" => Command::Apply(apply::parse(args)?),
+        "status" => Command::Status,
+        "history" => Command::History,
+        "zone" => Command::Zone(zone::parse(args)?),
+        "drain" => Command::Drain(drain::parse(args)?),
+        "undrain" => Command::Undrain(undrain::parse(args)?),
+        given => return Err(CtlError::Command { given: given.into() }),
+    })
+}
+
+/// Runs a command that needs the settings.
+pub(crate) async fn run(
+    command: Command,
+    settings: CtlSettings,
+    operation: Option<Box<str>>,
+) -> Result<Report, CtlError> {
+    let session = Session::new(settings, operation)?;
+    match command {
+        Command::Help | Command::Version => Ok(Report::text("")),
+        Command::CheckSettings => Ok(Report::text("the settings are valid")),
+        Command::Check(args) => check::run(&args),
+        Command::Diff(args) => diff::run(&args, &session).await,
+        Command::Apply(args) => apply::run(&args, &session).await,
+        Command::Status => status::run(&session).await,
+        Command::History => history::run(&session).await,
+        Command::Zone(args) => zone::run(args, &session).await,
+        Command::Drain(args) => drain::run(args, &session).await,
+        Command::Undrain(args) => undrain::run(args, &session).await,
+    }
+}
+
+/// Takes a target out of service, or brings it back.
+async fn set_override(session: &Session, target: Target, out: bool) -> Result<Report, CtlError> {
+    let change = if out { Change::Out(target) } else { Change::In(target) };
+    Ok(rollout::change(session, &change).await)
+}
--- /dev/null
+++ b/crates/ctl/src/commands/check.rs
@@ -0,0 +1,65 @@
+//! `check SHEET`: checks a sheet without using it.
+
+use std::fmt;
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+use chervil_base::message;
+use chervil_sheet::sheet::Sheet;
+use pico_args::Arguments;
+use snafu::ResultExt as _;
+
+use crate::error::CtlError;
+use crate::error::ReadSheetSnafu;
+use crate::error::SheetSnafu;
+use crate::options;
+use crate::report::Exit;
+use crate::report::Report;
+
+#[derive(Debug)]
+pub(crate) struct Args {
+    sheet: PathBuf,
+}
+
+message! {
+    #[derive(Eq)]
+    struct Valid {
+        exported: Box<str>,
+        zones: usize,
+        services: usize,
+        servers: usize,
+    }
+}
+
+impl fmt::Display for Valid {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Valid { exported, zones, services, servers } = self;
+        write!(
+            f,
+            "valid sheet, exported at {exported}: {zones} zones, {services} services, {servers} \
+             servers"
+        )
+    }
+}
+
+pub(crate) fn parse(args: &mut Arguments) -> Result<Args, CtlError> {
+    Ok(Args { sheet: options::sheet_path(args)? })
+}
+
+pub(crate) fn run(args: &Args) -> Result<Report, CtlError> {
+    let sheet = load(&args.sheet)?;
+    let valid = Valid {
+        exported: sheet.exported.to_string().into(),
+        zones: sheet.catalog.zones.len(),
+        services: sheet.catalog.services.len(),
+        servers: sheet.catalog.servers.len(),
+    };
+    Ok(Report::new(&valid, Exit::Done))
+}
+
+/// Reads and checks a sheet.
+pub(crate) fn load(path: &Path) -> Result<Sheet, CtlError> {
+    let bytes = fs::read(path).context(ReadSheetSnafu { path })?;
+    Sheet::parse(&path.display().to_string(), &bytes).context(SheetSnafu)
+}
--- /dev/null
+++ b/crates/ctl/src/commands/status.rs
@@ -0,0 +1,171 @@
+//! `status`: shows the configuration and the hosts that it is in force on.
+
+use std::fmt;
+
+use chervil_base::message;
+use chervil_config::Adopted;
+use chervil_config::Target;
+use chervil_config::read_newer;
+use chervil_sheet::time::ExportTime;
+use snafu::ResultExt as _;
+
+use crate::agents;
+use crate::agents::AgentHost;
+use crate::error::ConfigSnafu;
+use crate::error::CtlError;
+use crate::report::Exit;
+use crate::report::Report;
+use crate::rollout;
+use crate::rollout::Rollout;
+use crate::session::Session;
+
+message! {
+    /// What the sheet and the operators say about a zone.
+    #[derive(Eq)]
+    struct ZoneStatus {
+        zone: Box<str>,
+        /// Whether the sheet has it in service; `None` when it is not listed.
+        sheet: Option<bool>,
+        /// Revision that took it out at short notice.
+        overridden: Option<u64>,
+        in_service: bool,
+    }
+
+    /// Server that an operator drains.
+    #[derive(Eq)]
+    struct Drained {
+        server: Box<str>,
+        /// Revision that drained it.
+        revision: u64,
+        /// Whether the sheet lists it.
+        listed: bool,
+    }
+
+    #[derive(Eq)]
+    struct Status {
+        revision: u64,
+        exported: Option<ExportTime>,
+        /// Whether the store answered; if not, a host told the rest.
+        store_up: bool,
+        services: usize,
+        servers: usize,
+        zones: Vec<ZoneStatus>,
+        drained: Vec<Drained>,
+        rollout: Rollout,
+    }
+}
+
+pub(crate) async fn run(session: &Session) -> Result<Report, CtlError> {
+    let hosts = agents::list(session).await;
+    let mut adopted = Adopted::new();
+    let read = read_newer(&session.store, &adopted).await;
+    let store_up = read.is_ok();
+    let state = match read {
+        Ok(state) => state,
+        Err(_) => pull_any(session, &hosts).await?,
+    };
+    adopted.apply(&state).context(ConfigSnafu)?;
+    let rollout = rollout::ask(session, &hosts, adopted.revision()).await;
+    let catalog = adopted.sheet_catalog();
+    let status = Status {
+        revision: adopted.revision(),
+        exported: adopted.head().and_then(|h| h.exported),
+        store_up,
+        services: catalog.services.len(),
+        servers: catalog.servers.len(),
+        zones: zones(&adopted),
+        drained: drained(&adopted),
+        rollout,
+    };
+    Ok(Report::new(&status, Exit::Done))
+}
+
+/// Configuration of the first host that has one.
+async fn pull_any(
+    session: &Session,
+    hosts: &[AgentHost],
+) -> Result<chervil_rpc::agent::PullReply, CtlError> {
+    for host in hosts {
+        if let Some(state) = session.agents.pull(host).await.filter(|s| s.head.is_some()) {
+            return Ok(state);
+        }
+    }
+    Err(CtlError::Isolated)
+}
+
+fn zones(adopted: &Adopted) -> Vec<ZoneStatus> {
+    let overrides = adopted.head().map_or(&[][..], |h| &h.overrides);
+    let overridden = |name: &str| {
+        let mut zones = overrides.iter();
+        zones.find(|o| matches!(&o.target, Target::Zone(z) if &**z == name)).map(|o| o.revision)
+    };
+    let listed = adopted.sheet_catalog().zones;
+    let mut all: Vec<ZoneStatus> = listed
+        .iter()
+        .map(|z| {
+            let overridden = overridden(&z.name);
+            let in_service = z.in_service && overridden.is_none();
+            ZoneStatus { zone: z.name.clone(), sheet: Some(z.in_service), overridden, in_service }
+        })
+        .collect();
+    for o in overrides {
+        if let Target::Zone(name) = &o.target
+            && listed.iter().all(|z| z.name != *name)
+        {
+            let overridden = Some(o.revision);
+            let zone = name.clone();
+            all.push(ZoneStatus { zone, sheet: None, overridden, in_service: false });
+        }
+    }
+    all
+}
+
+fn drained(adopted: &Adopted) -> Vec<Drained> {
+    let catalog = adopted.sheet_catalog();
+    let overrides = adopted.head().map_or(&[][..], |h| &h.overrides);
+    let servers = overrides.iter().filter_map(|o| match &o.target {
+        Target::Server(name) => Some((name, o.revision)),
+        Target::Zone(_) => None,
+    });
+    servers
+        .map(|(name, revision)| {
+            let listed = catalog.servers.iter().any(|s| s.name == *name);
+            Drained { server: name.clone(), revision, listed }
+        })
+        .collect()
+}
+
+impl fmt::Display for ZoneStatus {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let sheet = match self.sheet {
+            Some(true) => "in",
+            Some(false) => "out",
+            None => "not listed",
+        };
+        write!(f, "zone {}: sheet says {sheet}, override says ", self.zone)?;
+        match self.overridden {
+            Some(revision) => write!(f, "out since revision {revision}")?,
+            None => write!(f, "nothing")?,
+        }
+        write!(f, "; {}", if self.in_service { "in service" } else { "out of service" })
+    }
+}
+
+impl fmt::Display for Status {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.exported {
+            Some(time) => write!(f, "revision {}, sheet of {time}", self.revision)?,
+            None => write!(f, "revision {}, no sheet yet", self.revision)?,
+        }
+        writeln!(f, ", {} services, {} servers", self.services, self.servers)?;
+        if !self.store_up {
+            writeln!(f, "the platform's store cannot be reached; a host told the following")?;
+        }
+        self.zones.iter().try_for_each(|z| writeln!(f, "{z}"))?;
+        for d in &self.drained {
+            let note = if d.listed { "" } else { " (not in the sheet)" };
+            writeln!(f, "server {}: drained since revision {}{note}", d.server, d.revision)?;
+        }
+        write!(f, "{}", self.rollout)
+    }
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,3 +1,7 @@
-//! Entry point.
+//! Operators' tool of chervillink.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    chervil_ctl::run(pico_args::Arguments::from_env())
+}
--- /dev/null
+++ b/crates/ctl/src/report.rs
@@ -0,0 +1,67 @@
+//! What a command prints and how the process exits.
+
+use std::fmt::Display;
+use std::io;
+use std::io::Write as _;
+use std::process::ExitCode;
+
+use serde::Serialize;
+use serde_json::Value;
+
+/// Exit code of the process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Exit {
+    Done = 0,
+    Failed = 1,
+    Usage = 2,
+    Unknown = 3,
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> ExitCode {
+        ExitCode::from(exit as u8)
+    }
+}
+
+/// Result of a command, as text and as JSON.
+#[derive(Debug)]
+pub(crate) struct Report {
+    text: Box<str>,
+    json: Value,
+    exit: Exit,
+}
+
+impl Report {
+    /// Report of a value that has both forms.
+    pub(crate) fn new<T>(value: &T, exit: Exit) -> Report
+    where
+        T: Display + Serialize,
+    {
+        let json = serde_json::to_value(value).unwrap_or_else(|e| Value::String(e.to_string()));
+        Report { text: value.to_string().into(), json, exit }
+    }
+
+    /// Report of plain text.
+    pub(crate) fn text(text: &str) -> Report {
+        Report { text: text.into(), json: Value::String(text.into()), exit: Exit::Done }
+    }
+
+    /// Prints the report. A reader that closed the pipe has read what it wants.
+    pub(crate) fn print(&self, json: bool) -> ExitCode {
+        let mut out = io::stdout().lock();
+        let _ = if json {
+            writeln!(out, "{}", self.json)
+        } else {
+            writeln!(out, "{}", self.text.trim_end())
+        };
+        self.exit.into()
+    }
+}
+
+/// Prints an error and returns the exit code.
+pub(crate) fn fail<E>(binary: &str, exit: Exit, error: &E) -> ExitCode
+where
+    E: Display,
+{
+    chervil_node::cli::fail(binary, exit as u8, error)
+}
