--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -18,6 +18,8 @@
 use tokio::sync::Notify;
 use tokio::time;
 
+pub mod http;
+
 /// Faults of a [`FakeStore`]; all are off by default.
 #[derive(Clone, Debug, Default)]
 pub struct Faults {
