--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -157,8 +157,7 @@
         let (outlook, outlooks) = watch::channel(Arc::new(Outlook::default()));
         let (pulls, pulls_due) = mpsc::channel(1);
         let me = self.settings.member(self.settings.listen);
-        let state =
-            State::new(me, self.settings.peers.clone(), rand::random(), self.clock.now());
+        let state = State::new(me, self.settings.peers.clone(), rand::random(), self.clock.now());
         let core = Core {
             state,
             clock: self.clock.clone(),
--- a/crates/agent/src/config.rs
+++ b/crates/agent/src/config.rs
@@ -53,6 +53,7 @@
     adopted: &Adopted,
 ) -> Result<PullReply, StoreError> {
     let Some(found) = store.get(HEAD_KEY).await? else { return Ok(PullReply::default()) };
-    let newer = serde_json::from_str::<Head>(&found.value).is_ok_and(|h| h.revision > adopted.revision);
+    let newer =
+        serde_json::from_str::<Head>(&found.value).is_ok_and(|h| h.revision > adopted.revision);
     Ok(PullReply { head: Some(found.value).filter(|_| newer), ..PullReply::default() })
 }
--- a/crates/agent/src/list.rs
+++ b/crates/agent/src/list.rs
@@ -45,7 +45,9 @@
 enum ListError {
     #[snafu(display("cannot read or write the member list: {source}"))]
     Call { source: StoreError },
-    #[snafu(display("the member list in the store is malformed: {source}; delete the key `members`"))]
+    #[snafu(display(
+        "the member list in the store is malformed: {source}; delete the key `members`"
+    ))]
     Malformed { source: serde_json::Error },
     #[snafu(display("the agent is stopping"))]
     Stopping,
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -279,9 +279,9 @@
         if host.host == self.me.host {
             return !self.leaving;
         }
-        self.peers.get(&host.host).is_some_and(|p| {
-            !p.leaving && p.answered.is_some_and(|at| now < at + DOWN_AFTER)
-        })
+        self.peers
+            .get(&host.host)
+            .is_some_and(|p| !p.leaving && p.answered.is_some_and(|at| now < at + DOWN_AFTER))
     }
 
     /// Hosts that ask to join, heard recently.
@@ -299,12 +299,7 @@
     }
 
     /// What the upkeep of the member list needs to know.
-    pub(crate) fn upkeep(
-        &mut self,
-        remove: Duration,
-        delisted: Duration,
-        now: Instant,
-    ) -> Upkeep {
+    pub(crate) fn upkeep(&mut self, remove: Duration, delisted: Duration, now: Instant) -> Upkeep {
         let coordinator = first(&self.members.hosts, "members", None, |h| self.is_live(h, now));
         let coordinator = coordinator.is_some_and(|h| h.host == self.me.host);
         Upkeep {
--- a/crates/gate/tests/ask.rs
+++ b/crates/gate/tests/ask.rs
@@ -1,12 +1,13 @@
 //! Asking, running and cancelling through a gate.
 
+#![allow(clippy::unwrap_used)]
+
 use std::time::Duration;
 
 use chervil_rpc::gate::AskResult;
 use chervil_rpc::gate::GateRpcClient as _;
 use chervil_rpc::gate::Refusal;
 use chervil_rpc::gate::RunReply;
-
 use fixture::agent;
 use fixture::agent::FakeAgent;
 use fixture::backend::FakeBackend;
