Take misleading servers, silent connections and foreign work into account

Causes: a server whose status is silent, frozen, wrong about its load or hides a drain kept or lost its work; a new owner trusted one status reading; an idle connection that went silent was used again.

--- a/crates/backend/src/dial.rs
+++ b/crates/backend/src/dial.rs
@@ -23,13 +23,21 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct DialOnce {
     dialed: Arc<AtomicBool>,
+    connected: Arc<AtomicBool>,
+}
+
+impl DialOnce {
+    /// Whether the dial succeeded.
+    pub(crate) fn is_connected(&self) -> bool {
+        self.connected.load(Ordering::SeqCst)
+    }
 }
 
 impl<S> tower::Layer<S> for DialOnce {
     type Service = DialOnceService<S>;
 
     fn layer(&self, inner: S) -> DialOnceService<S> {
-        DialOnceService { inner, dialed: self.dialed.clone() }
+        DialOnceService { inner, state: self.clone() }
     }
 }
 
@@ -37,7 +45,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct DialOnceService<S> {
     inner: S,
-    dialed: Arc<AtomicBool>,
+    state: DialOnce,
 }
 
 impl<S, R> tower::Service<R> for DialOnceService<S>
@@ -55,8 +63,14 @@
     }
 
     fn call(&mut self, request: R) -> Self::Future {
-        if !self.dialed.swap(true, Ordering::SeqCst) {
-            return Box::pin(self.inner.call(request));
+        if !self.state.dialed.swap(true, Ordering::SeqCst) {
+            let dial = self.inner.call(request);
+            let connected = self.state.connected.clone();
+            return Box::pin(async move {
+                let connection = dial.await?;
+                connected.store(true, Ordering::SeqCst);
+                Ok(connection)
+            });
         }
         Box::pin(async {
             time::sleep(REUSE_GRACE).await;
--- a/crates/backend/src/http.rs
+++ b/crates/backend/src/http.rs
@@ -66,7 +66,7 @@
         HttpLink { settings }
     }
 
-    fn client(&self) -> Result<Client, LinkError> {
+    fn client(&self, dial: &DialOnce) -> Result<Client, LinkError> {
         let s = self.settings;
         let builder = Client::builder()
             .http1_only()
@@ -79,30 +79,41 @@
             .tcp_keepalive(s.keepalive)
             .tcp_keepalive_interval(s.keepalive)
             .tcp_keepalive_retries(KEEPALIVE_PROBES)
-            .connector_layer(DialOnce::default());
+            .connector_layer(dial.clone());
         #[cfg(target_os = "linux")]
         let builder = builder.tcp_user_timeout(s.user_timeout);
         builder.build().map_err(|e| LinkError::NotConnected { cause: chain(&e) })
     }
+
+    fn connection(&self, address: SocketAddr) -> Result<HttpConnection, LinkError> {
+        let dial = DialOnce::default();
+        let client = self.client(&dial)?;
+        let base = format!("http://{address}").into();
+        Ok(HttpConnection { client, dial, base, limit: self.settings.max_reply })
+    }
 }
 
 #[async_trait]
 impl BackendLink for HttpLink {
     async fn open(&self, address: SocketAddr, timeout: Duration) -> Result<Opened, LinkError> {
-        let base = format!("http://{address}").into();
-        let connection =
-            HttpConnection { client: self.client()?, base, limit: self.settings.max_reply };
+        let connection = self.connection(address)?;
         match connection.status(timeout).await {
             Ok(status) => Ok(Opened { connection: Box::new(connection), status }),
-            // No work was sent, so that every failure means "not started".
+            Err(LinkError::TimedOut) => Err(LinkError::TimedOut),
+            // No work was sent, so that the other failures mean "not started".
             Err(e) => Err(LinkError::NotConnected { cause: e.to_string().into() }),
         }
     }
+
+    fn lazy(&self, address: SocketAddr) -> Result<Box<dyn Connection>, LinkError> {
+        Ok(Box::new(self.connection(address)?))
+    }
 }
 
 /// One connection; its client dials once and keeps one pooled connection.
 struct HttpConnection {
     client: Client,
+    dial: DialOnce,
     base: Box<str>,
     limit: usize,
 }
@@ -120,7 +131,11 @@
     async fn send(&self, builder: RequestBuilder, timeout: Duration) -> Result<Reply, LinkError> {
         let request = builder.build().map_err(|e| LinkError::NotConnected { cause: chain(&e) })?;
         let exchange = self.exchange(request);
-        time::timeout(timeout, exchange).await.unwrap_or(Err(LinkError::TimedOut))
+        match time::timeout(timeout, exchange).await {
+            Ok(result) => result,
+            Err(_) if self.dial.is_connected() => Err(LinkError::TimedOut),
+            Err(_) => Err(LinkError::NotConnected { cause: "no reply to the dial".into() }),
+        }
     }
 
     async fn exchange(&self, request: Request) -> Result<Reply, LinkError> {
--- a/crates/backend/src/link.rs
+++ b/crates/backend/src/link.rs
@@ -136,7 +136,14 @@
 #[async_trait]
 pub trait BackendLink: Send + Sync {
     /// Opens a connection and proves it live with a first status request.
+    ///
+    /// [`LinkError::TimedOut`] means that the server accepted the connection
+    /// and did not reply.
     async fn open(&self, address: SocketAddr, timeout: Duration) -> Result<Opened, LinkError>;
+
+    /// Returns a connection that the first request on it opens, for servers
+    /// whose status cannot be read.
+    fn lazy(&self, address: SocketAddr) -> Result<Box<dyn Connection>, LinkError>;
 }
 
 /// A connection that has just been opened.
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -12,7 +12,6 @@
 use chervil_base::HashMap;
 use chervil_base::catalog::Catalog;
 use chervil_base::clock::Clock;
-use chervil_base::index::HeldVersion;
 use chervil_node::metrics::Metrics;
 use chervil_node::shutdown::Lifecycle;
 use chervil_rpc::agent::QuorumLease;
@@ -34,10 +33,12 @@
 use tracing::Span;
 use xtra::WeakAddress;
 
+use self::held::Held;
 use crate::rights::Rights;
 
 mod calls;
 mod events;
+mod held;
 mod hints;
 mod view;
 mod work;
@@ -75,7 +76,7 @@
     catalog: Catalog,
     view: Option<View>,
     lease: Option<QuorumLease>,
-    index: HashMap<Box<str>, Vec<HeldVersion>>,
+    index: HashMap<Box<str>, Held>,
     jobs: SecondaryMap<WorkKey, Job>,
     conns: SecondaryMap<ConnKey, Line>,
     resend_at: Option<Instant>,
@@ -169,6 +170,7 @@
         for action in self.slots.take_actions() {
             match action {
                 Action::Open { conn, address } => self.open(conn, address),
+                Action::Prepare { conn, address } => self.prepare(conn, address),
                 Action::Start { work, conn } => self.start(work, conn),
                 Action::Probe { conn } => self.probe(conn),
                 Action::Close { conn } => self.close(conn),
--- a/crates/gate/src/state/calls.rs
+++ b/crates/gate/src/state/calls.rs
@@ -17,6 +17,7 @@
 use super::events::Answer;
 use super::events::Finished;
 use super::events::OpenEnded;
+use super::events::Prepared;
 use super::events::ProbeEnded;
 
 impl GateState {
@@ -35,6 +36,18 @@
         self.conns.insert(conn, line);
     }
 
+    pub(super) fn prepare(&mut self, conn: ConnKey, address: SocketAddr) {
+        let state = self.parts.address.clone();
+        let link = self.parts.link.clone();
+        let task = tokio::spawn(async move {
+            let result = link.lazy(address);
+            // The actor has stopped when this fails.
+            let _ = state.send(Prepared { conn, result }).await;
+        });
+        let line = Line { connection: None, task: Some(task.abort_handle()) };
+        self.conns.insert(conn, line);
+    }
+
     pub(super) fn probe(&mut self, conn: ConnKey) {
         let state = self.parts.address.clone();
         let clock = self.parts.clock.clone();
--- a/crates/gate/src/state/events.rs
+++ b/crates/gate/src/state/events.rs
@@ -36,6 +36,12 @@
     pub(super) result: Result<Opened, LinkError>,
 }
 
+/// A connection was prepared, or not.
+pub(crate) struct Prepared {
+    pub(super) conn: ConnKey,
+    pub(super) result: Result<Box<dyn Connection>, LinkError>,
+}
+
 /// A status request ended.
 pub(crate) struct ProbeEnded {
     pub(super) conn: ConnKey,
@@ -80,6 +86,11 @@
                 self.give_back(ended.conn, opened.connection);
                 self.slots.opened(ended.conn, &report, now);
             }
+            Err(LinkError::TimedOut) => {
+                self.parts.metrics.count("status_silent", 1);
+                self.conns.remove(ended.conn);
+                self.slots.silent(ended.conn, now);
+            }
             Err(e) => {
                 let server = server.unwrap_or_default();
                 spdlog::warn!("cannot open a connection", kv: { server = &*server, cause = text(&e).as_str() });
@@ -92,6 +103,25 @@
     }
 }
 
+impl Handler<Prepared> for GateState {
+    type Return = ();
+
+    async fn handle(&mut self, prepared: Prepared, _: &mut Context<Self>) {
+        let now = self.now();
+        match prepared.result {
+            Ok(connection) => {
+                self.give_back(prepared.conn, connection);
+                self.slots.prepared(prepared.conn, now);
+            }
+            Err(_) => {
+                self.conns.remove(prepared.conn);
+                self.slots.open_failed(prepared.conn, now);
+            }
+        }
+        self.act();
+    }
+}
+
 impl Handler<ProbeEnded> for GateState {
     type Return = ();
 
@@ -120,7 +150,8 @@
             && let Some(job) = self.jobs.get(f.work)
             && !held.is_empty()
         {
-            self.index.insert(job.server.clone(), held.clone());
+            let known = self.index.entry(job.server.clone()).or_default();
+            known.refused(held.clone(), now);
         }
         let end = end_of(&f.answer, f.sent);
         if self.slots.finished(f.work, &end, now) == Fate::Final {
@@ -152,7 +183,8 @@
     /// Takes what a status reply says of the index; returns the rest.
     fn learn(&mut self, conn: ConnKey, status: ServerStatus, sent: Instant) -> StatusReport {
         if let Some(server) = self.slots.server_of(conn) {
-            self.index.insert(server.into(), status.versions);
+            let known = self.index.entry(server.into()).or_default();
+            known.status(status.versions, sent);
         }
         StatusReport { load: report_of(status.load, sent), draining: status.draining }
     }
@@ -183,7 +215,7 @@
             Answer::Failed(LinkError::TimedOut) => AskResult::TimedOut,
             Answer::Failed(LinkError::Unreadable { .. }) => AskResult::Failed,
             Answer::Failed(LinkError::WrongVersion { .. }) => AskResult::WrongVersion {
-                held: self.index.get(server).cloned().unwrap_or_default(),
+                held: self.index.get(server).map(|h| h.versions().to_vec()).unwrap_or_default(),
             },
         }
     }
--- a/crates/gate/src/state/view.rs
+++ b/crates/gate/src/state/view.rs
@@ -82,7 +82,7 @@
         let usable = names.filter(|n| self.slots.accepts(n));
         usable
             .filter_map(|n| {
-                let versions = self.index.get(n)?.clone();
+                let versions = self.index.get(n)?.versions().to_vec();
                 Some(ServerIndex { server: n.clone(), versions })
             })
             .collect()
@@ -97,7 +97,9 @@
         };
         let now = self.parts.clock.now();
         let host = &self.parts.host;
-        let owned = ownership::owned_groups(host, &self.catalog, &view.members, lease);
+        let owned = ownership::owned_groups(host, &self.catalog, &view.members, lease, |h| {
+            view.hosts.iter().any(|m| m.leaving && &*m.host.host == h)
+        });
         // The rights shrink before the state machine and grow with it, as
         // tasks check them without the actor.
         let names = owned.iter().flat_map(|o| &self.catalog.groups[o.group].servers);
--- a/crates/slots/src/foreign.rs
+++ b/crates/slots/src/foreign.rs
@@ -16,6 +16,29 @@
 /// Ends of own work that are remembered.
 const MAX_ENDS: usize = 1024;
 
+/// Time after a takeover, or after a proof of another sender, in which single
+/// reports do not lower the estimate: a server that another sender keeps busy
+/// shows a free slot for the moment between two of its requests.
+const SHARED: Duration = Duration::from_secs(10);
+
+/// Time and number of reports that lower the estimate in that phase.
+const WINDOW: (Duration, u32) = (Duration::from_millis(200), 5);
+
+/// Time after a takeover in which reports are wanted at a high rate.
+const SETTLING: Duration = Duration::from_secs(1);
+
+/// Time for which claimed work of others may hold back all items. The work of a
+/// former owner has mostly ended by then; a server whose reports mislead would
+/// otherwise never be used.
+const BLOCK_LIMIT: Duration = Duration::from_secs(3);
+
+/// Items that a server must run, while it claims to be full, to prove that its
+/// reports mislead.
+const TRIALS: u32 = 3;
+
+/// Time for which misleading reports are ignored.
+const DISTRUST: Duration = Duration::from_secs(30);
+
 /// Age after which the end of own work no longer matters.
 const ENDS_KEPT: Duration = Duration::from_secs(30);
 
@@ -26,13 +49,79 @@
         count: u32,
         raised: Option<Instant>,
         ends: VecDeque<Instant>,
+        blocked: Option<Instant>,
+        trials: Option<u32>,
+        ignored: Option<Instant>,
+        shared: Option<Instant>,
+        window: Option<Window>,
+    }
+
+    /// Reports that would lower the estimate.
+    #[derive(Copy, Eq)]
+    struct Window {
+        since: Instant,
+        reports: u32,
+        high: u32,
     }
 }
 
 impl Foreign {
     /// Requests that are taken to run at the server besides this gate's own.
     pub fn count(&self) -> u32 {
-        self.count
+        if self.ignored.is_some() { 0 } else { self.count }
+    }
+
+    /// Whether one item may start although the claims leave no slot.
+    pub fn is_trying(&self) -> bool {
+        self.trials.is_some()
+    }
+
+    /// Notes whether the claims hold back all items; starts and ends trials.
+    pub fn tick(&mut self, blocked: bool, now: Instant) {
+        self.ignored = self.ignored.filter(|until| now < *until);
+        if !blocked {
+            self.blocked = None;
+            return;
+        }
+        let since = *self.blocked.get_or_insert(now);
+        if self.trials.is_none() && now.saturating_duration_since(since) >= BLOCK_LIMIT {
+            self.trials = Some(0);
+        }
+    }
+
+    /// The server ran an item.
+    pub fn admitted(&mut self, now: Instant) {
+        let Some(trials) = &mut self.trials else {
+            return;
+        };
+        *trials += 1;
+        if *trials >= TRIALS {
+            self.trials = None;
+            self.ignored = Some(now + DISTRUST);
+        }
+    }
+
+    /// The server refused an item for lack of slots, so that at least `count`
+    /// requests of others run.
+    pub fn refused(&mut self, count: u32, now: Instant) {
+        self.trials = None;
+        self.ignored = None;
+        self.blocked = None;
+        self.raise_to(count, now);
+    }
+
+    /// Another host may have used the server: all its slots count as used until
+    /// reports show otherwise.
+    pub fn takeover(&mut self, slots: u32, now: Instant) {
+        self.count = slots;
+        self.raised = Some(now);
+        self.shared = Some(now);
+        self.window = None;
+    }
+
+    /// Whether reports are wanted soon.
+    pub fn is_settling(&self, now: Instant) -> bool {
+        self.count() > 0 && self.shared.is_some_and(|at| now < at + SETTLING)
     }
 
     /// An own request was given up and may still run at the server.
@@ -41,8 +130,7 @@
         self.raised = Some(now);
     }
 
-    /// The server proved that at least `count` such requests run.
-    pub fn raise_to(&mut self, count: u32, now: Instant) {
+    fn raise_to(&mut self, count: u32, now: Instant) {
         if count > self.count {
             self.count = count;
             self.raised = Some(now);
@@ -73,8 +161,26 @@
         let low = report.running.saturating_sub(possible as u32);
         if low > self.count {
             self.raise_to(low, now);
-        } else if high < self.count && self.raised.is_none_or(|r| report.sent >= r) {
+            self.shared = Some(now);
+        } else if high >= self.count {
+            self.window = None;
+        } else if self.raised.is_none_or(|r| report.sent >= r) {
+            self.lower(high, now);
+        }
+    }
+
+    fn lower(&mut self, high: u32, now: Instant) {
+        if self.shared.is_none_or(|at| now >= at + SHARED) {
             self.count = high;
+            return;
+        }
+        let window = self.window.get_or_insert(Window { since: now, reports: 0, high });
+        window.reports += 1;
+        window.high = window.high.max(high);
+        let age = now.saturating_duration_since(window.since);
+        if age >= WINDOW.0 && window.reports >= WINDOW.1 {
+            self.count = window.high;
+            self.window = None;
         }
     }
 }
--- a/crates/slots/src/machine.rs
+++ b/crates/slots/src/machine.rs
@@ -29,8 +29,6 @@
 mod events;
 mod tick;
 
-pub use configure::StartLevel;
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
     Queued,
--- a/crates/slots/src/machine/configure.rs
+++ b/crates/slots/src/machine/configure.rs
@@ -11,6 +11,7 @@
 
 use super::Slots;
 use crate::ownership::OwnedGroup;
+use crate::server::Drain;
 use crate::server::Server;
 use crate::types::ServerKey;
 
@@ -20,28 +21,22 @@
 /// Servers whose levels are kept for other owners.
 const MAX_HINTS: usize = 65_536;
 
-/// How the level of a newly owned server is chosen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum StartLevel {
-    /// Another host used it before.
-    Takeover,
-    /// It has not been used before.
-    Cold,
-}
-
 impl Slots {
     /// Adopts a catalog and the groups that this host owns in it.
     pub fn configure(&mut self, catalog: &Catalog, owned: &[OwnedGroup], now: Instant) {
         self.catalog = catalog.servers.values().map(|s| s.name.clone()).collect();
         let mut kept: HashSet<ServerKey> = HashSet::default();
         for o in owned {
-            let start = if o.takeover { StartLevel::Takeover } else { StartLevel::Cold };
             let group = &catalog.groups[o.group];
             for key in &group.servers {
                 let spec = &catalog.servers[*key];
-                let server = self.adopt(spec, &group.name, start, now);
+                let server = self.adopt(spec, &group.name, o, now);
                 kept.insert(server);
-                self.servers[server].usable = catalog.is_usable(*key);
+                let usable = catalog.is_usable(*key);
+                if usable && !self.servers[server].usable {
+                    self.servers[server].drain = Drain::default();
+                }
+                self.servers[server].usable = usable;
             }
         }
         let all: Vec<ServerKey> = self.servers.keys().collect();
@@ -64,7 +59,10 @@
             // Another host may have owned the servers in the meantime.
             let keys: Vec<ServerKey> = self.servers.keys().collect();
             for key in keys {
-                self.servers[key].known = false;
+                let server = &mut self.servers[key];
+                server.known = false;
+                server.probe_at = now;
+                server.foreign.takeover(server.slots, now);
                 self.dispatch(key, now);
             }
         }
@@ -89,20 +87,23 @@
         &mut self,
         spec: &BackendServer,
         group: &str,
-        start: StartLevel,
+        owned: &OwnedGroup,
         now: Instant,
     ) -> ServerKey {
         if let Some(&key) = self.names.get(&spec.name) {
             if self.servers[key].address == spec.address {
-                self.update(key, spec, group, start, now);
+                self.update(key, spec, group, owned, now);
                 return key;
             }
             // A server at another address is another server.
             self.disown(key, now);
             self.names.remove(&spec.name);
         }
-        let level = self.start_level(spec, start, now);
-        let server = Server::new(spec, group, level, self.settings.queue, now);
+        let level = self.start_level(spec, owned, now);
+        let mut server = Server::new(spec, group, level, self.settings.queue, now);
+        if owned.shared {
+            server.foreign.takeover(spec.slots, now);
+        }
         let key = self.servers.insert(server);
         self.names.insert(spec.name.clone(), key);
         self.changed.insert(group.into());
@@ -114,12 +115,15 @@
         key: ServerKey,
         spec: &BackendServer,
         group: &str,
-        start: StartLevel,
+        owned: &OwnedGroup,
         now: Instant,
     ) {
         if !self.servers[key].owned {
-            let level = self.start_level(spec, start, now);
+            let level = self.start_level(spec, owned, now);
             let server = &mut self.servers[key];
+            if owned.shared {
+                server.foreign.takeover(spec.slots, now);
+            }
             server.owned = true;
             server.known = false;
             server.untouched = true;
@@ -132,12 +136,12 @@
         server.connect_cost = spec.connect_cost;
     }
 
-    fn start_level(&mut self, spec: &BackendServer, start: StartLevel, now: Instant) -> u32 {
+    fn start_level(&mut self, spec: &BackendServer, owned: &OwnedGroup, now: Instant) -> u32 {
         let hint = self.hints.remove(&spec.name).filter(|(_, at)| *at + HINT_LIFE > now);
-        match (hint, start) {
-            (Some((level, _)), _) => level,
-            (None, StartLevel::Takeover) => spec.slots / 2,
-            (None, StartLevel::Cold) => 1,
+        match hint {
+            Some((level, _)) => level,
+            None if owned.takeover => spec.slots / 2,
+            None => 1,
         }
     }
 
--- a/crates/slots/src/machine/dispatch.rs
+++ b/crates/slots/src/machine/dispatch.rs
@@ -47,7 +47,8 @@
         if server.refusal().is_some() || !self.has_lease(now) {
             return;
         }
-        if !server.known {
+        // A status that cannot be read is not waited for.
+        if !server.known && !server.is_mute(now) {
             self.learn_status(key, now);
             return;
         }
@@ -91,7 +92,13 @@
             return;
         }
         let conn = server.pool.open(&mut self.conns, key, now);
-        self.actions.push(Action::Open { conn, address: server.address });
+        let address = server.address;
+        let open = if server.is_mute(now) {
+            Action::Prepare { conn, address }
+        } else {
+            Action::Open { conn, address }
+        };
+        self.actions.push(open);
     }
 
     /// Requests the status at once, as the load of the server is in doubt.
@@ -100,7 +107,7 @@
             return;
         };
         server.probe_at = now + self.settings.urgent;
-        if server.pool.is_asking(&self.conns) {
+        if server.is_mute(now) || server.pool.is_asking(&self.conns) {
             return;
         }
         match server.pool.newest(&self.conns, None) {
--- a/crates/slots/src/machine/events.rs
+++ b/crates/slots/src/machine/events.rs
@@ -8,6 +8,7 @@
 use super::Item;
 use super::Slots;
 use super::Stage;
+use crate::foreign::Foreign;
 use crate::pool::ConnState;
 use crate::types::ConnKey;
 use crate::types::End;
@@ -17,6 +18,9 @@
 use crate::types::StatusReport;
 use crate::types::WorkKey;
 
+/// Time for which the status of a server that does not send it is not requested.
+const MUTE: Duration = Duration::from_secs(5);
+
 /// A newly owned server with a shorter uptime is cold, whatever level a former
 /// owner learned.
 const YOUNG: Duration = Duration::from_secs(10);
@@ -33,6 +37,36 @@
         self.take_status(key, status, now);
     }
 
+    /// A connection was prepared that the first item on it opens.
+    pub fn prepared(&mut self, conn: ConnKey, now: Instant) {
+        let Some(key) = self.conns.get(conn).map(|c| c.server) else {
+            return;
+        };
+        self.release(conn, now);
+        self.dispatch(key, now);
+        self.forget(key);
+    }
+
+    /// A connection was opened, and no status came on it. Items decide whether
+    /// the server works.
+    pub fn silent(&mut self, conn: ConnKey, now: Instant) {
+        let Some(key) = self.conns.get(conn).map(|c| c.server) else {
+            return;
+        };
+        self.close(conn, now);
+        let server = &mut self.servers[key];
+        server.mute = Some(now + MUTE);
+        server.probe_at = now + MUTE;
+        if !server.known {
+            server.known = true;
+            // Nothing can be known of the work of others.
+            server.foreign = Foreign::default();
+            self.reset_level(key);
+        }
+        self.dispatch(key, now);
+        self.forget(key);
+    }
+
     /// A connection could not be opened.
     pub fn open_failed(&mut self, conn: ConnKey, now: Instant) {
         let Some(key) = self.conns.get(conn).map(|c| c.server) else {
@@ -91,6 +125,7 @@
         match end {
             End::Replied { report } => {
                 server.untouched = false;
+                server.foreign.admitted(now);
                 server.warmup.reply(took, true, server.slots);
                 if let Some(report) = report {
                     server.observe(report, now);
@@ -103,16 +138,16 @@
             }
             End::Refused { reason: Refusal::Busy } => {
                 let others = server.slots.saturating_sub(server.running.len() as u32 - 1);
-                server.foreign.raise_to(others, now);
+                server.foreign.refused(others, now);
             }
-            End::Refused { reason: Refusal::Draining } => server.draining = true,
+            End::Refused { reason: Refusal::Draining } => server.drain.refuse(now),
             _ => {}
         }
         if server.warmup.level() != before {
             let group = server.group.clone();
             self.changed.insert(group);
         }
-        if self.servers[key].draining {
+        if self.servers[key].drain.is_draining() {
             self.refuse_queue(key, Refusal::Draining);
         }
     }
@@ -195,12 +230,14 @@
             server.warmup.reset();
         }
         server.known = true;
-        server.draining = status.draining;
+        server.mute = None;
+        server.drain.status(status.draining);
+        let draining = server.drain.is_draining();
         if restarted || young {
             let group = server.group.clone();
             self.changed.insert(group);
         }
-        if status.draining {
+        if draining {
             self.refuse_queue(key, Refusal::Draining);
         }
         self.dispatch(key, now);
--- a/crates/slots/src/machine/tick.rs
+++ b/crates/slots/src/machine/tick.rs
@@ -16,6 +16,7 @@
         let keys: Vec<ServerKey> = self.servers.keys().collect();
         for key in keys {
             self.expire(key, now);
+            self.servers[key].tick(now);
             if !lease {
                 self.refuse_queue(key, Refusal::NotOwner);
             }
@@ -39,11 +40,12 @@
 
     fn probe_due(&mut self, key: ServerKey, now: Instant) {
         let server = &self.servers[key];
-        if !server.owned || now < server.probe_at {
+        if !server.owned || server.is_mute(now) || now < server.probe_at {
             return;
         }
         let blocked = server.foreign.count() > 0 && !server.queue.is_empty();
-        let interval = match (blocked, server.foreign.count()) {
+        let urgent = blocked || server.foreign.is_settling(now);
+        let interval = match (urgent, server.foreign.count()) {
             (true, _) => self.settings.urgent,
             (false, 0) => self.settings.probe,
             (false, _) => self.settings.probe / 5,
--- a/crates/slots/src/ownership.rs
+++ b/crates/slots/src/ownership.rs
@@ -17,21 +17,29 @@
         /// Key in the catalog.
         pub group: GroupKey,
         /// Whether another host owned it before, so that its servers are
-        /// probably warm and may still run that host's work.
+        /// probably warm.
         pub takeover: bool,
+        /// Whether that host may still run work on them, as it did not release
+        /// them.
+        pub shared: bool,
     }
 }
 
 /// Groups that `host` owns under a member list and a quorum lease.
 ///
 /// A group gained by a change of the member list is owned only once the lease
-/// has settled on the new epoch; a group lost is not owned at once.
-pub fn owned_groups(
+/// has settled on the new epoch; a group lost is not owned at once. `leaving`
+/// tells hosts that stop on purpose, which hand over without running work.
+pub fn owned_groups<F>(
     host: &str,
     catalog: &Catalog,
     members: &MemberList,
     lease: &QuorumLease,
-) -> Vec<OwnedGroup> {
+    leaving: F,
+) -> Vec<OwnedGroup>
+where
+    F: Fn(&str) -> bool,
+{
     // The lease rests on a member list that this host has not seen yet, which
     // may have given any group to another host.
     if lease.epoch > members.epoch {
@@ -47,9 +55,12 @@
     let groups = catalog.groups.iter();
     let owned =
         groups.filter(|(_, g)| owns(g, &members.hosts) && (settled || owns(g, &members.previous)));
-    owned
-        .map(|(group, g)| OwnedGroup { group, takeover: !is_first(host, catalog, members, g) })
-        .collect()
+    let owned = owned.map(|(group, g)| {
+        let takeover = former(host, catalog, members, g, |_| true);
+        let shared = former(host, catalog, members, g, |h| !leaving(h));
+        OwnedGroup { group, takeover, shared }
+    });
+    owned.collect()
 }
 
 /// Host that owns a group after `host`: the first other one for which `up` is
@@ -68,12 +79,17 @@
     rank::first(hosts, &group.name, zone, |h| &*h.host != host && up(&h.host))
 }
 
-/// Whether no other host can have owned the group before, as far as the member
-/// list tells.
-fn is_first(host: &str, catalog: &Catalog, members: &MemberList, group: &Group) -> bool {
+/// Whether another host for which `accept` is true may have owned the group
+/// before, as far as the member list tells.
+fn former<F>(host: &str, catalog: &Catalog, members: &MemberList, group: &Group, accept: F) -> bool
+where
+    F: Fn(&str) -> bool,
+{
     let zone = &*catalog.zones[group.zone].name;
-    let first = |hosts: &[MemberHost]| {
-        rank::first(hosts, &group.name, Some(zone), |_| true).is_none_or(|h| &*h.host == host)
+    let another = |hosts: &[MemberHost]| {
+        let first =
+            rank::first(hosts, &group.name, Some(zone), |h| &*h.host == host || accept(&h.host));
+        first.is_some_and(|h| &*h.host != host)
     };
-    first(&members.hosts) && first(&members.previous)
+    another(&members.hosts) || another(&members.previous)
 }
--- a/crates/slots/src/server.rs
+++ b/crates/slots/src/server.rs
@@ -18,6 +18,10 @@
 /// Shortest and longest retry hint of a refusal for lack of slots.
 const RETRY_RANGE: (Duration, Duration) = (Duration::from_millis(10), Duration::from_secs(1));
 
+/// Time for which a refusal as draining holds when the status does not show the
+/// drain; afterwards one item finds out.
+const DRAIN_HOLD: Duration = Duration::from_secs(60);
+
 /// Time that a reply is taken to need before the median is learned.
 const DEFAULT_MEDIAN: Duration = Duration::from_millis(20);
 
@@ -28,6 +32,36 @@
     pub(crate) started: Instant,
 }
 
+/// Whether a server is leaving, by its status and by its refusals.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Drain {
+    status: bool,
+    refused: Option<Instant>,
+}
+
+impl Drain {
+    pub(crate) fn is_draining(&self) -> bool {
+        self.status || self.refused.is_some()
+    }
+
+    /// The server refused work because it is leaving.
+    pub(crate) fn refuse(&mut self, now: Instant) {
+        self.refused = Some(now + DRAIN_HOLD);
+    }
+
+    /// Takes the status. A status that never showed the drain cannot end it.
+    pub(crate) fn status(&mut self, draining: bool) {
+        if self.status && !draining {
+            self.refused = None;
+        }
+        self.status = draining;
+    }
+
+    pub(crate) fn tick(&mut self, now: Instant) {
+        self.refused = self.refused.filter(|until| now < *until);
+    }
+}
+
 /// State of one backend server.
 #[derive(Clone, Debug)]
 pub(crate) struct Server {
@@ -41,7 +75,9 @@
     pub(crate) owned: bool,
     /// Whether it, its service and its zone are in service.
     pub(crate) usable: bool,
-    pub(crate) draining: bool,
+    pub(crate) drain: Drain,
+    /// Until when its status is taken to be unreadable.
+    pub(crate) mute: Option<Instant>,
     /// Whether its status was read since ownership was gained.
     pub(crate) known: bool,
     /// Whether no reply has corrected the start level yet.
@@ -75,7 +111,8 @@
             connect_cost: spec.connect_cost,
             owned: true,
             usable: true,
-            draining: false,
+            drain: Drain::default(),
+            mute: None,
             known: false,
             untouched: true,
             reported: 0,
@@ -93,8 +130,8 @@
     /// Items that may run at once, besides the work of others.
     pub(crate) fn limit(&self) -> usize {
         let slots = if self.reported > 0 { self.slots.min(self.reported) } else { self.slots };
-        let limit = slots.min(self.warmup.level());
-        limit.saturating_sub(self.foreign.count()) as usize
+        let limit = slots.min(self.warmup.level()).saturating_sub(self.foreign.count());
+        if self.foreign.is_trying() { limit.max(1) as usize } else { limit as usize }
     }
 
     /// Items that may still be started.
@@ -102,13 +139,18 @@
         self.limit().saturating_sub(self.running.len())
     }
 
+    /// Whether its status is not requested for now.
+    pub(crate) fn is_mute(&self, now: Instant) -> bool {
+        self.mute.is_some_and(|until| now < until)
+    }
+
     /// Whether it gets new work, apart from the quorum lease.
     pub(crate) fn refusal(&self) -> Option<Refusal> {
         if !self.owned {
             Some(Refusal::NotOwner)
         } else if !self.usable {
             Some(Refusal::OutOfService)
-        } else if self.draining {
+        } else if self.drain.is_draining() {
             Some(Refusal::Draining)
         } else {
             None
@@ -130,12 +172,24 @@
         median * waiting / self.limit().max(1) as u32
     }
 
+    /// Takes note of the time.
+    pub(crate) fn tick(&mut self, now: Instant) {
+        self.drain.tick(now);
+        let blocked = self.running.is_empty() && self.limit() == 0;
+        self.foreign.tick(blocked, now);
+    }
+
     /// Takes a load report; returns whether the server restarted.
     pub(crate) fn observe(&mut self, report: &Report, now: Instant) -> bool {
         self.reported = report.slots;
+        if self.warmup.uptime(report, now) {
+            self.drain = Drain::default();
+            self.foreign = Foreign::default();
+            return true;
+        }
         let started: Vec<Instant> = self.running.iter().map(|r| r.started).collect();
         self.foreign.observe(report, &started, now);
-        self.warmup.uptime(report, now)
+        false
     }
 
     /// Removes a running item; returns when it was started.
--- a/crates/slots/src/types.rs
+++ b/crates/slots/src/types.rs
@@ -68,6 +68,13 @@
             /// Address of the backend server.
             address: SocketAddr,
         },
+        /// Provide a connection that the first item on it opens.
+        Prepare {
+            /// Connection.
+            conn: ConnKey,
+            /// Address of the backend server.
+            address: SocketAddr,
+        },
         /// Send an item on a connection.
         Start {
             /// Item.
--- /dev/null
+++ b/crates/slots/tests/connections.rs
@@ -0,0 +1,169 @@
+//! Connections: their limit, stalled and silent ones.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use chervil_slots::types::End;
+use chervil_slots::types::Fate;
+use fixture::HOUR;
+use fixture::MS;
+use fixture::Rig;
+use fixture::SERVER;
+use fixture::sim::Sim;
+use proptest::prelude::*;
+
+mod fixture;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Guards against reuse of a connection on which an attempt has stalled.
+#[test]
+fn the_connection_of_a_stalled_attempt_is_not_reused() {
+    let mut rig = Rig::warm(2);
+    let stalled = rig.submit(1).unwrap();
+    let (_, first) = rig.started[0];
+    rig.advance(100 * MS);
+
+    rig.submit_work(&fixture::fresh(1, rig.now + HOUR)).unwrap();
+    rig.open_all();
+
+    let (_, second) = rig.started[1];
+    assert_ne!(first, second);
+    rig.finish(stalled, &End::Replied { report: None });
+    assert_eq!(rig.closed, [first]);
+}
+
+/// Guards against a fresh attempt using a connection that may have gone silent
+/// together with that of the stalled attempt.
+#[test]
+fn a_fresh_attempt_uses_a_connection_proven_since_the_stall() {
+    let mut rig = Rig::warm(4);
+    let a = rig.submit(1).unwrap();
+    let b = rig.submit(2).unwrap();
+    rig.open_all();
+    rig.finish(a, &End::Replied { report: None });
+    rig.finish(b, &End::Replied { report: None });
+    let before: Vec<_> = rig.started.drain(..).map(|(_, c)| c).collect();
+    rig.advance(MS);
+    rig.submit(3).unwrap();
+    rig.advance(100 * MS);
+
+    rig.submit_work(&fixture::fresh(3, rig.now + HOUR)).unwrap();
+    assert_eq!(rig.started.len(), 1);
+    rig.open_all();
+
+    let (_, fresh) = rig.started[1];
+    assert!(!before.contains(&fresh));
+}
+
+/// Guards against a stalled attempt keeping the only slot from its fresh one,
+/// and against both running at once.
+#[test]
+fn a_stalled_attempt_gives_its_slot_to_the_fresh_one() {
+    let mut rig = Rig::warm(1);
+    let stalled = rig.submit(1).unwrap();
+    rig.advance(100 * MS);
+
+    rig.submit_work(&fixture::fresh(1, rig.now + HOUR)).unwrap();
+    assert_eq!(rig.abandoned, [stalled]);
+    assert!(rig.started.is_empty());
+
+    rig.advance(MS);
+    rig.open(0);
+    assert_eq!(rig.started.len(), 1);
+}
+
+/// Guards against pooled connections that went silent while idle.
+#[test]
+fn a_failed_status_request_closes_older_idle_connections() {
+    let mut rig = Rig::warm(2);
+    let a = rig.submit(1).unwrap();
+    let b = rig.submit(2).unwrap();
+    rig.open_all();
+    rig.finish(a, &End::Replied { report: None });
+    rig.finish(b, &End::Replied { report: None });
+    rig.advance(SECOND);
+    rig.tick();
+    let probe = rig.probes.pop_front().unwrap();
+
+    rig.advance(500 * MS);
+    rig.slots.probed(probe, None, rig.now);
+    rig.sort();
+
+    assert_eq!(rig.closed.len(), 2);
+    assert_eq!(rig.slots.load(SERVER).unwrap().connections, 0);
+}
+
+/// Guards against a server being unused because only its status is silent.
+#[test]
+fn a_server_with_a_silent_status_is_used() {
+    let mut rig = Rig::new(2, 10, true);
+    rig.submit(1).unwrap();
+    let conn = rig.opens.pop_front().unwrap();
+
+    rig.slots.silent(conn, rig.now);
+    rig.sort();
+    let conn = rig.prepares.pop_front().unwrap();
+    rig.slots.prepared(conn, rig.now);
+    rig.sort();
+
+    assert_eq!(rig.started.len(), 1);
+}
+
+/// Guards against a request that was never written being reported as failed,
+/// and against starting it over and over.
+#[test]
+fn an_unwritten_item_starts_once_more() {
+    let mut rig = Rig::warm(2);
+    let work = rig.submit(1).unwrap();
+
+    let first = rig.finish(work, &End::NotWritten);
+    rig.open_all();
+    let second = rig.finish(work, &End::NotWritten);
+
+    assert_eq!((first, second), (Fate::Requeued, Fate::Final));
+}
+
+/// Guards against a connection that takes long to open holding back a fresh
+/// attempt.
+#[test]
+fn a_slow_dial_does_not_hold_back_the_next_one() {
+    let mut rig = Rig::new(1, 10, false);
+    rig.open(0);
+    let work = rig.submit(1).unwrap();
+    rig.finish(work, &End::Unreadable);
+    rig.submit(2).unwrap();
+    assert_eq!(rig.opens.len(), 1);
+
+    rig.advance(200 * MS);
+    rig.tick();
+
+    assert_eq!(rig.opens.len(), 2);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, ..ProptestConfig::default() })]
+
+    /// Guards against more connections, including those being opened, or more
+    /// requests than the server allows, under load, cancels and reconnects.
+    #[test]
+    fn limits_hold_under_random_load(
+        seed in any::<u64>(),
+        slots in 1_u32..5,
+        connections in 1_u32..6,
+        cancel in 0.0..0.5_f64,
+    ) {
+        let mut sim = Sim::new(1, 10 * MS, seed);
+        sim.cancel_share = cancel;
+        sim.own(0, slots, connections, false);
+        sim.load(0, 3 * MS, SECOND);
+
+        sim.run(2 * SECOND);
+
+        prop_assert!(sim.peak <= slots as usize);
+        prop_assert!(sim.connections_peak <= connections as usize);
+        prop_assert_eq!(sim.gates[0].pending(), 0);
+        prop_assert!(sim.served[0] > 10);
+    }
+}
--- /dev/null
+++ b/crates/slots/tests/machine.rs
@@ -0,0 +1,265 @@
+//! Leases, cold starts, drains, connections and ends of items.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use chervil_rpc::gate::Refusal;
+use chervil_slots::types::End;
+use chervil_slots::types::Fate;
+use chervil_slots::types::StatusReport;
+use fixture::HOUR;
+use fixture::MS;
+use fixture::Rig;
+use fixture::SERVER;
+
+mod fixture;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Guards against work accepted under a lease starting after its end.
+#[test]
+fn queued_work_does_not_start_after_the_lease_ends() {
+    let mut rig = Rig::warm(1);
+    let running = rig.submit(1).unwrap();
+    let queued = rig.submit(2).unwrap();
+    rig.slots.set_lease(rig.now + SECOND, rig.now);
+    rig.advance(SECOND);
+
+    rig.finish(running, &End::Replied { report: None });
+    rig.tick();
+
+    assert!(rig.started.is_empty());
+    assert_eq!(rig.refused[0].0, queued);
+    assert_eq!(rig.reasons(), [Refusal::NotOwner]);
+    assert_eq!(rig.submit(3).unwrap_err().reason, Refusal::NotOwner);
+}
+
+/// Guards against use of old knowledge of the load after a lapse, in which
+/// another host may have owned the server.
+#[test]
+fn a_renewed_lease_reads_the_status_first() {
+    let mut rig = Rig::warm(2);
+    rig.slots.set_lease(rig.now, rig.now);
+    rig.advance(SECOND);
+    rig.tick();
+
+    rig.slots.set_lease(rig.now + HOUR, rig.now);
+    rig.sort();
+    rig.submit(1).unwrap();
+    assert!(rig.started.is_empty());
+
+    rig.settle(0, 500 * MS);
+    assert_eq!(rig.started.len(), 1);
+}
+
+/// Guards against a cold server getting more than it has shown to bear.
+#[test]
+fn the_level_doubles_after_eight_good_replies() {
+    let mut rig = Rig::new(6, 10, false);
+    rig.open(0);
+    let mut levels = Vec::new();
+
+    for _ in 0..4 {
+        levels.push(rig.level());
+        rig.serve(8);
+    }
+
+    assert_eq!(levels, [1, 2, 4, 6]);
+}
+
+/// Guards against missing any of the signals of a cold start.
+#[test]
+fn cold_start_signals_reset_the_level() {
+    let refused = |rig: &mut Rig| {
+        let work = rig.submit(1).unwrap();
+        rig.finish(work, &End::Refused { reason: Refusal::Cold });
+    };
+    let lost = |rig: &mut Rig| {
+        let work = rig.submit(1).unwrap();
+        rig.finish(work, &End::Lost);
+    };
+    let restarted = |rig: &mut Rig| {
+        rig.uptime = SECOND;
+        rig.serve(1);
+    };
+    let slow = |rig: &mut Rig| rig.serve_in(3, 100 * MS);
+    let signals: [&dyn Fn(&mut Rig); 4] = [&refused, &lost, &restarted, &slow];
+
+    for signal in signals {
+        let mut rig = Rig::warm(4);
+        rig.serve(20);
+        assert_eq!(rig.level(), 4);
+
+        signal(&mut rig);
+
+        assert_eq!(rig.level(), 1);
+    }
+}
+
+/// Guards against stragglers, 1 reply in 100, being taken for a cold start.
+#[test]
+fn single_slow_replies_keep_the_level() {
+    let mut rig = Rig::warm(4);
+    rig.serve(20);
+
+    for _ in 0..10 {
+        rig.serve_in(1, 500 * MS);
+        rig.serve(9);
+    }
+
+    assert_eq!(rig.level(), 4);
+}
+
+/// Guards against a restart being seen in replies that overtook each other.
+#[test]
+fn an_overtaken_report_is_no_restart() {
+    let mut rig = Rig::warm(4);
+    rig.serve(20);
+    let work = rig.submit(1).unwrap();
+    let overtaken = rig.report(0);
+    rig.advance(20 * MS);
+    rig.serve(1);
+    rig.advance(20 * MS);
+
+    rig.finish(work, &End::Replied { report: Some(overtaken) });
+
+    assert_eq!(rig.level(), 4);
+}
+
+/// Guards against queued work reaching a server that drains, also when only
+/// its refusals show the drain.
+#[test]
+fn a_draining_server_gets_no_queued_work() {
+    let mut rig = Rig::warm(1);
+    let running = rig.submit(1).unwrap();
+    rig.submit(2).unwrap();
+
+    rig.finish(running, &End::Refused { reason: Refusal::Draining });
+    rig.settle(0, 10 * SECOND);
+
+    assert_eq!(rig.reasons(), [Refusal::Draining]);
+    assert_eq!(rig.submit(3).unwrap_err().reason, Refusal::Draining);
+}
+
+/// Guards against a server that came back staying unused.
+#[test]
+fn the_end_of_a_drain_in_the_status_is_believed() {
+    let mut rig = Rig::warm(1);
+    rig.advance(SECOND);
+    rig.tick();
+    let conn = rig.probes.pop_front().unwrap();
+    let draining = StatusReport { draining: true, ..rig.status(0) };
+    rig.slots.probed(conn, Some(&draining), rig.now);
+    assert_eq!(rig.submit(1).unwrap_err().reason, Refusal::Draining);
+
+    rig.settle(0, 2 * SECOND);
+
+    assert!(rig.submit(2).is_ok());
+}
+
+/// Guards against queued work for a server that an operator took out, removed
+/// or that another host now owns; running work is not interrupted.
+#[test]
+fn configuration_changes_refuse_queued_work_only() {
+    let out = |rig: &mut Rig| rig.spec.zones[0].in_service = false;
+    let removed = |rig: &mut Rig| rig.spec.servers.clear();
+    let changes: [&dyn Fn(&mut Rig); 2] = [&out, &removed];
+    let reasons = [Refusal::OutOfService, Refusal::UnknownServer];
+
+    for (change, reason) in changes.into_iter().zip(reasons) {
+        let mut rig = Rig::warm(1);
+        let running = rig.submit(1).unwrap();
+        rig.submit(2).unwrap();
+        change(&mut rig);
+
+        rig.configure(true);
+
+        assert_eq!(rig.reasons(), [reason]);
+        assert!(rig.closed.is_empty());
+        assert_eq!(rig.finish(running, &End::Replied { report: None }), Fate::Final);
+        assert_eq!(rig.submit(3).unwrap_err().reason, reason);
+    }
+}
+
+/// Guards against a loss of ownership that leaves queued work or connections.
+#[test]
+fn lost_ownership_refuses_queued_work_and_closes_connections() {
+    let mut rig = Rig::warm(1);
+    let running = rig.submit(1).unwrap();
+    rig.submit(2).unwrap();
+    let catalog = chervil_base::catalog::Catalog::new(&rig.spec);
+
+    rig.slots.configure(&catalog, &[], rig.now);
+    rig.sort();
+    rig.finish(running, &End::Replied { report: None });
+
+    assert_eq!(rig.reasons(), [Refusal::NotOwner]);
+    assert_eq!(rig.closed.len(), 1);
+    assert_eq!(rig.slots.load(SERVER), None);
+}
+
+/// Guards against an unbounded queue and against a refusal without a hint.
+#[test]
+fn a_full_queue_refuses_with_a_retry_hint() {
+    let mut warm = Rig::warm(2);
+    let mut cold = Rig::new(2, 10, false);
+    cold.open(0);
+
+    let busy = warm.fill();
+    let shed = cold.fill();
+
+    assert_eq!((busy.reason, shed.reason), (Refusal::Busy, Refusal::Cold));
+    assert!(busy.retry.is_some() && shed.retry.is_some());
+    assert_eq!(warm.slots.load(SERVER).unwrap().queued, 8);
+}
+
+/// Guards against useless work: expired and cancelled items leave the queue.
+#[test]
+fn expired_and_cancelled_items_leave_the_queue() {
+    let mut rig = Rig::warm(1);
+    rig.submit(1).unwrap();
+    let expiring = rig.submit_work(&fixture::work(1, 2, rig.now + SECOND)).unwrap();
+    let cancelled = rig.submit(3).unwrap();
+
+    rig.slots.cancel(cancelled, rig.now);
+    rig.advance(SECOND);
+    rig.tick();
+
+    assert_eq!(rig.refused[0].0, expiring);
+    assert_eq!(rig.reasons(), [Refusal::Expired]);
+    assert_eq!(rig.slots.load(SERVER).unwrap().queued, 0);
+}
+
+/// Guards against a stop that accepts new work or drops accepted work.
+#[test]
+fn a_stop_refuses_new_work_and_runs_accepted_work() {
+    let mut rig = Rig::warm(1);
+    let running = rig.submit(1).unwrap();
+    rig.submit(2).unwrap();
+
+    rig.slots.stop();
+    rig.finish(running, &End::Replied { report: None });
+
+    assert_eq!(rig.submit(3).unwrap_err().reason, Refusal::Stopping);
+    assert_eq!(rig.started.len(), 1);
+    assert_eq!(rig.slots.pending(), 1);
+}
+
+/// Guards against an unreachable server holding work until its deadline.
+#[test]
+fn an_unreachable_server_refuses_at_once() {
+    let mut rig = Rig::new(2, 10, true);
+    rig.submit(1).unwrap();
+    let conn = rig.opens.pop_front().unwrap();
+
+    rig.slots.open_failed(conn, rig.now);
+    rig.sort();
+
+    assert_eq!(rig.reasons(), [Refusal::Unreachable]);
+    let refused = rig.submit(2).unwrap_err();
+    assert_eq!(refused.reason, Refusal::Unreachable);
+    assert!(refused.retry.is_some());
+    rig.settle(0, 2 * SECOND);
+    assert_eq!(rig.opens.len(), 1);
+}
