--- a/crates/config/tests/interleaving.rs
+++ b/crates/config/tests/interleaving.rs
@@ -1,4 +1,5 @@
 //! Two operators and three hosts under random interleavings and faults.
+#![allow(clippy::unwrap_used, reason = "a step that fails should end the test")]
 
 use std::collections::BTreeMap;
 
@@ -134,6 +135,8 @@
                 failed => prop_assert_eq!(None, accepted, "{:?}", failed),
             }
         }
+        let last = hosts[3].last().map(|c| c.revision);
+        prop_assert_eq!(last, history.last().map(|o| o.revision), "readable when all is well");
         for seen in &hosts {
             prop_assert!(seen.is_sorted_by(|a, b| a.revision < b.revision));
             for catalog in seen {
--- a/crates/ctl/src/session.rs
+++ b/crates/ctl/src/session.rs
@@ -50,7 +50,9 @@
     pub(crate) async fn change(&self, change: &Change) -> ChangeResult {
         let clock = SystemClock;
         let operator = &self.settings.operator;
-        let editor = Editor::new(&self.store, &clock, operator, EditorSettings::default());
+        let attempts = self.settings.resolve_attempts;
+        let settings = EditorSettings { attempts, ..EditorSettings::default() };
+        let editor = Editor::new(&self.store, &clock, operator, settings);
         editor.change(change, &self.operation).await
     }
 }
--- a/crates/ctl/src/settings.rs
+++ b/crates/ctl/src/settings.rs
@@ -24,6 +24,9 @@
     /// Bound on a call to the store, in milliseconds.
     #[serde(default = "default_timeout")]
     pub(crate) timeout_ms: u64,
+    /// Attempts to learn what became of a change, half a second apart.
+    #[serde(default = "default_attempts")]
+    pub(crate) resolve_attempts: usize,
 }
 
 fn default_wait() -> u64 {
@@ -33,3 +36,7 @@
 fn default_timeout() -> u64 {
     2000
 }
+
+fn default_attempts() -> usize {
+    8
+}
--- a/crates/platform/src/http/store.rs
+++ b/crates/platform/src/http/store.rs
@@ -62,7 +62,6 @@
             Ok(Refused { current }) => StoreError::Conflict { current },
             Err(_) => StoreError::Unknown,
         },
-        StatusCode::NOT_FOUND => StoreError::Conflict { current: 0 },
         _ => StoreError::Unknown,
     }
 }
@@ -103,7 +102,11 @@
         url.query_pairs_mut().append_pair("if_revision", &expected.to_string());
         let request = self.transport.client().delete(url);
         let response = self.transport.send(request, Effect::Write, Duration::ZERO).await?;
-        if response.status().is_success() { Ok(()) } else { Err(refused(response).await) }
+        match response.status() {
+            StatusCode::OK | StatusCode::NO_CONTENT => Ok(()),
+            StatusCode::NOT_FOUND => Err(StoreError::Conflict { current: 0 }),
+            _ => Err(refused(response).await),
+        }
     }
 
     async fn watch(
--- a/crates/sheet/src/check.rs
+++ b/crates/sheet/src/check.rs
@@ -8,6 +8,7 @@
 use chervil_base::catalog::ServiceSpec;
 use chervil_base::catalog::ZoneSpec;
 use chervil_base::shards::MAX_SHARD;
+use chervil_base::shards::Shard;
 use chervil_base::shards::ShardSet;
 
 use crate::columns::Column;
@@ -29,11 +30,21 @@
     spec: T,
 }
 
+/// What a server row refers to, also when other cells have problems.
+#[derive(Debug)]
+struct Reference {
+    line: u64,
+    service: Box<str>,
+    zone: Box<str>,
+    shards: Option<ShardSet>,
+}
+
 #[derive(Debug, Default)]
 struct Parts {
     zones: Vec<Placed<ZoneSpec>>,
     services: Vec<Placed<ServiceSpec>>,
-    servers: Vec<Placed<BackendServerSpec>>,
+    servers: Vec<BackendServerSpec>,
+    references: Vec<Reference>,
     /// Lines of rows by kind and name, including rows with problems, so that a
     /// bad row is not also reported as undeclared.
     names: HashMap<(&'static str, Box<str>), u64>,
@@ -87,7 +98,7 @@
             }
             "server" => {
                 let spec = self.server(row, findings);
-                self.servers.extend(spec.map(|spec| Placed { line: row.line, spec }));
+                self.servers.extend(spec);
             }
             found => {
                 let kind = ProblemKind::UnknownKind { found: found.into() };
@@ -123,10 +134,18 @@
         let connect_ms = number(row, Column::ConnectMs, 0, MAX_CONNECT_MS, findings);
         let shards = shards(row, findings);
         let in_service = state(row, findings);
+        let service: Box<str> = row.cell(Column::Service).into();
+        let zone: Box<str> = row.cell(Column::Zone).into();
+        self.references.push(Reference {
+            line: row.line,
+            service: service.clone(),
+            zone: zone.clone(),
+            shards: shards.clone(),
+        });
         Some(BackendServerSpec {
             name: name?,
-            service: row.cell(Column::Service).into(),
-            zone: row.cell(Column::Zone).into(),
+            service,
+            zone,
             address: address?,
             slots: slots?,
             connections: connections?,
@@ -178,17 +197,16 @@
     fn check_references(&self, findings: &mut Findings<'_>) {
         let counts: HashMap<&str, u32> =
             self.services.iter().map(|s| (&*s.spec.name, s.spec.shards)).collect();
-        for server in &self.servers {
-            self.check_declared(server.line, Column::Zone, "zone", &server.spec.zone, findings);
-            let service = &server.spec.service;
-            self.check_declared(server.line, Column::Service, "service", service, findings);
-            let last = server.spec.shards.iter().last();
-            if let (Some(shard), Some(&count)) = (last, counts.get(&**service))
+        for r in &self.references {
+            self.check_declared(r.line, Column::Zone, "zone", &r.zone, findings);
+            self.check_declared(r.line, Column::Service, "service", &r.service, findings);
+            let last = r.shards.as_ref().and_then(|s| s.iter().last());
+            if let (Some(shard), Some(&count)) = (last, counts.get(&*r.service))
                 && shard >= count
             {
-                let service = service.clone();
+                let service = r.service.clone();
                 let kind = ProblemKind::OutsideService { shard, service, count };
-                findings.cell(server.line, Column::Shards, kind);
+                findings.cell(r.line, Column::Shards, kind);
             }
         }
     }
@@ -208,21 +226,24 @@
 
     fn check_coverage(&self, findings: &mut Findings<'_>) {
         let mut held: HashMap<&str, Vec<bool>> = HashMap::default();
-        for s in &self.services {
+        for s in self.services.iter().filter(|s| s.spec.in_service) {
             held.insert(&s.spec.name, vec![false; s.spec.shards as usize]);
         }
-        for s in &self.servers {
-            if let Some(held) = held.get_mut(&*s.spec.service) {
-                for shard in s.spec.shards.iter() {
-                    if let Some(held) = held.get_mut(shard as usize) {
-                        *held = true;
+        for r in &self.references {
+            match &r.shards {
+                Some(shards) => {
+                    if let Some(held) = held.get_mut(&*r.service) {
+                        mark(held, shards);
                     }
                 }
+                // What the row should cover is not known.
+                None => drop(held.remove(&*r.service)),
             }
         }
-        for s in self.services.iter().filter(|s| s.spec.in_service) {
-            let holds = |i: &u32| held.get(&*s.spec.name).is_some_and(|h| h[*i as usize]);
-            let missing: ShardSet = (0..s.spec.shards).filter(|i| !holds(i)).collect();
+        for s in &self.services {
+            let Some(held) = held.get(&*s.spec.name) else { continue };
+            let missing = held.iter().enumerate().filter(|(_, h)| !**h);
+            let missing: ShardSet = missing.map(|(i, _)| i as Shard).collect();
             if !missing.is_empty() {
                 let service = s.spec.name.clone();
                 let kind = ProblemKind::Uncovered { missing: missing.into(), service };
@@ -236,7 +257,7 @@
             revision: 0,
             zones: self.zones.into_iter().map(|z| z.spec).collect(),
             services: self.services.into_iter().map(|s| s.spec).collect(),
-            servers: self.servers.into_iter().map(|s| s.spec).collect(),
+            servers: self.servers,
         };
         spec.zones.sort_by(|a, b| a.name.cmp(&b.name));
         spec.services.sort_by(|a, b| a.name.cmp(&b.name));
@@ -245,6 +266,14 @@
     }
 }
 
+fn mark(held: &mut [bool], shards: &ShardSet) {
+    for shard in shards.iter() {
+        if let Some(held) = held.get_mut(shard as usize) {
+            *held = true;
+        }
+    }
+}
+
 fn require_empty(row: &Row, kind: &'static str, columns: &[Column], findings: &mut Findings<'_>) {
     for &column in columns {
         let found = row.cell(column);
