Add membership decisions and an agent that serves view and lease

Cause: no host knew its peers, the configuration or its right to send. Change: members holds votes, the quorum lease, settled epochs and list changes as pure state machines; agent joins the member list, exchanges heartbeats, adopts the configuration, serves view and lease, and routes claims and canary requests. Heartbeat gains `serving` (a host without a live gate gets no support) and `join` (peers add a host in one list change).

--- /dev/null
+++ b/crates/agent/src/beat.rs
@@ -0,0 +1,76 @@
+//! Sends heartbeats to all hosts of the member list.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use chervil_base::HashSet;
+use chervil_base::clock::Clock;
+use chervil_members::HEARTBEAT_INTERVAL;
+use chervil_rpc::agent::AgentRpcClient as _;
+use chervil_rpc::agent::Heartbeat;
+use chervil_rpc::agent::HeartbeatReply;
+use chervil_rpc::client::Peers;
+use futures::StreamExt as _;
+use futures::stream::FuturesUnordered;
+use tokio::time;
+use tokio::time::MissedTickBehavior;
+
+use crate::core::Answered;
+use crate::core::CoreAddress;
+use crate::core::Tick;
+
+/// A heartbeat without an answer for this long is given up, and its connection
+/// with it: an open connection may have become unresponsive for good.
+const TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Sends heartbeats until the actor ends.
+pub(crate) async fn run(core: CoreAddress, peers: Arc<Peers>, clock: Arc<dyn Clock>) {
+    let mut ticks = time::interval(HEARTBEAT_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    let mut running = FuturesUnordered::new();
+    let mut busy: HashSet<SocketAddr> = HashSet::default();
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {
+                let Ok(round) = core.send(Tick).await else { return };
+                for address in round.targets {
+                    if busy.insert(address) {
+                        running.push(send(&peers, &*clock, address, round.heartbeat.clone()));
+                    }
+                }
+            }
+            Some((address, answer)) = running.next() => {
+                busy.remove(&address);
+                if let Some((sent, reply)) = answer {
+                    let answered = Answered { address, sent, reply };
+                    if core.send(answered).await.is_err() {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+}
+
+async fn send(
+    peers: &Peers,
+    clock: &dyn Clock,
+    address: SocketAddr,
+    heartbeat: Heartbeat,
+) -> (SocketAddr, Option<(Instant, HeartbeatReply)>) {
+    // Taken before the connection is opened: earlier is always safe.
+    let sent = clock.now();
+    let call = async {
+        let client = peers.get(address).await.ok()?;
+        client.heartbeat(heartbeat).await.ok()
+    };
+    match time::timeout(TIMEOUT, call).await {
+        Ok(reply) => (address, reply.map(|r| (sent, r))),
+        Err(_) => {
+            peers.forget(address).await;
+            (address, None)
+        }
+    }
+}
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -1,3 +1,9 @@
 //! Entry point.
 
-fn main() {}
+use std::process::ExitCode;
+
+use pico_args::Arguments;
+
+fn main() -> ExitCode {
+    chervil_agent::run::run(Arguments::from_env())
+}
--- /dev/null
+++ b/crates/agent/src/server.rs
@@ -0,0 +1,138 @@
+//! Methods of the agent.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use chervil_node::metrics::Metrics;
+use chervil_rpc::agent::AgentRpcServer;
+use chervil_rpc::agent::CanaryReply;
+use chervil_rpc::agent::CanaryReport;
+use chervil_rpc::agent::CanaryRequest;
+use chervil_rpc::agent::ClaimReply;
+use chervil_rpc::agent::ClaimRequest;
+use chervil_rpc::agent::Heartbeat;
+use chervil_rpc::agent::HeartbeatReply;
+use chervil_rpc::agent::HostStatus;
+use chervil_rpc::agent::PullReply;
+use chervil_rpc::agent::PullRequest;
+use chervil_rpc::agent::QuorumLease;
+use chervil_rpc::agent::SettleRequest;
+use chervil_rpc::agent::View;
+use chervil_rpc::agent::ViewRequest;
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::core::async_trait;
+use jsonrpsee::types::ErrorObjectOwned;
+use tokio::sync::watch;
+use tokio::time;
+use tracing::Instrument as _;
+use tracing::info_span;
+
+use crate::core::Ask;
+use crate::core::CoreAddress;
+use crate::core::Heard;
+use crate::core::Offer;
+use crate::forward::Forward;
+use crate::outlook::Outlook;
+use crate::state::State;
+use crate::store::BoundedStore;
+
+/// Longest wait for a change of the view.
+const MAX_WAIT: Duration = Duration::from_secs(30);
+
+/// Error code of a request that the agent cannot serve at present.
+const UNAVAILABLE: i32 = -32_010;
+
+/// Error code of an offer that cannot be adopted.
+const REFUSED: i32 = -32_011;
+
+/// Serves the agent's methods.
+pub(crate) struct Methods {
+    pub(crate) core: CoreAddress,
+    pub(crate) outlook: watch::Receiver<Arc<Outlook>>,
+    pub(crate) forward: Forward,
+    pub(crate) store: Arc<BoundedStore>,
+    pub(crate) metrics: Metrics,
+}
+
+impl Methods {
+    async fn ask<F, R>(&self, ask: F) -> RpcResult<R>
+    where
+        F: FnOnce(&mut State, Instant) -> R + Send + 'static,
+        R: Send + 'static,
+    {
+        self.core.send(Ask(ask)).await.map_err(stopping)
+    }
+}
+
+#[async_trait]
+impl AgentRpcServer for Methods {
+    async fn view(&self, request: ViewRequest) -> RpcResult<View> {
+        let wait = Duration::from_millis(request.wait_ms.into()).min(MAX_WAIT);
+        let mut outlook = self.outlook.clone();
+        // After the wait the view is sent as it is, changed or not.
+        let changed = outlook.wait_for(|o| o.sequence != request.after);
+        let _ = time::timeout(wait, changed).await;
+        let current = self.outlook.borrow().clone();
+        Ok(current.view(request.revision))
+    }
+
+    async fn lease(&self) -> RpcResult<QuorumLease> {
+        let incarnation = rand::random();
+        self.ask(move |state, now| state.lease(incarnation, now)).await
+    }
+
+    async fn release(&self) -> RpcResult<()> {
+        spdlog::info!("the gate released the host's groups");
+        self.ask(|state, now| state.release(now)).await
+    }
+
+    async fn heartbeat(&self, heartbeat: Heartbeat) -> RpcResult<HeartbeatReply> {
+        self.core.send(Heard(heartbeat)).await.map_err(stopping)
+    }
+
+    async fn pull(&self, request: PullRequest) -> RpcResult<PullReply> {
+        self.metrics.count("pulls", 1);
+        self.ask(move |state, _| state.newer_than(request.revision, request.epoch)).await
+    }
+
+    async fn push(&self, state: PullReply) -> RpcResult<()> {
+        match self.core.send(Offer(state)).await.map_err(stopping)? {
+            Ok(_) => Ok(()),
+            Err(e) => Err(ErrorObjectOwned::owned(REFUSED, e.into_string(), None::<()>)),
+        }
+    }
+
+    async fn status(&self) -> RpcResult<HostStatus> {
+        let (store_up, store_calls) = (self.store.is_up(), self.store.calls());
+        self.ask(move |state, now| state.status(store_up, store_calls, now)).await
+    }
+
+    async fn claim(&self, request: ClaimRequest) -> RpcResult<ClaimReply> {
+        let span = info_span!("claim", forwarded = request.forwarded);
+        Ok(self.forward.claim(request).instrument(span).await)
+    }
+
+    async fn settle(&self, request: SettleRequest) -> RpcResult<()> {
+        let span = info_span!("settle", forwarded = request.forwarded);
+        let settled = self.forward.settle(request).instrument(span).await;
+        settled.map_err(|e| ErrorObjectOwned::owned(UNAVAILABLE, e.to_string(), None::<()>))
+    }
+
+    async fn canary(&self, request: CanaryRequest) -> RpcResult<CanaryReply> {
+        let span = info_span!("canary", forwarded = request.forwarded);
+        let reply = self.forward.canary(request).instrument(span).await;
+        reply.ok_or_else(|| stopping(xtra::Error::Disconnected))
+    }
+
+    async fn canary_report(&self, report: CanaryReport) -> RpcResult<()> {
+        let span = info_span!("canary_report", forwarded = report.forwarded);
+        self.forward.canary_report(report).instrument(span).await;
+        Ok(())
+    }
+}
+
+fn stopping(_: xtra::Error) -> ErrorObjectOwned {
+    let message = "the agent is stopping; ask another host";
+    ErrorObjectOwned::owned(UNAVAILABLE, message, None::<()>)
+}
--- /dev/null
+++ b/crates/agent/src/state.rs
@@ -0,0 +1,385 @@
+//! State of the agent and its decisions, without I/O.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use chervil_base::HashMap;
+use chervil_base::catalog::CatalogSpec;
+use chervil_canary::Suspects;
+use chervil_config::Adopted;
+use chervil_members::DOWN_AFTER;
+use chervil_members::membership::Membership;
+use chervil_members::rank::first;
+use chervil_members::rank::rank;
+use chervil_rpc::agent::Heartbeat;
+use chervil_rpc::agent::HeartbeatReply;
+use chervil_rpc::agent::HostStatus;
+use chervil_rpc::agent::Member;
+use chervil_rpc::agent::MemberHost;
+use chervil_rpc::agent::MemberList;
+use chervil_rpc::agent::PullReply;
+use chervil_rpc::agent::QuorumLease;
+
+use crate::core::Upkeep;
+use crate::outlook::Outlook;
+
+/// Oldest knowledge of the store with which a host that has no quorum lease
+/// accepts new work.
+const FRESH_LIMIT: Duration = Duration::from_secs(3);
+
+/// A gate that has not asked for its lease for this long is taken for dead.
+const GATE_LIMIT: Duration = Duration::from_secs(1);
+
+/// A gate that asks for its lease this long after a release is a new process.
+const RENEW_AFTER: Duration = Duration::from_secs(2);
+
+/// Hosts that watch the configuration's head in the store.
+const WATCHERS: usize = 3;
+
+/// Each time that the knowledge of the store has aged by this much, twice as
+/// many hosts watch: the first ones may be cut off from the store.
+const WATCHERS_STEP: Duration = Duration::from_secs(2);
+
+/// Hosts that watch at most, so that a store that comes back is not flooded.
+const MAX_WATCHERS: usize = 12;
+
+/// What the agent knows of a peer besides its votes.
+#[derive(Clone, Debug)]
+struct Peer {
+    answered: Option<Instant>,
+    leaving: bool,
+    join: Option<(MemberHost, Instant)>,
+}
+
+/// A peer that has something newer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Source {
+    pub(crate) address: SocketAddr,
+}
+
+/// State of the agent.
+pub(crate) struct State {
+    me: MemberHost,
+    bootstrap: Vec<SocketAddr>,
+    pub(crate) membership: Membership,
+    pub(crate) suspects: Suspects,
+    config: Adopted,
+    catalog: Arc<CatalogSpec>,
+    members: Arc<MemberList>,
+    fresh: Option<Instant>,
+    peers: HashMap<Box<str>, Peer>,
+    gate_asked: Option<Instant>,
+    released: Option<Instant>,
+    leaving: bool,
+    started: Instant,
+    sequence: u64,
+}
+
+impl State {
+    pub(crate) fn new(
+        me: MemberHost,
+        bootstrap: Vec<SocketAddr>,
+        incarnation: u64,
+        now: Instant,
+    ) -> State {
+        State {
+            membership: Membership::new(&me.host, incarnation, now),
+            suspects: Suspects::new(chervil_canary::CAPACITY),
+            me,
+            bootstrap,
+            config: Adopted::new(),
+            catalog: Arc::default(),
+            members: Arc::default(),
+            fresh: None,
+            peers: HashMap::default(),
+            gate_asked: None,
+            released: None,
+            leaving: false,
+            started: now,
+            sequence: 0,
+        }
+    }
+
+    /// Revision of the configuration in force.
+    pub(crate) fn revision(&self) -> u64 {
+        self.config.revision()
+    }
+
+    /// Configuration in force; clones share their content.
+    pub(crate) fn config(&self) -> Adopted {
+        self.config.clone()
+    }
+
+    /// Heartbeat to be sent now.
+    pub(crate) fn heartbeat(&self, now: Instant) -> Heartbeat {
+        let list = self.membership.list();
+        let listed = list.hosts.contains(&self.me);
+        Heartbeat {
+            host: self.me.host.clone(),
+            incarnation: self.membership.incarnation(),
+            epoch: list.epoch,
+            revision: self.revision(),
+            fresh_ms: self.fresh_age(now).map(|age| age.as_millis() as u64 + 1),
+            leaving: self.leaving,
+            released: self.released.is_some(),
+            serving: self.is_serving(now),
+            join: (!listed && !self.leaving).then(|| self.me.clone()),
+        }
+    }
+
+    /// Agents that get a heartbeat.
+    pub(crate) fn targets(&self) -> Vec<SocketAddr> {
+        let list = self.membership.list();
+        let listed = list.hosts.iter().chain(&list.previous);
+        let listed = listed.filter(|h| h.host != self.me.host).map(|h| h.agent);
+        let mut targets: Vec<SocketAddr> = listed.collect();
+        if !self.membership.is_member() {
+            let others = self.bootstrap.iter().filter(|a| **a != self.me.agent);
+            targets.extend(others);
+        }
+        targets.sort_unstable();
+        targets.dedup();
+        targets
+    }
+
+    /// Answers a heartbeat.
+    pub(crate) fn on_heartbeat(
+        &mut self,
+        heartbeat: &Heartbeat,
+        now: Instant,
+    ) -> (HeartbeatReply, Option<Source>) {
+        let ballot = self.membership.on_heartbeat(heartbeat, now);
+        let source = self.source(heartbeat);
+        let peer = self.peer(&heartbeat.host);
+        peer.leaving = heartbeat.leaving;
+        peer.join = heartbeat.join.clone().map(|host| (host, now));
+        let state = self.heartbeat(now);
+        let reply = HeartbeatReply { vote: ballot.vote, state, denials: ballot.denials };
+        (reply, source)
+    }
+
+    /// Takes note of the answer to a heartbeat that was sent at `sent`.
+    pub(crate) fn on_reply(
+        &mut self,
+        address: SocketAddr,
+        sent: Instant,
+        reply: &HeartbeatReply,
+        now: Instant,
+    ) -> Option<Source> {
+        self.membership.on_reply(sent, reply, now);
+        // Counted from the send time, so that the age never shrinks on its way.
+        if let Some(age) = reply.state.fresh_ms {
+            let at = sent.checked_sub(Duration::from_millis(age));
+            self.fresh = self.fresh.max(at);
+        }
+        let peer = self.peer(&reply.state.host);
+        peer.answered = peer.answered.max(Some(sent));
+        peer.leaving = reply.state.leaving;
+        let newer = self.is_newer(&reply.state);
+        newer.then_some(Source { address })
+    }
+
+    /// The configuration's head was read from the store by a call that began
+    /// at `at`.
+    pub(crate) fn set_fresh(&mut self, at: Instant) {
+        self.fresh = self.fresh.max(Some(at));
+    }
+
+    /// Adopts what is newer; returns whether the configuration changed.
+    pub(crate) fn adopt(&mut self, offer: &PullReply, now: Instant) -> Result<bool, Box<str>> {
+        if let Some(list) = &offer.members {
+            self.adopt_list(list, now);
+        }
+        let changed = self.config.apply(offer).map_err(|e| e.to_string())?;
+        if changed {
+            self.catalog = Arc::new(self.config.catalog());
+        }
+        Ok(changed)
+    }
+
+    /// Adopts a member list of a later epoch.
+    pub(crate) fn adopt_list(&mut self, list: &MemberList, now: Instant) -> bool {
+        let changed = self.membership.adopt(list, now);
+        if changed {
+            self.members = Arc::new(list.clone());
+            let listed = |name: &str| list.hosts.iter().any(|h| &*h.host == name);
+            self.peers.retain(|name, peer| listed(name) || peer.join.is_some());
+        }
+        changed
+    }
+
+    /// What a peer lacks.
+    pub(crate) fn newer_than(&self, revision: u64, epoch: u64) -> PullReply {
+        let members = (self.members.epoch > epoch).then(|| (*self.members).clone());
+        PullReply { members, ..self.config.newer_than(revision) }
+    }
+
+    /// Right to send work, asked for by the gate.
+    pub(crate) fn lease(&mut self, incarnation: u64, now: Instant) -> QuorumLease {
+        let fresh_gate = self.released.is_some_and(|at| now >= at + RENEW_AFTER);
+        if fresh_gate && !self.leaving {
+            self.released = None;
+            self.membership.renew(incarnation, now);
+        }
+        if self.released.is_none() {
+            self.gate_asked = Some(now);
+        }
+        self.membership.lease(now)
+    }
+
+    /// The gate has no work left and will start none.
+    pub(crate) fn release(&mut self, now: Instant) {
+        self.released.get_or_insert(now);
+        self.membership.release();
+    }
+
+    /// A planned shutdown begins.
+    pub(crate) fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Whether the gate is alive, so that a shutdown waits for its release.
+    pub(crate) fn awaits_gate(&self, now: Instant) -> bool {
+        self.released.is_none() && self.is_serving(now)
+    }
+
+    /// Whether new work may be accepted.
+    pub(crate) fn is_ready(&self, now: Instant) -> bool {
+        let fresh = self.fresh_age(now).is_some_and(|age| age <= FRESH_LIMIT);
+        !self.leaving && self.revision() > 0 && (fresh || self.membership.holds_lease(now))
+    }
+
+    /// Age of the last successful read of the head by any host.
+    pub(crate) fn fresh_age(&self, now: Instant) -> Option<Duration> {
+        self.fresh.map(|at| now.saturating_duration_since(at))
+    }
+
+    /// Whether this host watches the configuration's head in the store: the
+    /// first live hosts do, and a host that is not listed yet.
+    pub(crate) fn is_watcher(&self, now: Instant) -> bool {
+        let order = rank(&self.members.hosts, "config", None);
+        let live = order.into_iter().filter(|h| self.is_live(h, now));
+        let age = self.fresh_age(now).unwrap_or(self.uptime(now));
+        let steps = (age.as_millis() / WATCHERS_STEP.as_millis()).min(2);
+        let watchers = (WATCHERS << steps).min(MAX_WATCHERS);
+        let watches = live.take(watchers).any(|h| h.host == self.me.host);
+        watches || (self.revision() == 0 && self.fresh.is_none())
+    }
+
+    /// First live host in rendezvous order, unless it is this one.
+    pub(crate) fn home(&self, item: &str, now: Instant) -> Option<SocketAddr> {
+        let home = first(&self.members.hosts, item, None, |h| self.is_live(h, now));
+        home.filter(|h| h.host != self.me.host).map(|h| h.agent)
+    }
+
+    /// Whether a host answers heartbeats and is not leaving.
+    fn is_live(&self, host: &MemberHost, now: Instant) -> bool {
+        if host.host == self.me.host {
+            return !self.leaving;
+        }
+        self.peers
+            .get(&host.host)
+            .is_some_and(|p| !p.leaving && p.answered.is_some_and(|at| now < at + DOWN_AFTER))
+    }
+
+    /// Hosts that ask to join, heard recently.
+    fn joining(&self, now: Instant) -> Vec<MemberHost> {
+        let recent = |p: &Peer| {
+            let (host, at) = p.join.as_ref()?;
+            (now < *at + DOWN_AFTER).then(|| host.clone())
+        };
+        let mut joining: Vec<MemberHost> = self.peers.values().filter_map(recent).collect();
+        if !self.leaving {
+            joining.push(self.me.clone());
+        }
+        joining.retain(|h| !self.members.hosts.contains(h));
+        joining
+    }
+
+    /// What the upkeep of the member list needs to know.
+    pub(crate) fn upkeep(&mut self, remove: Duration, delisted: Duration, now: Instant) -> Upkeep {
+        let coordinator = first(&self.members.hosts, "members", None, |h| self.is_live(h, now));
+        let coordinator = coordinator.is_some_and(|h| h.host == self.me.host);
+        Upkeep {
+            me: self.me.clone(),
+            list: self.members.clone(),
+            learned: self.membership.is_learned(),
+            settled: self.membership.is_settled(now),
+            coordinator,
+            joining: self.joining(now),
+            denied: self.membership.denied_for(remove, now),
+            delistable: self.membership.denied_for(delisted, now),
+            uptime: self.uptime(now),
+        }
+    }
+
+    /// State of this host, for operators.
+    pub(crate) fn status(&self, store_up: bool, store_calls: u64, now: Instant) -> HostStatus {
+        HostStatus {
+            host: self.me.host.clone(),
+            revision: self.revision(),
+            epoch: self.members.epoch,
+            ready: self.is_ready(now),
+            fresh_ms: self.fresh_age(now).map(|age| age.as_millis() as u64),
+            store_up,
+            store_calls,
+        }
+    }
+
+    /// Time since the start of this process.
+    fn uptime(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.started)
+    }
+
+    /// What the entry and the gate see.
+    pub(crate) fn outlook(&mut self, last: &Outlook, now: Instant) -> Option<Outlook> {
+        let hosts = self.members.hosts.iter().map(|h| self.member(h, now)).collect();
+        let outlook = Outlook {
+            sequence: self.sequence + 1,
+            host: self.me.host.clone(),
+            members: self.members.clone(),
+            hosts,
+            catalog: self.catalog.clone(),
+            ready: self.is_ready(now),
+        };
+        if last.sequence > 0 && outlook.same(last) {
+            return None;
+        }
+        self.sequence += 1;
+        Some(outlook)
+    }
+
+    fn member(&self, host: &MemberHost, now: Instant) -> Member {
+        let own = host.host == self.me.host;
+        let leaving = self.peers.get(&host.host).is_some_and(|p| p.leaving);
+        Member {
+            host: host.clone(),
+            up: if own { self.is_serving(now) } else { self.membership.is_up(&host.host) },
+            leaving: if own { self.leaving } else { leaving },
+        }
+    }
+
+    fn is_serving(&self, now: Instant) -> bool {
+        self.released.is_none() && self.gate_asked.is_some_and(|at| now < at + GATE_LIMIT)
+    }
+
+    fn source(&self, heartbeat: &Heartbeat) -> Option<Source> {
+        if !self.is_newer(heartbeat) {
+            return None;
+        }
+        let listed = self.members.hosts.iter().find(|h| h.host == heartbeat.host);
+        let host = heartbeat.join.as_ref().or(listed)?;
+        Some(Source { address: host.agent })
+    }
+
+    fn is_newer(&self, state: &Heartbeat) -> bool {
+        state.revision > self.revision() || state.epoch > self.members.epoch
+    }
+
+    fn peer(&mut self, host: &str) -> &mut Peer {
+        let entry = self.peers.entry(host.into());
+        entry.or_insert(Peer { answered: None, leaving: false, join: None })
+    }
+}
--- /dev/null
+++ b/crates/agent/tests/cluster.rs
@@ -0,0 +1,44 @@
+//! Agents that form an installation and follow the configuration.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervil_fakes::FakeStore;
+
+mod common;
+
+use common::cluster;
+use common::until;
+use common::write_revision;
+
+/// Guards against agents that never agree on a member list, or that hold no
+/// lease in it.
+#[tokio::test(flavor = "multi_thread")]
+async fn agents_join_the_list_and_get_leases() {
+    let store = Arc::new(FakeStore::new());
+
+    let hosts = cluster(3, &store).await;
+
+    for host in &hosts {
+        let view = host.view(0, Duration::ZERO).await;
+        assert!(view.hosts.iter().all(|h| h.up && !h.leaving), "{view:?}");
+        assert!(host.lease().await.down.is_empty());
+    }
+}
+
+/// Guards against a configuration that stays in the store, or that reaches
+/// only the hosts that watch it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_reaches_hosts_that_do_not_watch_the_store() {
+    let store = Arc::new(FakeStore::new());
+    let hosts = cluster(5, &store).await;
+
+    write_revision(&store, 7).await;
+
+    for host in &hosts {
+        until(async || host.status().await.revision == 7).await;
+        until(async || host.status().await.ready).await;
+        let catalog = host.view(0, Duration::ZERO).await.catalog;
+        assert_eq!(catalog.map(|c| c.revision), Some(7));
+    }
+}
--- /dev/null
+++ b/crates/agent/tests/common/mod.rs
@@ -0,0 +1,212 @@
+//! Fixtures: real agents over loopback with a fake store.
+#![allow(dead_code, reason = "each test file uses its own part")]
+#![allow(clippy::unwrap_used, reason = "a fixture that fails should end its test")]
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use chervil_agent::Agent;
+use chervil_agent::Settings;
+use chervil_base::clock::SystemClock;
+use chervil_config::HEAD_KEY;
+use chervil_config::Head;
+use chervil_fakes::FakeHosts;
+use chervil_fakes::FakeStore;
+use chervil_platform::Store as _;
+use chervil_rpc::agent::AgentRpcClient as _;
+use chervil_rpc::agent::HostStatus;
+use chervil_rpc::agent::QuorumLease;
+use chervil_rpc::agent::View;
+use chervil_rpc::agent::ViewRequest;
+use chervil_rpc::client::connect;
+use jsonrpsee::ws_client::WsClient;
+use tokio::runtime::Runtime;
+use tokio::time;
+
+/// Generous limit of a wait; a test that reaches it fails.
+pub const LIMIT: Duration = Duration::from_secs(30);
+
+/// Interval at which a simulated gate asks for its lease.
+const GATE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// An address of loopback that is free at present.
+pub fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+pub fn settings(host: &str, listen: SocketAddr, peers: &[SocketAddr]) -> Settings {
+    let peers: Vec<String> = peers.iter().map(|p| format!("{:?}", p.to_string())).collect();
+    let text = format!(
+        r#"
+        listen = "{listen}"
+        gate = "127.0.0.1:1"
+        secret = "a-secret-for-tests-only"
+        platform = "http://127.0.0.1:1"
+        peers = [{}]
+        [node]
+        host = "{host}"
+        zone = "z1"
+        admin = "127.0.0.1:0"
+        [tunables]
+        list_ms = 300
+        store_timeout_ms = 300
+        watch_ms = 300
+        drain_ms = 5000
+        "#,
+        peers.join(",")
+    );
+    toml::from_str(&text).unwrap()
+}
+
+/// An agent with a gate that asks for its lease.
+pub struct Host {
+    pub name: Box<str>,
+    pub agent: Option<Agent>,
+    pub address: SocketAddr,
+    client: Arc<WsClient>,
+    gate: tokio::task::JoinHandle<()>,
+}
+
+impl Host {
+    pub async fn start(name: &str, store: Arc<FakeStore>, peers: &[SocketAddr]) -> Host {
+        Host::start_at(name, free_address(), store, peers).await
+    }
+
+    pub async fn start_at(
+        name: &str,
+        address: SocketAddr,
+        store: Arc<FakeStore>,
+        peers: &[SocketAddr],
+    ) -> Host {
+        let settings = settings(name, address, peers);
+        let secret = settings.secret.clone();
+        let hosts = Arc::new(FakeHosts::default());
+        let agent = Agent::start(settings, store, hosts, Arc::new(SystemClock)).await.unwrap();
+        let client = Arc::new(connect(address, &secret, LIMIT).await.unwrap());
+        let gate = tokio::spawn(ask_for_lease(client.clone()));
+        Host { name: name.into(), agent: Some(agent), address, client, gate }
+    }
+
+    pub async fn lease(&self) -> QuorumLease {
+        self.client.lease().await.unwrap()
+    }
+
+    pub async fn status(&self) -> HostStatus {
+        self.client.status().await.unwrap()
+    }
+
+    pub async fn view(&self, after: u64, wait: Duration) -> View {
+        let wait_ms = wait.as_millis() as u32;
+        self.client.view(ViewRequest { after, revision: 0, wait_ms }).await.unwrap()
+    }
+
+    pub fn client(&self) -> &WsClient {
+        &self.client
+    }
+
+    /// Ends the gate without a release.
+    pub fn kill_gate(&self) {
+        self.gate.abort();
+    }
+
+    /// Ends agent and gate at once, without notice.
+    pub fn kill(&mut self) {
+        self.gate.abort();
+        self.agent = None;
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        self.gate.abort();
+    }
+}
+
+async fn ask_for_lease(client: Arc<WsClient>) {
+    loop {
+        // Fails when the agent is dead; then there is nothing to keep alive.
+        let _ = client.lease().await;
+        time::sleep(GATE_INTERVAL).await;
+    }
+}
+
+/// Hosts `h0`, `h1`, ... that share a store and are in the member list.
+pub async fn cluster(size: usize, store: &Arc<FakeStore>) -> Vec<Host> {
+    let mut hosts: Vec<Host> = Vec::new();
+    for i in 0..size {
+        let peers: Vec<SocketAddr> = hosts.iter().map(|h| h.address).collect();
+        hosts.push(Host::start(&format!("h{i}"), store.clone(), &peers).await);
+    }
+    all_settled(&hosts, size).await;
+    hosts
+}
+
+/// Waits until all hosts hold a settled lease in a list of `size` hosts.
+pub async fn all_settled(hosts: &[Host], size: usize) {
+    for host in hosts {
+        until(async || {
+            let lease = host.lease().await;
+            let members = host.view(0, Duration::ZERO).await.members;
+            let done = members.hosts.len() == size && members.previous == members.hosts;
+            lease.remaining_ms > 0 && lease.settled && done && lease.epoch == members.epoch
+        })
+        .await;
+    }
+}
+
+/// Waits for a condition; returns how long that took.
+pub async fn until<F>(mut condition: F) -> Duration
+where
+    F: AsyncFnMut() -> bool,
+{
+    let start = Instant::now();
+    while !condition().await {
+        assert!(start.elapsed() < LIMIT, "the awaited condition did not come about");
+        time::sleep(Duration::from_millis(20)).await;
+    }
+    start.elapsed()
+}
+
+/// Writes a head without records.
+pub async fn write_revision(store: &FakeStore, revision: u64) {
+    let head = Head { revision, ..Head::default() };
+    let text = serde_json::to_string(&head).unwrap();
+    let current = store.get(HEAD_KEY).await.unwrap().map_or(0, |v| v.revision);
+    store.put_if(HEAD_KEY, current, &text).await.unwrap();
+}
+
+/// Runs an agent on a thread of its own, so that a test can pause it.
+pub struct PausableHost {
+    runtime: Runtime,
+    pub address: SocketAddr,
+    agent: Option<Agent>,
+}
+
+impl PausableHost {
+    pub fn start(name: &str, store: Arc<FakeStore>, peers: &[SocketAddr]) -> PausableHost {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .unwrap();
+        let address = free_address();
+        let settings = settings(name, address, peers);
+        let hosts = Arc::new(FakeHosts::default());
+        let start = Agent::start(settings, store, hosts, Arc::new(SystemClock));
+        let agent = runtime.block_on(start).unwrap();
+        PausableHost { runtime, address, agent: Some(agent) }
+    }
+
+    /// Stops every step of the agent for a while.
+    pub fn pause(&self, time: Duration) {
+        self.runtime.spawn(async move { std::thread::sleep(time) });
+    }
+
+    pub fn stop(mut self) {
+        self.agent = None;
+        self.runtime.shutdown_background();
+    }
+}
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -1,3 +1,27 @@
-//! Membership decisions: votes, the quorum lease, and ownership of groups.
+//! Membership decisions: votes, the quorum lease, the member list and its
+//! changes, and ownership of groups.
+//!
+//! Nothing here performs I/O or reads a clock; every call takes `now`.
 
+use std::time::Duration;
+
+pub mod change;
+pub mod membership;
+pub mod owner;
+pub mod quorum;
 pub mod rank;
+mod replies;
+pub mod stance;
+
+/// Interval of heartbeats to each host of the member list.
+pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// A host not heard for this long is voted down.
+pub const DOWN_AFTER: Duration = Duration::from_secs(1);
+
+/// How long a vote binds its voter, from the send time of the heartbeat that
+/// it answers.
+pub const QUORUM_LEASE: Duration = Duration::from_millis(1200);
+
+/// Shorter lease for a gate is not worth keeping a host in the `down` list.
+const MIN_LEASE: Duration = Duration::from_millis(500);
--- /dev/null
+++ b/crates/members/src/replies.rs
@@ -0,0 +1,104 @@
+//! What one voter last answered, with times bounded on the safe side.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use chervil_rpc::agent::Vote;
+
+use crate::QUORUM_LEASE;
+use crate::quorum::HostKey;
+
+/// A voter's denial of a host.
+#[derive(Clone, Copy, Debug)]
+struct Denial {
+    host: HostKey,
+    /// Latest possible time at which the denial reaches [`QUORUM_LEASE`].
+    mature: Instant,
+}
+
+/// Answers of one voter to this host's heartbeats.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Replies {
+    floor: Option<Instant>,
+    sent: Option<Instant>,
+    support: Option<Instant>,
+    incarnation: u64,
+    epoch: u64,
+    epoch_since: Option<Instant>,
+    denials: Box<[Denial]>,
+}
+
+/// Answer to a heartbeat, with its send and arrival times here.
+pub(crate) struct Answer {
+    pub(crate) sent: Instant,
+    pub(crate) received: Instant,
+    pub(crate) vote: Vote,
+    pub(crate) incarnation: u64,
+    pub(crate) epoch: u64,
+    pub(crate) denials: Vec<(HostKey, Duration)>,
+}
+
+impl Replies {
+    /// Takes note of an answer; answers to older heartbeats are ignored.
+    pub(crate) fn record(&mut self, answer: Answer) {
+        if self.floor.max(self.sent).is_some_and(|floor| floor >= answer.sent) {
+            return;
+        }
+        self.sent = Some(answer.sent);
+        if answer.vote == Vote::Up {
+            self.support = Some(answer.sent);
+        }
+        // A restarted voter may know an older list.
+        if self.incarnation != answer.incarnation || self.epoch != answer.epoch {
+            self.epoch_since = Some(answer.received);
+        }
+        self.incarnation = answer.incarnation;
+        self.epoch = answer.epoch;
+        let received = answer.received;
+        let mature = |age: Duration| received + QUORUM_LEASE.saturating_sub(age);
+        let denials = answer.denials.into_iter();
+        self.denials = denials.map(|(host, age)| Denial { host, mature: mature(age) }).collect();
+    }
+
+    /// Send time of the newest answered heartbeat.
+    pub(crate) fn sent(&self) -> Option<Instant> {
+        self.sent
+    }
+
+    /// Send time of the newest heartbeat that the voter supported.
+    pub(crate) fn support(&self) -> Option<Instant> {
+        self.support
+    }
+
+    /// Epoch of the voter's list.
+    pub(crate) fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Whether the voter has held `epoch` or a later one for [`QUORUM_LEASE`].
+    pub(crate) fn has_held(&self, epoch: u64, now: Instant) -> bool {
+        let since = self.epoch_since.filter(|_| self.epoch >= epoch);
+        since.is_some_and(|since| now >= since + QUORUM_LEASE)
+    }
+
+    /// Hosts that the voter denies at present.
+    pub(crate) fn denied(&self) -> impl Iterator<Item = HostKey> {
+        self.denials.iter().map(|d| d.host)
+    }
+
+    /// Until when the voter certainly denies `host`, if it has done so for
+    /// [`QUORUM_LEASE`].
+    pub(crate) fn denies(&self, host: HostKey, now: Instant) -> Option<Instant> {
+        let until = self.sent? + QUORUM_LEASE;
+        let mature = self.denials.iter().any(|d| d.host == host && now >= d.mature);
+        (mature && now < until).then_some(until)
+    }
+
+    /// Forgets all support, given to a right that was released since, and
+    /// ignores answers to heartbeats sent until now.
+    pub(crate) fn withdraw(&mut self, now: Instant) {
+        self.support = None;
+        self.floor = Some(now);
+        self.denials = Box::default();
+    }
+}
--- a/crates/rpc/src/agent.rs
+++ b/crates/rpc/src/agent.rs
@@ -73,6 +73,12 @@
         pub leaving: bool,
         /// The sender's gate has no work left and will start none.
         pub released: bool,
+        /// The sender's gate asks for its lease, so that the sender wants the
+        /// voters' support.
+        pub serving: bool,
+        /// Entry that the sender wants in the member list, when it is not
+        /// there or has other addresses.
+        pub join: Option<MemberHost>,
     }
 
     /// Answer to a heartbeat.
