--- a/crates/agent/src/forward.rs
+++ b/crates/agent/src/forward.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervil_claim::Claims;
+use chervil_claim::bucket_of;
 use chervil_node::metrics::Metrics;
 use chervil_platform::StoreError;
 use chervil_rpc::agent::AgentRpcClient as _;
@@ -19,7 +21,6 @@
 use jsonrpsee::ws_client::WsClient;
 use tokio::time;
 
-use crate::claims::ClaimBook;
 use crate::core::Ask;
 use crate::core::CoreAddress;
 use crate::state::State;
@@ -28,7 +29,7 @@
 pub(crate) struct Forward {
     pub(crate) core: CoreAddress,
     pub(crate) peers: Arc<Peers>,
-    pub(crate) claims: Arc<dyn ClaimBook>,
+    pub(crate) claims: Arc<Claims>,
     pub(crate) limit: Duration,
     pub(crate) metrics: Metrics,
 }
@@ -38,10 +39,10 @@
     ///
     /// A claim that is passed on and not answered is made here with the same
     /// nonce, which the bucket in the store recognizes.
-    pub(crate) async fn claim(&self, request: ClaimRequest) -> ClaimReply {
-        let bucket = match self.claims.bucket(&request.key) {
+    pub(crate) async fn claim(&self, mut request: ClaimRequest) -> ClaimReply {
+        let bucket = match bucket_of(&request.key) {
             Ok(bucket) => bucket,
-            Err(remedy) => return ClaimReply::Invalid { remedy },
+            Err(e) => return ClaimReply::Invalid { remedy: e.to_string().into() },
         };
         if let Some(home) = self.home(&bucket, request.forwarded).await {
             let limit = self.limit.min(Duration::from_millis(request.timeout_ms.into()) / 2);
@@ -50,13 +51,14 @@
             if let Some(reply) = self.pass(home, limit, call).await {
                 return reply;
             }
+            request.timeout_ms -= limit.as_millis() as u32;
         }
         self.claims.claim(request).await
     }
 
     /// Records the end of claimed work at the owner of the key's bucket.
     pub(crate) async fn settle(&self, request: SettleRequest) -> Result<(), StoreError> {
-        let Ok(bucket) = self.claims.bucket(&request.key) else { return Ok(()) };
+        let Ok(bucket) = bucket_of(&request.key) else { return Ok(()) };
         if let Some(home) = self.home(&bucket, request.forwarded).await {
             let passed = SettleRequest { forwarded: true, ..request.clone() };
             let call = |c: Arc<WsClient>| async move { c.settle(passed).await };
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -56,7 +56,7 @@
     fn default() -> Tunables {
         Tunables {
             store_timeout_ms: 1_000,
-            store_calls: 8,
+            store_calls: 16,
             watch_ms: 1_000,
             list_ms: 2_000,
             remove_ms: 600_000,
