--- a/crates/claim/src/write.rs
+++ b/crates/claim/src/write.rs
@@ -16,9 +16,9 @@
 use crate::lane::Lane;
 use crate::lane::Reply;
 
-/// Writes that an idle bucket may have without a pause: a claim and the
-/// outcome of its work.
-const BURST: u32 = 2;
+/// Writes that an idle bucket may have without a pause: those of two claims
+/// and of the outcomes of their work.
+const BURST: u32 = 4;
 
 /// What became of one try.
 enum Step {
