--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use chervil_base::clock::Clock;
+use chervil_claim::ClaimSettings;
+use chervil_claim::Claims;
 use chervil_node::metrics::Metrics;
 use chervil_node::metrics::MetricsError;
 use chervil_node::shutdown::Lifecycle;
@@ -15,7 +17,6 @@
 use chervil_rpc::server::ServeError;
 use chervil_rpc::server::Serving;
 use chervil_rpc::server::serve;
-use snafu::ResultExt as _;
 use snafu::Snafu;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -24,8 +25,6 @@
 use xtra::Mailbox;
 
 use crate::beat;
-use crate::claims::ClaimBook;
-use crate::claims::claims;
 use crate::core::Ask;
 use crate::core::Core;
 use crate::core::CoreAddress;
@@ -167,7 +166,7 @@
             metrics: self.metrics.clone(),
         };
         let core = xtra::spawn_tokio(core, Mailbox::bounded(MAILBOX));
-        let claims = claims();
+        let claims = self.claims();
         let methods = self.methods(&core, outlooks, claims.clone());
         let settings = &self.settings;
         let serving = serve(settings.listen, &settings.secret, methods.into_rpc()).await?;
@@ -181,11 +180,16 @@
         })
     }
 
+    fn claims(&self) -> Arc<Claims> {
+        let (store, clock) = (self.store.clone(), self.clock.clone());
+        Arc::new(Claims::new(store, clock, ClaimSettings::default(), rand::random()))
+    }
+
     fn methods(
         &self,
         core: &CoreAddress,
         outlook: watch::Receiver<Arc<Outlook>>,
-        claims: Arc<dyn ClaimBook>,
+        claims: Arc<Claims>,
     ) -> Methods {
         let forward = Forward {
             core: core.clone(),
@@ -207,7 +211,7 @@
         &self,
         core: &CoreAddress,
         pulls_due: mpsc::Receiver<Source>,
-        claims: Arc<dyn ClaimBook>,
+        claims: Arc<Claims>,
     ) -> JoinSet<()> {
         let mut tasks = JoinSet::new();
         let tunables = &self.settings.tunables;
@@ -222,14 +226,20 @@
             tunables: tunables.clone(),
         };
         tasks.spawn(keeper.run());
-        tasks.spawn(sweep(claims));
+        tasks.spawn(sweep(core.clone(), claims));
         tasks
     }
 }
 
-async fn sweep(claims: Arc<dyn ClaimBook>) {
+/// Deletes old claims while this host is the first in the order of "sweep".
+async fn sweep(core: CoreAddress, claims: Arc<Claims>) {
     loop {
         time::sleep(SWEEP_INTERVAL).await;
-        claims.sweep().await;
+        let ask = Ask(|state: &mut State, now| state.home("sweep", now).is_none());
+        let Ok(sweeps) = core.send(ask).await else { return };
+        if sweeps && let Err(e) = claims.sweep().await {
+            spdlog::warn!("old claims not deleted; the next sweep retries",
+                kv: { error = e.to_string() });
+        }
     }
 }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -3,8 +3,6 @@
 
 pub mod agent;
 mod beat;
-mod claims;
-mod config;
 mod core;
 mod forward;
 mod list;
--- a/crates/agent/src/watch.rs
+++ b/crates/agent/src/watch.rs
@@ -4,14 +4,14 @@
 use std::time::Duration;
 
 use chervil_base::clock::Clock;
+use chervil_config::HEAD_KEY;
+use chervil_config::read_newer;
 use chervil_platform::Revision;
 use chervil_platform::Store;
 use chervil_platform::StoreError;
 use serde::Deserialize;
 use tokio::time;
 
-use crate::config::HEAD_KEY;
-use crate::config::read_newer;
 use crate::core::Ask;
 use crate::core::CoreAddress;
 use crate::core::HeadRead;
