--- a/crates/gate/src/app.rs
+++ b/crates/gate/src/app.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 
 use chervil_backend::http::HttpLink;
@@ -112,8 +113,16 @@
 pub async fn run(settings: GateSettings) -> Result<(), GateError> {
     logs::init(&settings.node.log_level)?;
     let _traces = trace::init("chervil-gate", settings.node.otlp.as_deref())?;
+    let mut signalled = Box::pin(shutdown::signalled());
+    // The first poll installs the handlers, so that no signal is missed.
+    let mut early = futures::poll!(signalled.as_mut());
     let gate = start(settings).await?;
-    shutdown::signalled().await.context(SignalsSnafu)?;
+    if early.is_pending() {
+        early = Poll::Ready(signalled.await);
+    }
+    if let Poll::Ready(result) = early {
+        result.context(SignalsSnafu)?;
+    }
     gate.stop().await;
     Ok(())
 }
