Test the gate against the stand-in instead of a second fake server

A hint now outweighs a short uptime unless the server started after the hint; before, a takeover within 10 s of a server's start always began cold.

--- a/crates/gate/tests/standin.rs
+++ b/crates/gate/tests/standin.rs
@@ -6,99 +6,74 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use chervil_gate::app::Gate;
 use chervil_rpc::gate::AskItem;
 use chervil_rpc::gate::AskResult;
 use chervil_rpc::gate::GateRpcClient as _;
-use chervil_standin::cluster::Standin;
-use chervil_standin::settings::Settings;
 use chervil_standin::stats::ServerStats;
-use fixture::agent;
-use fixture::agent::FakeAgent;
+use fixture::System;
 use futures::future::join_all;
-use jsonrpsee::ws_client::WsClient;
 
 mod fixture;
 
 const SERVERS: u32 = 3;
 
-struct System {
-    standin: Standin,
-    _agent: FakeAgent,
-    _gate: Gate,
-    client: WsClient,
-}
-
-/// Three cold servers with 4 slots and 8 connections, and a gate.
+/// Three cold servers with 4 slots, once the gate knows their index.
 async fn system(faults: &str) -> System {
-    let settings: Settings = toml::from_str(&format!(
-        "control = \"127.0.0.1:0\"\nseed = 3\n[[service]]\nname = \"lookup\"\nservers = {SERVERS}\n\
-         shards = 4\nreplicas = 3\nversion = 3\nslots = 4\nconnections = 8\nconnect_ms = 6\n\
-         start_cold = true\n[service.faults]\n{faults}\n"
-    ))
-    .unwrap();
-    let standin = Standin::start(&settings).await.unwrap();
-    let named = standin.servers.iter().enumerate();
-    let servers = named.map(|(i, a)| agent::server(&format!("lookup-{}", i + 1), *a, 4, 8));
-    let agent =
-        FakeAgent::start(servers.collect(), vec![agent::host("h1", agent::nowhere())]).await;
-    let (gate, client) = fixture::start(&agent).await;
-    fixture::warm(&client, SERVERS as usize).await;
-    System { standin, _agent: agent, _gate: gate, client }
+    let extra = format!("start_cold = true\n[service.faults]\n{faults}");
+    let system = fixture::system(SERVERS, 4, &extra).await;
+    fixture::warm(&system.client, SERVERS as usize).await;
+    system
 }
 
-impl System {
-    /// Sends one-item queries from `askers` callers for `time`, each cancelled
-    /// after `patience`; returns the number of replies with rows.
-    async fn load(&self, askers: u64, time: Duration, patience: Duration) -> u32 {
-        let end = Instant::now() + time;
-        let callers = (0..askers).map(|c| async move {
-            let mut good = 0;
-            let mut query = c << 32;
-            while Instant::now() < end {
-                query += 1;
-                let server = format!("lookup-{}", query % u64::from(SERVERS) + 1);
-                let item = AskItem { server: server.into(), ..fixture::item(0, false) };
-                let mut replies = self.client.ask(fixture::batch(query, vec![item])).await.unwrap();
-                let reply = tokio::time::timeout(patience, fixture::next(&mut replies)).await;
-                match reply.map(|r| r.result) {
-                    Ok(AskResult::Rows { .. }) => good += 1,
-                    Ok(_) => tokio::time::sleep(Duration::from_millis(5)).await,
-                    Err(_) => {}
-                }
+/// Sends one-item queries from `askers` callers for `time`, each cancelled after
+/// `patience`; returns the number of replies with rows.
+async fn load(system: &System, askers: u64, time: Duration, patience: Duration) -> u32 {
+    let end = Instant::now() + time;
+    let callers = (0..askers).map(|c| async move {
+        let mut good = 0;
+        let mut query = c << 32;
+        while Instant::now() < end {
+            query += 1;
+            let server = format!("lookup-{}", query % u64::from(SERVERS) + 1);
+            let item = AskItem { server: server.into(), ..fixture::item(0, false) };
+            let mut replies = system.client.ask(fixture::batch(query, vec![item])).await.unwrap();
+            let reply = tokio::time::timeout(patience, fixture::next(&mut replies)).await;
+            match reply.map(|r| r.result) {
+                Ok(AskResult::Rows { .. }) => good += 1,
+                Ok(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+                Err(_) => {}
             }
-            good
-        });
-        join_all(callers).await.into_iter().sum()
-    }
-
-    fn sum<F>(&self, field: F) -> u64
-    where
-        F: Fn(&ServerStats) -> u64,
-    {
-        self.standin.cluster.stats().servers.values().map(field).sum()
-    }
+        }
+        good
+    });
+    join_all(callers).await.into_iter().sum()
+}
 
-    /// Requests and connections beyond what the servers allow.
-    fn excess(&self) -> [u64; 4] {
-        [
-            self.sum(|s| s.over_slots),
-            self.sum(|s| s.over_connections),
-            self.sum(|s| s.falls),
-            self.sum(|s| s.cold),
-        ]
-    }
+fn sum<F>(system: &System, field: F) -> u64
+where
+    F: Fn(&ServerStats) -> u64,
+{
+    system.standin.cluster.stats().servers.values().map(field).sum()
 }
 
+/// Requests and connections beyond what the servers allow.
+fn excess(system: &System) -> [u64; 4] {
+    [
+        sum(system, |s| s.over_slots),
+        sum(system, |s| s.over_connections),
+        sum(system, |s| s.falls),
+        sum(system, |s| s.cold),
+    ]
+}
 /// Guards against overload from the cold start to full load: one request too
 /// many makes these servers fail.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_cold_start_and_full_load_exceed_nothing() {
     let system = system("slow_share = 0.01\nslow_ms = 100").await;
 
-    let good = system.load(40, Duration::from_secs(2), fixture::LIMIT).await;
+    let good = load(&system, 40, Duration::from_secs(2), fixture::LIMIT).await;
 
-    assert_eq!(system.excess(), [0; 4]);
+    assert_eq!(excess(&system), [0; 4]);
     assert!(good > 500, "{good} replies");
 }
 
@@ -107,10 +82,10 @@
 async fn cancelled_work_exceeds_nothing() {
     let system = system("slow_share = 0.1\nslow_ms = 500").await;
 
-    let good = system.load(20, Duration::from_secs(3), Duration::from_millis(60)).await;
+    let good = load(&system, 20, Duration::from_secs(3), Duration::from_millis(60)).await;
 
-    assert!(system.sum(|s| s.cancelled) > 20);
-    assert_eq!(system.excess(), [0; 4]);
+    assert!(sum(&system, |s| s.cancelled) > 20);
+    assert_eq!(excess(&system), [0; 4]);
     assert!(good > 300, "{good} replies");
 }
 
@@ -119,14 +94,14 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_restarted_server_starts_cold() {
     let system = system("restart_ms = 100").await;
-    system.load(20, Duration::from_secs(1), fixture::LIMIT).await;
+    load(&system, 20, Duration::from_secs(1), fixture::LIMIT).await;
     for server in &system.standin.cluster.servers {
         server.restart(Duration::from_millis(100));
     }
 
-    let good = system.load(20, Duration::from_secs(2), fixture::LIMIT).await;
+    let good = load(&system, 20, Duration::from_secs(2), fixture::LIMIT).await;
 
-    assert_eq!(system.excess(), [0; 4]);
+    assert_eq!(excess(&system), [0; 4]);
     assert!(good > 100, "{good} replies");
 }
 
@@ -135,7 +110,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn fresh_attempts_pass_silent_connections() {
     let system = system("").await;
-    system.load(20, Duration::from_secs(1), fixture::LIMIT).await;
+    load(&system, 20, Duration::from_secs(1), fixture::LIMIT).await;
     system.standin.cluster.servers.iter().for_each(|s| {
         s.silence(1.0);
     });
--- a/crates/slots/src/machine/configure.rs
+++ b/crates/slots/src/machine/configure.rs
@@ -76,6 +76,7 @@
             if let Some(server) = server.filter(|s| s.owned) {
                 if server.untouched {
                     server.warmup.adopt(l.level.min(server.slots));
+                    server.hinted = Some(now);
                 }
             } else if self.hints.len() < MAX_HINTS {
                 self.hints.insert(l.server.clone(), (l.level, now));
@@ -99,8 +100,9 @@
             self.disown(key, now);
             self.names.remove(&spec.name);
         }
-        let level = self.start_level(spec, owned, now);
+        let (level, hinted) = self.start_level(spec, owned, now);
         let mut server = Server::new(spec, group, level, self.settings.queue, now);
+        server.hinted = hinted;
         if owned.shared {
             server.foreign.takeover(spec.slots, now);
         }
@@ -119,8 +121,9 @@
         now: Instant,
     ) {
         if !self.servers[key].owned {
-            let level = self.start_level(spec, owned, now);
+            let (level, hinted) = self.start_level(spec, owned, now);
             let server = &mut self.servers[key];
+            server.hinted = hinted;
             if owned.shared {
                 server.foreign.takeover(spec.slots, now);
             }
@@ -136,12 +139,18 @@
         server.connect_cost = spec.connect_cost;
     }
 
-    fn start_level(&mut self, spec: &BackendServer, owned: &OwnedGroup, now: Instant) -> u32 {
+    /// Level of a newly owned server, and when the hint for it came.
+    fn start_level(
+        &mut self,
+        spec: &BackendServer,
+        owned: &OwnedGroup,
+        now: Instant,
+    ) -> (u32, Option<Instant>) {
         let hint = self.hints.remove(&spec.name).filter(|(_, at)| *at + HINT_LIFE > now);
         match hint {
-            Some((level, _)) => level,
-            None if owned.takeover => spec.slots / 2,
-            None => 1,
+            Some((level, at)) => (level, Some(at)),
+            None if owned.takeover => (spec.slots / 2, None),
+            None => (1, None),
         }
     }
 
--- a/crates/slots/src/machine/events.rs
+++ b/crates/slots/src/machine/events.rs
@@ -21,10 +21,6 @@
 /// Time for which the status of a server that does not send it is not requested.
 const MUTE: Duration = Duration::from_secs(5);
 
-/// A newly owned server with a shorter uptime is cold, whatever level a former
-/// owner learned.
-const YOUNG: Duration = Duration::from_secs(10);
-
 impl Slots {
     /// A connection was opened, and the server sent its status on it.
     pub fn opened(&mut self, conn: ConnKey, status: &StatusReport, now: Instant) {
@@ -225,7 +221,7 @@
         };
         let report: &Report = &status.load;
         let restarted = server.observe(report, now);
-        let young = !server.known && server.untouched && report.uptime < YOUNG;
+        let young = server.is_young(report);
         if young {
             server.warmup.reset();
         }
--- a/crates/slots/src/server.rs
+++ b/crates/slots/src/server.rs
@@ -22,6 +22,10 @@
 /// drain; afterwards one item finds out.
 const DRAIN_HOLD: Duration = Duration::from_secs(60);
 
+/// A newly owned server with a shorter uptime is cold unless a hint says
+/// otherwise.
+const YOUNG: Duration = Duration::from_secs(10);
+
 /// Time that a reply is taken to need before the median is learned.
 const DEFAULT_MEDIAN: Duration = Duration::from_millis(20);
 
@@ -82,6 +86,8 @@
     pub(crate) known: bool,
     /// Whether no reply has corrected the start level yet.
     pub(crate) untouched: bool,
+    /// When the hint came that gave the start level.
+    pub(crate) hinted: Option<Instant>,
     /// Slots that the server itself reports; 0 when it does not.
     pub(crate) reported: u32,
     pub(crate) warmup: Warmup,
@@ -115,6 +121,7 @@
             mute: None,
             known: false,
             untouched: true,
+            hinted: None,
             reported: 0,
             warmup: Warmup::new(level.min(spec.slots)),
             foreign: Foreign::default(),
@@ -139,6 +146,16 @@
         self.limit().saturating_sub(self.running.len())
     }
 
+    /// Whether a first status shows a server that has hardly been used, or that
+    /// restarted after the hint.
+    pub(crate) fn is_young(&self, report: &Report) -> bool {
+        let young = match self.hinted {
+            Some(at) => report.sent.checked_sub(report.uptime).is_some_and(|start| start > at),
+            None => report.uptime < YOUNG,
+        };
+        !self.known && self.untouched && young
+    }
+
     /// Whether its status is not requested for now.
     pub(crate) fn is_mute(&self, now: Instant) -> bool {
         self.mute.is_some_and(|until| now < until)
