--- a/crates/config/src/error.rs
+++ b/crates/config/src/error.rs
@@ -28,7 +28,7 @@
     },
     /// Records that the head lists are missing or differ from it.
     #[snafu(display(
-        "{missing} records of revision {revision} are missing, {first} first; pull again from \
+        "{missing} record(s) of revision {revision} are missing, {first} first; pull again from \
          revision 0 or read the store"
     ))]
     Incomplete {
--- a/crates/sheet/src/check.rs
+++ b/crates/sheet/src/check.rs
@@ -58,6 +58,9 @@
     for row in rows {
         parts.add(row, findings);
     }
+    if parts.references.is_empty() {
+        findings.line(rows.last().map_or(2, |r| r.line), ProblemKind::NoServers);
+    }
     parts.check_references(findings);
     parts.check_coverage(findings);
     Some(Sheet { exported: exported?, catalog: parts.catalog() })
--- a/crates/sheet/src/problem.rs
+++ b/crates/sheet/src/problem.rs
@@ -39,6 +39,12 @@
     /// There is another sheet row.
     #[snafu(display("a second `sheet` row; keep only the one after the header"))]
     SecondSheetRow,
+    /// There is no server row.
+    #[snafu(display(
+        "no backend server is declared up to here; if the file ends here it was cut short: export \
+         it again"
+    ))]
+    NoServers,
     /// The row has another number of columns than the header.
     #[snafu(display(
         "the row has {found} columns instead of {expected}; if the file ends here it was cut \
--- a/crates/sheet/src/rows.rs
+++ b/crates/sheet/src/rows.rs
@@ -72,7 +72,7 @@
 }
 
 /// Rows after the header, or nothing when the header is not that of a sheet.
-pub(crate) fn split(text: &str, findings: &mut Findings<'_>) -> Vec<Row> {
+pub(crate) fn split(text: &str, findings: &mut Findings<'_>) -> Option<Vec<Row>> {
     let reader = ReaderBuilder::new()
         .has_headers(false)
         .flexible(true)
@@ -84,7 +84,7 @@
     if found != HEADER {
         let kind = ProblemKind::Header { found: found.into(), expected: HEADER };
         findings.line(line_of(&header, text), kind);
-        return Vec::new();
+        return None;
     }
     let mut rows = Vec::new();
     for record in records {
@@ -104,7 +104,7 @@
             }
         }
     }
-    rows
+    Some(rows)
 }
 
 /// Line of a record. The reader's position lies before the blank lines that
--- a/crates/sheet/src/sheet.rs
+++ b/crates/sheet/src/sheet.rs
@@ -22,7 +22,7 @@
     pub fn parse(file: &str, bytes: &[u8]) -> Result<Sheet, SheetError> {
         let mut findings = Findings::new(file);
         let sheet = rows::decode(bytes, &mut findings).and_then(|text| {
-            let rows = rows::split(text, &mut findings);
+            let rows = rows::split(text, &mut findings)?;
             check::check(&rows, &mut findings)
         });
         let problems = findings.sorted();
