--- /dev/null
+++ b/crates/config/examples/sizes.rs
@@ -0,0 +1,168 @@
+//! Measures the configuration at a given number of servers.
+//!
+//! Memory is measured in a process of its own, so that nothing else counts:
+//!
+//! ```text
+//! for n in 2000 5000 10000 20000; do
+//!     cargo run -q -p chervil-config --example sizes -- write $n target/sizes.json
+//!     cargo run -q -p chervil-config --example sizes -- load target/sizes.json
+//! done
+//! ```
+
+use std::env;
+use std::error::Error;
+use std::fmt::Write as _;
+use std::fs;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use chervil_base::catalog::Catalog;
+use chervil_base::clock::ManualClock;
+use chervil_config::Adopted;
+use chervil_config::Change;
+use chervil_config::ChangeResult;
+use chervil_config::Editor;
+use chervil_config::EditorSettings;
+use chervil_config::HEAD_KEY;
+use chervil_config::RECORD_PREFIX;
+use chervil_config::Target;
+use chervil_config::read_newer;
+use chervil_fakes::FakeStore;
+use chervil_rpc::agent::PullReply;
+use chervil_sheet::sheet::Sheet;
+
+const SERVICES: usize = 34;
+const ZONES: usize = 5;
+
+/// 2026-12-04T07:00:00Z, in seconds since 1970.
+const NOW: u64 = 1_796_367_600;
+
+type Failure = Box<dyn Error>;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> Result<(), Failure> {
+    let args: Vec<String> = env::args().skip(1).collect();
+    match args.iter().map(String::as_str).collect::<Vec<_>>()[..] {
+        ["write", servers, file] => write(servers.parse()?, file).await,
+        ["load", file] => load(file),
+        _ => Err("usage: sizes write SERVERS FILE | sizes load FILE".into()),
+    }
+}
+
+/// Applies sheets, prints sizes and calls, and leaves the whole state in a file.
+async fn write(servers: usize, file: &str) -> Result<(), Failure> {
+    let store = FakeStore::new();
+    let text = sheet_text(servers, 6);
+    let started = Instant::now();
+    let sheet = Sheet::parse("sheet.csv", text.as_bytes())?;
+    println!("{servers} servers, sheet of {} bytes, parsed in {:?}", text.len(), started.elapsed());
+    let mut next = sheet.clone();
+    next.catalog.servers[servers / 2].slots += 1;
+    let one = Target::Server("s7-1".into());
+    change(&store, "first sheet", Change::Sheet { sheet, confirmed: None }).await?;
+    let before = adopt(&store, Adopted::new()).await?;
+    change(&store, "one server changed", Change::Sheet { sheet: next, confirmed: None }).await?;
+    let reads = store.reads();
+    let host = adopt(&store, before.clone()).await?;
+    println!("  host: {} reads for the change", store.reads() - reads);
+    change(&store, "zone out", Change::Out(Target::Zone("z1".into()))).await?;
+    change(&store, "drain", Change::Out(one)).await?;
+    print_sizes(&store, &host.newer_than(before.revision()))?;
+    fs::write(file, serde_json::to_string(&host.newer_than(0))?)?;
+    Ok(())
+}
+
+fn print_sizes(store: &FakeStore, delta: &PullReply) -> Result<(), Failure> {
+    let values = store.dump();
+    let head = values.iter().find(|v| &*v.key == HEAD_KEY).map_or(0, |v| v.value.len());
+    let records = values.iter().filter(|v| v.key.starts_with(RECORD_PREFIX));
+    let sizes: Vec<usize> = records.map(|v| v.value.len()).collect();
+    let sum: usize = sizes.iter().sum();
+    let mean = sum / sizes.len().max(1);
+    let largest = sizes.iter().max().copied().unwrap_or(0);
+    let delta = serde_json::to_string(delta)?.len();
+    println!("  head {head} bytes; {} records, mean {mean}, largest {largest}", sizes.len());
+    println!("  delta of one changed server {delta} bytes; whole {sum} bytes");
+    Ok(())
+}
+
+/// Prints time and memory of a host that adopts the state in `file`.
+fn load(file: &str) -> Result<(), Failure> {
+    let whole: PullReply = serde_json::from_str(&fs::read_to_string(file)?)?;
+    let idle = resident_kb()?;
+    let started = Instant::now();
+    let mut host = Adopted::new();
+    host.apply(&whole)?;
+    let adopted = started.elapsed();
+    let held = resident_kb()?;
+    let started = Instant::now();
+    let spec = host.catalog();
+    let spec_time = started.elapsed();
+    let started = Instant::now();
+    let catalog = Catalog::new(&spec);
+    let built = started.elapsed();
+    let all = resident_kb()?;
+    println!(
+        "  adopt {adopted:?}, {} KB; spec {spec_time:?}; catalog {built:?}, {} KB more for both \
+         ({} servers, {} groups)",
+        held.saturating_sub(idle),
+        all.saturating_sub(held),
+        catalog.servers.len(),
+        catalog.groups.len()
+    );
+    Ok(())
+}
+
+async fn change(store: &FakeStore, label: &str, change: Change) -> Result<(), Failure> {
+    let clock = ManualClock::new(SystemTime::UNIX_EPOCH + Duration::from_secs(NOW));
+    let editor = Editor::new(store, &clock, "operator", EditorSettings::default());
+    let (reads, writes) = (store.reads(), store.writes());
+    let started = Instant::now();
+    let result = editor.change(&change, label).await;
+    let took = started.elapsed();
+    let (reads, writes) = (store.reads() - reads, store.writes() - writes);
+    println!("  {label}: {reads} reads, {writes} writes, {took:?} without the store");
+    match result {
+        ChangeResult::Accepted(_) => Ok(()),
+        other => Err(other.to_string().into()),
+    }
+}
+
+async fn adopt(store: &FakeStore, mut host: Adopted) -> Result<Adopted, Failure> {
+    host.apply(&read_newer(store, &host).await?)?;
+    Ok(host)
+}
+
+fn sheet_text(servers: usize, hour: usize) -> String {
+    let mut text =
+        String::from("kind,name,service,zone,address,slots,connections,connect_ms,shards,state\n");
+    // Writing to a string cannot fail.
+    let _ = writeln!(text, "sheet,2026-12-04T{hour:02}:00:00Z,,,,,,,,");
+    for z in 1..=ZONES {
+        let _ = writeln!(text, "zone,z{z},,,,,,,,in");
+    }
+    let each = servers / SERVICES;
+    for s in 0..SERVICES {
+        let _ = writeln!(text, "service,service-{s},,,,,,,{each},in");
+    }
+    for i in 0..servers {
+        let (service, index) = (i % SERVICES, i / SERVICES);
+        let (a, b) = (index % each, (index + 1) % each);
+        let zone = index % ZONES + 1;
+        let (high, low) = (i / 250, i % 250 + 1);
+        let _ = writeln!(
+            text,
+            "server,s{service}-{index},service-{service},z{zone},10.0.{high}.{low}:9000,12,190,6,\
+             {a};{b},in"
+        );
+    }
+    text
+}
+
+/// Resident memory of this process.
+fn resident_kb() -> Result<u64, Failure> {
+    let status = fs::read_to_string("/proc/self/status")?;
+    let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+    Ok(line.and_then(|l| l.split_whitespace().next()).unwrap_or("0").parse()?)
+}
--- a/crates/ctl/src/commands/diff.rs
+++ b/crates/ctl/src/commands/diff.rs
@@ -4,16 +4,12 @@
 use std::path::PathBuf;
 
 use chervil_base::message;
-use chervil_config::Adopted;
-use chervil_config::read_newer;
 use chervil_sheet::diff::Diff;
 use pico_args::Arguments;
-use snafu::ResultExt as _;
 
+use crate::agents;
 use crate::commands::check;
-use crate::error::ConfigSnafu;
 use crate::error::CtlError;
-use crate::error::StoreSnafu;
 use crate::options;
 use crate::report::Exit;
 use crate::report::Report;
@@ -53,9 +49,8 @@
 
 pub(crate) async fn run(args: &Args, session: &Session) -> Result<Report, CtlError> {
     let sheet = check::load(&args.sheet)?;
-    let mut adopted = Adopted::new();
-    let newer = read_newer(&session.store, &adopted).await.context(StoreSnafu)?;
-    adopted.apply(&newer).context(ConfigSnafu)?;
+    let hosts = agents::list(session).await;
+    let adopted = session.read(&hosts).await?.adopted;
     let diff = Diff::new(&adopted.sheet_catalog(), &sheet.catalog);
     let compared = Compared { revision: adopted.revision(), summary: diff.summary(), diff };
     Ok(Report::new(&compared, Exit::Done))
--- a/crates/ctl/src/commands/status.rs
+++ b/crates/ctl/src/commands/status.rs
@@ -5,18 +5,15 @@
 use chervil_base::message;
 use chervil_config::Adopted;
 use chervil_config::Target;
-use chervil_config::read_newer;
 use chervil_sheet::time::ExportTime;
-use snafu::ResultExt as _;
 
 use crate::agents;
-use crate::agents::AgentHost;
-use crate::error::ConfigSnafu;
 use crate::error::CtlError;
 use crate::report::Exit;
 use crate::report::Report;
 use crate::rollout;
 use crate::rollout::Rollout;
+use crate::session::Known;
 use crate::session::Session;
 
 message! {
@@ -45,8 +42,8 @@
     struct Status {
         revision: u64,
         exported: Option<ExportTime>,
-        /// Whether the store answered; if not, a host told the rest.
-        store_up: bool,
+        /// Revision in the store; `None` when the store does not answer.
+        store_revision: Option<u64>,
         services: usize,
         servers: usize,
         zones: Vec<ZoneStatus>,
@@ -57,20 +54,13 @@
 
 pub(crate) async fn run(session: &Session) -> Result<Report, CtlError> {
     let hosts = agents::list(session).await;
-    let mut adopted = Adopted::new();
-    let read = read_newer(&session.store, &adopted).await;
-    let store_up = read.is_ok();
-    let state = match read {
-        Ok(state) => state,
-        Err(_) => pull_any(session, &hosts).await?,
-    };
-    adopted.apply(&state).context(ConfigSnafu)?;
+    let Known { adopted, store_revision } = session.read(&hosts).await?;
     let rollout = rollout::ask(session, &hosts, adopted.revision()).await;
     let catalog = adopted.sheet_catalog();
     let status = Status {
         revision: adopted.revision(),
         exported: adopted.head().and_then(|h| h.exported),
-        store_up,
+        store_revision,
         services: catalog.services.len(),
         servers: catalog.servers.len(),
         zones: zones(&adopted),
@@ -80,19 +70,6 @@
     Ok(Report::new(&status, Exit::Done))
 }
 
-/// Configuration of the first host that has one.
-async fn pull_any(
-    session: &Session,
-    hosts: &[AgentHost],
-) -> Result<chervil_rpc::agent::PullReply, CtlError> {
-    for host in hosts {
-        if let Some(state) = session.agents.pull(host).await.filter(|s| s.head.is_some()) {
-            return Ok(state);
-        }
-    }
-    Err(CtlError::Isolated)
-}
-
 fn zones(adopted: &Adopted) -> Vec<ZoneStatus> {
     let overrides = adopted.head().map_or(&[][..], |h| &h.overrides);
     let overridden = |name: &str| {
@@ -158,8 +135,14 @@
             None => write!(f, "revision {}, no sheet yet", self.revision)?,
         }
         writeln!(f, ", {} services, {} servers", self.services, self.servers)?;
-        if !self.store_up {
-            writeln!(f, "the platform's store cannot be reached; a host told the following")?;
+        match self.store_revision {
+            None => writeln!(f, "the platform's store cannot be reached; a host told the rest")?,
+            Some(r) if r < self.revision => writeln!(
+                f,
+                "the store is older, at revision {r}; `chervilctl recover` writes the hosts' \
+                 configuration back"
+            )?,
+            Some(_) => {}
         }
         self.zones.iter().try_for_each(|z| writeln!(f, "{z}"))?;
         for d in &self.drained {
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -133,7 +133,7 @@
     assert_eq!(change.code, 1);
     assert!(change.out.contains("nothing changed"), "{}", change.out);
     assert_eq!(status.code, 0, "{}", status.err);
-    assert!(status.out.contains("cannot be reached; a host told"), "{}", status.out);
+    assert!(status.out.contains("cannot be reached; a host told the rest"), "{}", status.out);
     assert!(status.out.contains("revision 1 in force on 1 of 1"), "{}", status.out);
 }
 
@@ -150,12 +150,14 @@
     site.store.restore(old);
 
     let refused = site.run(&["zone", "out", "z2"]);
+    let older = site.run(&["status"]);
     let recovered = site.run(&["recover"]);
     let accepted = site.run(&["zone", "out", "z2"]);
     let status = site.run(&["status"]);
 
     assert_eq!((refused.code, recovered.code, accepted.code), (1, 0, 0), "{}", recovered.out);
     assert!(refused.out.contains("chervilctl recover"), "{}", refused.out);
+    assert!(older.out.contains("the store is older, at revision 1"), "{}", older.out);
     assert!(status.out.contains("revision 4 in force on 1 of 1"), "{}", status.out);
     assert_eq!(status.out.matches("out of service").count(), 2, "{}", status.out);
 }
