Add the load generator and the naive baseline

The figures of the design (tail latency, coverage, extra load, work given to a zone that is out) need one tool that measures them on real processes, and a baseline in the same run.

chervil-bench sends open-loop Poisson arrivals and measures from the planned arrival, checks the rows of every answer against the simulated index, and reads the servers' own counters from the stand-in. Each scenario first runs the naive policy, then the entries. GET /servers of the control port lists the simulated servers for it.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,12 @@
-//! Part of chervillink; see docs/design.md.
+//! Load generator: measures real processes over loopback, against a policy
+//! that asks each shard once.
+
+pub mod answer;
+pub mod control;
+pub mod phase;
+pub mod policy;
+pub mod report;
+pub mod run;
+pub mod scenario;
+pub mod settings;
+pub mod tally;
--- /dev/null
+++ b/crates/bench/src/policy.rs
@@ -0,0 +1,173 @@
+//! The two policies that are compared: entries, and asking each shard once.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use chervil_base::coverage::Coverage;
+use chervil_base::coverage::MissingReason;
+use chervil_base::coverage::MissingShard;
+use chervil_base::shards::Shard;
+use chervil_standin::control::ServerInfo;
+use chervil_standin::rows::Row;
+use chervil_standin::server::AskBody;
+use futures::future::join_all;
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rand::rngs::StdRng;
+use reqwest::Client;
+use reqwest::StatusCode;
+use serde_json::Value;
+
+use crate::answer::Answer;
+use crate::answer::AnswerBody;
+
+/// How long after the deadline a reply is still awaited.
+const GRACE: Duration = Duration::from_millis(500);
+
+/// A way to answer queries.
+#[async_trait]
+pub trait Policy: Send + Sync {
+    /// Name in reports.
+    fn name(&self) -> &'static str;
+
+    /// Answers one query.
+    async fn ask(&self, body: &str) -> Answer;
+}
+
+/// Queries go to the entries in turn.
+pub struct Tier {
+    client: Client,
+    entries: Vec<SocketAddr>,
+    next: AtomicUsize,
+    service: Box<str>,
+    timeout: Duration,
+}
+
+impl Tier {
+    /// Entries that answer queries to a service.
+    pub fn new(entries: &[SocketAddr], service: &str, timeout: Duration) -> Tier {
+        Tier {
+            client: Client::new(),
+            entries: entries.to_vec(),
+            next: AtomicUsize::new(0),
+            service: service.into(),
+            timeout,
+        }
+    }
+
+    /// Runs non-idempotent work; returns the status, or 0 without a reply.
+    pub async fn run(&self, key: &str, body: &str) -> u16 {
+        let url = format!("http://{}/run/{}", self.entry(), self.service);
+        let request = self.client.post(url).header("idempotency-key", key);
+        let request = request.header("x-timeout-ms", self.timeout.as_millis().to_string());
+        let reply = request.timeout(self.timeout + GRACE).body(body.to_owned()).send().await;
+        reply.map_or(0, |r| r.status().as_u16())
+    }
+
+    fn entry(&self) -> SocketAddr {
+        let next = self.next.fetch_add(1, Ordering::Relaxed);
+        self.entries[next % self.entries.len()]
+    }
+}
+
+#[async_trait]
+impl Policy for Tier {
+    fn name(&self) -> &'static str {
+        "chervillink"
+    }
+
+    async fn ask(&self, body: &str) -> Answer {
+        let url = format!("http://{}/query/{}", self.entry(), self.service);
+        let request = self.client.post(url).timeout(self.timeout + GRACE);
+        let request = request.header("x-timeout-ms", self.timeout.as_millis().to_string());
+        let reply = match request.body(body.to_owned()).send().await {
+            Ok(reply) => reply,
+            Err(e) if e.is_connect() => return Answer::Refused("entry unreachable".into()),
+            Err(e) if e.is_timeout() => return Answer::Refused("entry timeout".into()),
+            Err(_) => return Answer::Refused("entry connection lost".into()),
+        };
+        let status = reply.status();
+        if status != StatusCode::OK && status != StatusCode::PARTIAL_CONTENT {
+            let body: Value = reply.json().await.unwrap_or_default();
+            let reason = body.get("reason").and_then(Value::as_str).unwrap_or("no reason");
+            return Answer::Refused(format!("{} {reason}", status.as_u16()).into());
+        }
+        match reply.json().await {
+            Ok(body) => Answer::check(&self.service, status == StatusCode::OK, &body),
+            Err(_) => Answer::Refused("unreadable answer".into()),
+        }
+    }
+}
+
+/// Asks a random replica of each shard once, without retry or hedge.
+pub struct Naive {
+    client: Client,
+    service: Box<str>,
+    version: u64,
+    holders: Vec<Vec<SocketAddr>>,
+    timeout: Duration,
+    rng: Mutex<StdRng>,
+}
+
+impl Naive {
+    /// Asks the servers that hold the newest version of a service.
+    pub fn new(servers: &[ServerInfo], service: &str, timeout: Duration, seed: u64) -> Naive {
+        let own = || servers.iter().filter(|s| &*s.service == service);
+        let newest = own().flat_map(|s| &s.versions).max_by_key(|v| v.version);
+        let (version, shards) = newest.map_or((0, 0), |v| (v.version, v.shards));
+        let holds = |s: &ServerInfo, shard: Shard| {
+            s.versions.iter().any(|v| v.version == version && v.held.contains(shard))
+        };
+        let holders = (0..shards)
+            .map(|shard| own().filter(|s| holds(s, shard)).map(|s| s.address).collect())
+            .collect();
+        let rng = Mutex::new(StdRng::seed_from_u64(seed));
+        Naive { client: Client::new(), service: service.into(), version, holders, timeout, rng }
+    }
+
+    async fn ask_shard(&self, shard: Shard, body: &str) -> Option<AskBody> {
+        let holders = &self.holders[shard as usize];
+        if holders.is_empty() {
+            return None;
+        }
+        let pick = {
+            let mut rng = self.rng.lock().unwrap_or_else(PoisonError::into_inner);
+            rng.random_range(0..holders.len())
+        };
+        let url = format!("http://{}/shard/{}/{shard}", holders[pick], self.service);
+        let request = self.client.post(url).header("x-index-version", self.version);
+        let reply = request.timeout(self.timeout).body(body.to_owned()).send().await.ok()?;
+        let body: AskBody = reply.error_for_status().ok()?.json().await.ok()?;
+        Some(body).filter(|b| !b.partial)
+    }
+}
+
+#[async_trait]
+impl Policy for Naive {
+    fn name(&self) -> &'static str {
+        "naive"
+    }
+
+    async fn ask(&self, body: &str) -> Answer {
+        let total = self.holders.len() as u32;
+        let replies = join_all((0..total).map(|shard| self.ask_shard(shard, body))).await;
+        let mut rows: Vec<Row> = Vec::new();
+        let mut missing = Vec::new();
+        for (shard, reply) in replies.into_iter().enumerate() {
+            match reply {
+                Some(reply) => rows.extend(reply.rows),
+                None => missing
+                    .push(MissingShard { shard: shard as Shard, reason: MissingReason::Lost }),
+            }
+        }
+        let answered = total - missing.len() as u32;
+        let coverage = Coverage { version: Some(self.version), total, answered, missing };
+        let complete = coverage.is_whole();
+        Answer::check(&self.service, complete, &AnswerBody { coverage, rows })
+    }
+}
--- a/crates/standin/src/cluster.rs
+++ b/crates/standin/src/cluster.rs
@@ -13,6 +13,7 @@
 use snafu::Snafu;
 
 use crate::control::ControlHandler;
+use crate::control::ServerInfo;
 use crate::model::Limits;
 use crate::model::Model;
 use crate::platform::Platform;
@@ -39,6 +40,8 @@
 pub struct Cluster {
     /// Servers in the order of the settings.
     pub servers: Vec<Arc<Server>>,
+    /// Address of each server.
+    pub addresses: Vec<SocketAddr>,
     /// Simulated platform, if any.
     pub platform: Option<Arc<Platform>>,
 }
@@ -55,6 +58,24 @@
         self.servers.iter().filter(|s| matches(s)).cloned().collect()
     }
 
+    /// What each server is and holds.
+    pub fn infos(&self) -> Vec<ServerInfo> {
+        let info = |(server, address): (&Arc<Server>, &SocketAddr)| {
+            let model = server.model();
+            ServerInfo {
+                name: server.identity.name.clone(),
+                service: server.identity.service.clone(),
+                zone: server.identity.zone.clone(),
+                address: *address,
+                slots: model.limits().slots,
+                connections: model.limits().connections,
+                versions: model.versions().to_vec(),
+                faults: model.faults.clone(),
+            }
+        };
+        self.servers.iter().zip(&self.addresses).map(info).collect()
+    }
+
     /// All counters.
     pub fn stats(&self) -> Stats {
         let mut stats = Stats::default();
@@ -107,7 +128,7 @@
                 servers.push(server);
             }
         }
-        let addresses = ports.iter().map(|p| p.address).collect();
+        let addresses: Vec<SocketAddr> = ports.iter().map(|p| p.address).collect();
         let platform = settings.platform.as_ref().map(|p| Platform::new(p.hosts.clone()));
         let mut listen = None;
         if let (Some(platform), Some(wanted)) = (&platform, &settings.platform) {
@@ -116,7 +137,7 @@
             listen = Some(port.address);
             ports.push(port);
         }
-        let cluster = Arc::new(Cluster { servers, platform });
+        let cluster = Arc::new(Cluster { servers, addresses: addresses.clone(), platform });
         let handler = ControlHandler { cluster: cluster.clone() };
         let address = settings.control;
         let port = Port::serve(address, PortControl::default(), Arc::new(handler)).await;
--- a/crates/standin/src/control.rs
+++ b/crates/standin/src/control.rs
@@ -2,8 +2,10 @@
 //!
 //! `POST /control/<target>/<command>` with a JSON body. A target is the name of
 //! a server, `service:<name>`, `zone:<name>`, `all` or `platform`. `GET /stats`
-//! returns all counters and `POST /stats/reset` sets them to zero.
+//! returns all counters and `POST /stats/reset` sets them to zero. `GET /servers`
+//! lists the servers with their versions and faults.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -20,6 +22,7 @@
 use snafu::Snafu;
 
 use crate::cluster::Cluster;
+use crate::faults::Faults;
 use crate::port::Answer;
 use crate::port::Call;
 use crate::port::Handler;
@@ -65,6 +68,26 @@
         pub share: f64,
     }
 
+    /// A simulated server, as `GET /servers` lists it.
+    pub struct ServerInfo {
+        /// Name.
+        pub name: Box<str>,
+        /// Service.
+        pub service: Box<str>,
+        /// Availability zone.
+        pub zone: Box<str>,
+        /// Address.
+        pub address: SocketAddr,
+        /// Requests that run at once.
+        pub slots: u32,
+        /// Connections that it accepts.
+        pub connections: u32,
+        /// Versions that it holds.
+        pub versions: Vec<HeldVersion>,
+        /// Behavior.
+        pub faults: Faults,
+    }
+
     /// Reply to a command.
     #[derive(Eq)]
     pub struct Applied {
@@ -118,6 +141,7 @@
         let path: Vec<&str> = call.path.trim_matches('/').split('/').collect();
         match (&call.method, path.as_slice()) {
             (&Method::GET, ["stats"]) => Answer::json(StatusCode::OK, &self.cluster.stats()),
+            (&Method::GET, ["servers"]) => Answer::json(StatusCode::OK, &self.cluster.infos()),
             (&Method::POST, ["stats", "reset"]) => {
                 self.cluster.reset_stats();
                 Answer::json(StatusCode::OK, &Applied { servers: self.cluster.servers.len() })
--- a/crates/standin/src/model.rs
+++ b/crates/standin/src/model.rs
@@ -149,6 +149,11 @@
         }
     }
 
+    /// Limits that do not change.
+    pub fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
     /// Makes the server cold, without any other sign of it.
     pub fn chill(&mut self) {
         self.cold = Some(self.faults.cold_limit);
