--- a/crates/agent/src/list.rs
+++ b/crates/agent/src/list.rs
@@ -74,10 +74,10 @@
                 continue;
             }
             match self.look(upkeep).await {
-                Ok(true) => backoff.reset(),
-                Ok(false) => {
+                Ok(again) => {
                     backoff.reset();
-                    next_look = time::Instant::now() + self.tunables.list();
+                    let wait = if again { INTERVAL } else { self.tunables.list() };
+                    next_look = time::Instant::now() + wait;
                 }
                 Err(ListError::Stopping) => return,
                 Err(e) => {
@@ -95,7 +95,7 @@
     }
 
     /// Compares the list in the store and changes it when needed; returns
-    /// whether another look is due at once.
+    /// whether another look is due soon.
     async fn look(&self, upkeep: Upkeep) -> Result<bool, ListError> {
         let found = self.store.get(LIST_KEY).await.context(CallSnafu)?;
         let revision = found.as_ref().map_or(0, |f| f.revision);
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -8,6 +8,7 @@
 use chervil_base::HashMap;
 use chervil_base::catalog::CatalogSpec;
 use chervil_canary::Suspects;
+use chervil_config::Adopted;
 use chervil_members::DOWN_AFTER;
 use chervil_members::membership::Membership;
 use chervil_members::rank::first;
@@ -21,7 +22,6 @@
 use chervil_rpc::agent::PullReply;
 use chervil_rpc::agent::QuorumLease;
 
-use crate::config::Adopted;
 use crate::core::Upkeep;
 use crate::outlook::Outlook;
 
@@ -115,7 +115,7 @@
     /// Heartbeat to be sent now.
     pub(crate) fn heartbeat(&self, now: Instant) -> Heartbeat {
         let list = self.membership.list();
-        let listed = list.hosts.iter().any(|h| *h == self.me);
+        let listed = list.hosts.contains(&self.me);
         Heartbeat {
             host: self.me.host.clone(),
             incarnation: self.membership.incarnation(),
--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -330,8 +330,11 @@
 
     fn settle(&mut self, now: Instant) {
         let epoch = self.list.epoch;
-        self.settled |=
-            epoch > 0 && self.quorum.meets(|k| self.hosts[k].replies.has_held(epoch, now));
+        let own = epoch > 0 && now >= self.adopted + QUORUM_LEASE;
+        let held = |k: HostKey| {
+            if k == self.me { own } else { self.hosts[k].replies.has_held(epoch, now) }
+        };
+        self.settled |= self.quorum.meets(held);
     }
 
     fn track_denied(&mut self, now: Instant) {
