--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,6 +2,7 @@
 //! that asks each shard once.
 
 pub mod answer;
+pub mod balancer;
 pub mod control;
 pub mod phase;
 pub mod policy;
--- a/crates/bench/src/policy.rs
+++ b/crates/bench/src/policy.rs
@@ -3,8 +3,6 @@
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -20,11 +18,13 @@
 use rand::SeedableRng as _;
 use rand::rngs::StdRng;
 use reqwest::Client;
+use reqwest::Response;
 use reqwest::StatusCode;
 use serde_json::Value;
 
 use crate::answer::Answer;
 use crate::answer::AnswerBody;
+use crate::balancer::Balancer;
 
 /// How long after the deadline a reply is still awaited.
 const GRACE: Duration = Duration::from_millis(500);
@@ -42,36 +42,39 @@
 /// Queries go to the entries in turn.
 pub struct Tier {
     client: Client,
-    entries: Vec<SocketAddr>,
-    next: AtomicUsize,
+    balancer: Balancer,
     service: Box<str>,
     timeout: Duration,
 }
 
 impl Tier {
     /// Entries that answer queries to a service.
-    pub fn new(entries: &[SocketAddr], service: &str, timeout: Duration) -> Tier {
-        Tier {
-            client: Client::new(),
-            entries: entries.to_vec(),
-            next: AtomicUsize::new(0),
-            service: service.into(),
-            timeout,
-        }
+    pub fn new(balancer: Balancer, service: &str, timeout: Duration) -> Tier {
+        Tier { client: Client::new(), balancer, service: service.into(), timeout }
     }
 
     /// Runs non-idempotent work; returns the status, or 0 without a reply.
     pub async fn run(&self, key: &str, body: &str) -> u16 {
-        let url = format!("http://{}/run/{}", self.entry(), self.service);
-        let request = self.client.post(url).header("idempotency-key", key);
-        let request = request.header("x-timeout-ms", self.timeout.as_millis().to_string());
-        let reply = request.timeout(self.timeout + GRACE).body(body.to_owned()).send().await;
+        let reply = self.send("run", body, Some(key)).await;
         reply.map_or(0, |r| r.status().as_u16())
     }
 
-    fn entry(&self) -> SocketAddr {
-        let next = self.next.fetch_add(1, Ordering::Relaxed);
-        self.entries[next % self.entries.len()]
+    /// Sends a request to the first entry to which a connection can be opened.
+    async fn send(&self, path: &str, body: &str, key: Option<&str>) -> reqwest::Result<Response> {
+        let mut order = self.balancer.order().into_iter().peekable();
+        loop {
+            let entry = order.next().unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
+            let url = format!("http://{entry}/{path}/{}", self.service);
+            let mut request = self.client.post(url).timeout(self.timeout + GRACE);
+            request = request.header("x-timeout-ms", self.timeout.as_millis().to_string());
+            if let Some(key) = key {
+                request = request.header("idempotency-key", key);
+            }
+            match request.body(body.to_owned()).send().await {
+                Err(e) if e.is_connect() && order.peek().is_some() => {}
+                reply => return reply,
+            }
+        }
     }
 }
 
@@ -82,10 +85,7 @@
     }
 
     async fn ask(&self, body: &str) -> Answer {
-        let url = format!("http://{}/query/{}", self.entry(), self.service);
-        let request = self.client.post(url).timeout(self.timeout + GRACE);
-        let request = request.header("x-timeout-ms", self.timeout.as_millis().to_string());
-        let reply = match request.body(body.to_owned()).send().await {
+        let reply = match self.send("query", body, None).await {
             Ok(reply) => reply,
             Err(e) if e.is_connect() => return Answer::Refused("entry unreachable".into()),
             Err(e) if e.is_timeout() => return Answer::Refused("entry timeout".into()),
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -9,6 +9,7 @@
 use serde_json::json;
 use tokio::time;
 
+use crate::balancer::Balancer;
 use crate::control::Control;
 use crate::phase::Load;
 use crate::phase::Phase;
@@ -72,8 +73,9 @@
     }
 
     async fn tier(&self, scenario: Scenario) -> Result<PhaseReport, PhaseError> {
-        let BenchSettings { service, entries, timeout_ms, .. } = self.settings;
-        let tier = Tier::new(entries, service, Duration::from_millis(*timeout_ms));
+        let BenchSettings { service, entries, admins, timeout_ms, .. } = self.settings;
+        let balancer = Balancer::new(entries, admins);
+        let tier = Tier::new(balancer, service, Duration::from_millis(*timeout_ms));
         let tier = Arc::new(tier);
         self.measure(scenario, tier.clone(), Some(tier), self.announce).await
     }
--- a/crates/bench/src/settings.rs
+++ b/crates/bench/src/settings.rs
@@ -10,6 +10,10 @@
 pub struct BenchSettings {
     /// Addresses of the entries, used in turn.
     pub entries: Vec<SocketAddr>,
+    /// Admin addresses of the entries, in the same order; an entry that is not
+    /// ready gets no request, as behind the platform's load balancer.
+    #[serde(default)]
+    pub admins: Vec<SocketAddr>,
     /// Control port of the stand-in.
     pub control: SocketAddr,
     /// Service that is queried.
--- a/crates/standin/src/cluster.rs
+++ b/crates/standin/src/cluster.rs
@@ -14,7 +14,6 @@
 
 use crate::control::ControlHandler;
 use crate::control::ServerInfo;
-use crate::model::Limits;
 use crate::model::Model;
 use crate::platform::Platform;
 use crate::port::Port;
@@ -25,6 +24,7 @@
 use crate::settings::Settings;
 use crate::settings::held;
 use crate::stats::Stats;
+use crate::work::Limits;
 
 /// Why the stand-in cannot start.
 #[derive(Debug, Snafu)]
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -14,6 +14,8 @@
         pub slow_share: f64,
         /// Delay of those replies, in milliseconds.
         pub slow_ms: f64,
+        /// Requests beyond the slots that wait instead of being refused.
+        pub queue: u32,
         /// Share of replies that are partial, from 0 to 1.
         pub partial_share: f64,
         /// Share of requests that lose their connection while they run.
@@ -56,6 +58,7 @@
             jitter_ms: 2.0,
             slow_share: 0.0,
             slow_ms: 500.0,
+            queue: 0,
             partial_share: 0.0,
             reset_share: 0.0,
             draining: false,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod settings;
 pub mod sheet;
 pub mod stats;
+pub mod work;
--- a/crates/standin/src/model.rs
+++ b/crates/standin/src/model.rs
@@ -5,7 +5,6 @@
 
 use chervil_base::HashMap;
 use chervil_base::index::HeldVersion;
-use chervil_base::message;
 use chervil_base::shards::Shard;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
@@ -13,100 +12,17 @@
 
 use crate::faults::Faults;
 use crate::stats::ServerStats;
+use crate::work::Limits;
+use crate::work::Load;
+use crate::work::Plan;
+use crate::work::Refused;
+use crate::work::Start;
+use crate::work::Status;
+use crate::work::Work;
 
 /// Time after which a marked server should get no more work.
 const OUT_GRACE: Duration = Duration::from_secs(3);
 
-message! {
-    /// Load of a server.
-    #[derive(Copy, Eq)]
-    pub struct Load {
-        /// Requests that run.
-        pub running: u32,
-        /// Requests that can run at once.
-        pub slots: u32,
-    }
-
-    /// Reply to a status request.
-    #[derive(Eq)]
-    pub struct Status {
-        /// Index versions.
-        pub versions: Vec<HeldVersion>,
-        /// Load.
-        pub load: Load,
-        /// Whether the server refuses new work.
-        pub draining: bool,
-        /// Time since the start of the server, in milliseconds.
-        pub uptime_ms: u64,
-    }
-
-    /// Why a server did not start a request.
-    #[derive(Copy, Eq)]
-    #[serde(rename_all = "snake_case")]
-    pub enum Refused {
-        /// All slots are in use.
-        Busy,
-        /// The cold server bears no more.
-        Cold,
-        /// The server drains.
-        Draining,
-    }
-}
-
-/// Limits of a server that do not change.
-#[derive(Clone, Debug)]
-pub struct Limits {
-    /// Requests that run at once.
-    pub slots: u32,
-    /// Connections.
-    pub connections: u32,
-}
-
-/// What a request asks for.
-#[derive(Clone, Copy, Debug)]
-pub enum Work<'a> {
-    /// Rows of a shard at a version.
-    Ask {
-        /// Index version.
-        version: u64,
-        /// Shard.
-        shard: Shard,
-    },
-    /// Non-idempotent work.
-    Run {
-        /// Idempotency key.
-        key: &'a str,
-    },
-}
-
-/// What the server does with a request.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Start {
-    /// Runs it; [`Model::finish`] or [`Model::cancel`] must follow.
-    Run(Plan),
-    /// Does not start it.
-    Refuse(Refused),
-    /// Does not hold the version or shard.
-    WrongVersion,
-    /// Is overwhelmed: all connections are reset for this long.
-    Fall(Duration),
-    /// Crashes: it does not listen for this long.
-    Crash(Duration),
-}
-
-/// How a request runs.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Plan {
-    /// Service time.
-    pub time: Duration,
-    /// Whether the reply is partial.
-    pub partial: bool,
-    /// Whether the connection is lost instead of a reply.
-    pub reset: bool,
-    /// Start of the server to which the request belongs.
-    pub incarnation: u64,
-}
-
 /// One simulated backend server.
 #[derive(Debug)]
 pub struct Model {
@@ -119,6 +35,7 @@
     started: Instant,
     incarnation: u64,
     running: u32,
+    waiting: u32,
     connections: u32,
     /// Requests that the cold server bears; `None` when it is warm.
     cold: Option<u32>,
@@ -140,6 +57,7 @@
             started: now,
             incarnation: 0,
             running: 0,
+            waiting: 0,
             connections: 0,
             cold: None,
             good: 0,
@@ -169,6 +87,7 @@
     pub fn restart(&mut self, now: Instant) {
         self.incarnation += 1;
         self.running = 0;
+        self.waiting = 0;
         self.started = now;
         self.chill();
     }
@@ -238,6 +157,28 @@
         Start::Run(self.plan())
     }
 
+    /// Decides on a waiting request of this start of the server once more.
+    pub fn resume(&mut self, incarnation: u64) -> Start {
+        if incarnation == self.incarnation && self.running >= self.limits.slots {
+            return Start::Wait;
+        }
+        self.leave(incarnation);
+        self.running += 1;
+        Start::Run(self.plan())
+    }
+
+    /// Notes that a request no longer waits.
+    pub fn leave(&mut self, incarnation: u64) {
+        if incarnation == self.incarnation {
+            self.waiting = self.waiting.saturating_sub(1);
+        }
+    }
+
+    /// Number of the server's start.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
     /// Notes that a request ran to its end.
     pub fn finish(&mut self, plan: &Plan) {
         if plan.incarnation != self.incarnation {
@@ -334,9 +275,14 @@
 
     /// Refuses a request beyond the slots or beyond what the cold server bears.
     fn exceeds(&mut self) -> Option<Start> {
-        self.stats.peak_running = self.stats.peak_running.max(self.running + 1);
+        let arrived = self.running + self.waiting + 1;
+        self.stats.peak_running = self.stats.peak_running.max(arrived);
         if self.running >= self.limits.slots {
             self.stats.over_slots += 1;
+            if self.waiting < self.faults.queue {
+                self.waiting += 1;
+                return Some(Start::Wait);
+            }
             self.stats.busy += 1;
             return Some(Start::Refuse(Refused::Busy));
         }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -16,14 +16,10 @@
 use chervil_base::shards::Shard;
 use hyper::Method;
 use hyper::StatusCode;
+use tokio::sync::Notify;
 use tokio::time;
 
-use crate::model::Load;
 use crate::model::Model;
-use crate::model::Plan;
-use crate::model::Refused;
-use crate::model::Start;
-use crate::model::Work;
 use crate::port::Answer;
 use crate::port::Call;
 use crate::port::Handler;
@@ -33,6 +29,11 @@
 use crate::port::PortControl;
 use crate::rows::Row;
 use crate::rows::shard_rows;
+use crate::work::Load;
+use crate::work::Plan;
+use crate::work::Refused;
+use crate::work::Start;
+use crate::work::Work;
 
 message! {
     /// Reply with rows of a shard.
@@ -97,6 +98,8 @@
     model: Mutex<Model>,
     links: Mutex<Vec<Arc<Link>>>,
     port: PortControl,
+    /// Wakes waiting requests when one ends.
+    freed: Notify,
     connect_cost: Duration,
 }
 
@@ -108,6 +111,7 @@
             model: Mutex::new(model),
             links: Mutex::default(),
             port: PortControl::default(),
+            freed: Notify::new(),
             connect_cost,
         })
     }
@@ -252,16 +256,44 @@
         Answer::json(StatusCode::OK, &status)
     }
 
+    /// Decides on a request; one that waits is decided on again.
+    async fn start(&self, work: Work<'_>, body: &[u8]) -> Start {
+        let mut waiting: Option<Waiting> = None;
+        loop {
+            let freed = self.server.freed.notified();
+            tokio::pin!(freed);
+            // A request that ends between the decision and the wait must not
+            // be missed.
+            freed.as_mut().enable();
+            let start = {
+                let mut model = self.server.model();
+                match waiting.take() {
+                    Some(mut w) => {
+                        w.left = true;
+                        model.resume(w.incarnation)
+                    }
+                    None => model.start(work, body, Instant::now()),
+                }
+            };
+            if start != Start::Wait {
+                return start;
+            }
+            let incarnation = self.server.model().incarnation();
+            waiting = Some(Waiting { server: self.server.clone(), incarnation, left: false });
+            freed.await;
+        }
+    }
+
     /// Runs a request to its end, or says what to reply instead.
     async fn work(&self, work: Work<'_>, body: &[u8]) -> Result<Plan, Answer> {
-        let start = self.server.model().start(work, body, Instant::now());
-        match start {
+        match self.start(work, body).await {
             Start::Run(plan) => {
                 let running = Running { server: self.server.clone(), plan: Some(plan.clone()) };
                 time::sleep(plan.time).await;
                 running.finish();
                 if plan.reset { Err(Answer::Close) } else { Ok(plan) }
             }
+            Start::Wait => Err(Answer::Close),
             Start::Refuse(refused) => {
                 let body = RefusedBody { refused };
                 Err(Answer::json(StatusCode::SERVICE_UNAVAILABLE, &body))
@@ -282,6 +314,21 @@
     }
 }
 
+/// Counts a request as waiting until it leaves or is dropped.
+struct Waiting {
+    server: Arc<Server>,
+    incarnation: u64,
+    left: bool,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if !self.left {
+            self.server.model().leave(self.incarnation);
+        }
+    }
+}
+
 /// Counts a request as running; a drop before its end is a cancellation.
 struct Running {
     server: Arc<Server>,
@@ -292,6 +339,7 @@
     fn finish(mut self) {
         if let Some(plan) = self.plan.take() {
             self.server.model().finish(&plan);
+            self.server.freed.notify_waiters();
         }
     }
 }
@@ -300,6 +348,7 @@
     fn drop(&mut self) {
         if let Some(plan) = self.plan.take() {
             self.server.model().cancel(&plan);
+            self.server.freed.notify_waiters();
         }
     }
 }
--- a/crates/standin/src/stats.rs
+++ b/crates/standin/src/stats.rs
@@ -15,7 +15,8 @@
         pub running: u32,
         /// Connections open now.
         pub connections: u32,
-        /// Most requests at one time, counting those refused as excess.
+        /// Most requests at one time, counting those that wait or are refused
+        /// as excess.
         pub peak_running: u32,
         /// Most of them beyond the slots.
         pub peak_over_slots: u32,
--- a/crates/standin/tests/servers.rs
+++ b/crates/standin/tests/servers.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use chervil_standin::cluster::Standin;
-use chervil_standin::model::Status;
 use chervil_standin::rows::shard_rows;
 use chervil_standin::server::AskBody;
 use chervil_standin::settings::Settings;
 use chervil_standin::stats::ServerStats;
+use chervil_standin::work::Status;
 use reqwest::Client;
 use reqwest::Response;
 use reqwest::StatusCode;
@@ -29,7 +29,7 @@
         shards = 4
         replicas = 1
         slots = 2
-        connections = 3
+        connections = 8
         {extra}
         "#
     );
@@ -110,15 +110,15 @@
     let standin = start("").await;
     let address = standin.servers[0];
     let mut held = Vec::new();
-    for _ in 0..3 {
+    for _ in 0..8 {
         held.push(tokio::net::TcpStream::connect(address).await.unwrap());
     }
-    until(|| stats(&standin).connections == 3).await;
+    until(|| stats(&standin).connections == 8).await;
 
     let reply = ask(&client(), &standin, 0, "").await;
 
     assert!(reply.is_err());
-    assert_eq!((stats(&standin).peak_connections, stats(&standin).over_connections), (3, 1));
+    assert_eq!((stats(&standin).peak_connections, stats(&standin).over_connections), (8, 1));
 }
 
 // Guards against work that goes on after its caller has gone.
@@ -248,3 +248,17 @@
 
     assert_eq!((stats.keys, stats.repeated_keys["1-a"]), (1, 2));
 }
+
+// Guards against a queue that loses a waiting request or hides it from the
+// counters.
+#[tokio::test]
+async fn excess_waits_when_the_server_has_a_queue() {
+    let standin = start("faults = { base_ms = 20.0, queue = 6 }").await;
+    let client = client();
+
+    let calls = (0..8).map(|_| ask(&client, &standin, 0, ""));
+    let replies = futures::future::join_all(calls).await;
+
+    assert!(replies.into_iter().all(|r| r.unwrap().status() == StatusCode::OK));
+    assert_eq!((stats(&standin).peak_over_slots, stats(&standin).busy), (6, 0));
+}
