Keep outcomes while the store is away

Work that was claimed before an outage and ended during it stayed unknown for good, because its outcome was written once and then forgotten. Recording an outcome twice changes nothing, so that this is safe whatever became of the first write.

--- a/crates/claim/src/batch.rs
+++ b/crates/claim/src/batch.rs
@@ -3,12 +3,14 @@
 use std::time::SystemTime;
 
 use chervil_rpc::agent::ClaimReply;
+use chervil_rpc::agent::Recorded;
 
 use crate::bucket::Bucket;
 use crate::bucket::Claim;
 use crate::bucket::Decision;
 use crate::key;
 use crate::lane::Ask;
+use crate::lane::Late;
 use crate::lane::Operation;
 use crate::lane::Reply;
 
@@ -25,14 +27,17 @@
     pub replies: Vec<Reply>,
 }
 
-/// Applies a batch to a bucket at `wall`.
-pub fn apply(bucket: &Bucket, operations: &[Operation], wall: SystemTime) -> Effect {
+/// Applies late outcomes and a batch to a bucket at `wall`.
+pub fn apply(bucket: &Bucket, late: &[Late], operations: &[Operation], wall: SystemTime) -> Effect {
     let mut effect = Effect {
         bucket: bucket.clone(),
         changed: false,
         volatile: false,
         replies: Vec::with_capacity(operations.len()),
     };
+    for Late { key, nonce, outcome } in late {
+        effect.settle(key, *nonce, outcome);
+    }
     for operation in operations {
         let reply = match &operation.ask {
             Ask::Claim { digest, until } => {
@@ -41,9 +46,7 @@
                 effect.claim(claim, wall)
             }
             Ask::Settle(outcome) => {
-                let settled = effect.bucket.settle(&operation.key, operation.nonce, outcome);
-                effect.changed |= settled;
-                effect.volatile |= !settled;
+                effect.settle(&operation.key, operation.nonce, outcome);
                 ClaimReply::Granted
             }
         };
@@ -53,6 +56,12 @@
 }
 
 impl Effect {
+    fn settle(&mut self, key: &str, nonce: u64, outcome: &Recorded) {
+        let settled = self.bucket.settle(key, nonce, outcome);
+        self.changed |= settled;
+        self.volatile |= !settled;
+    }
+
     fn claim(&mut self, claim: Claim<'_>, wall: SystemTime) -> ClaimReply {
         // The claim may have waited until its key expired and its bucket was
         // deleted; a write now would create the bucket anew.
--- a/crates/claim/src/lane.rs
+++ b/crates/claim/src/lane.rs
@@ -61,15 +61,46 @@
     pub bucket: Bucket,
 }
 
+/// An outcome that could not be recorded yet.
+#[derive(Clone, Debug)]
+pub struct Late {
+    /// Idempotency key.
+    pub key: Box<str>,
+    /// Nonce of the claim.
+    pub nonce: u64,
+    /// How the work ended.
+    pub outcome: Recorded,
+}
+
 /// What the writer of a lane holds.
 #[derive(Debug, Default)]
 pub struct Held {
+    /// Outcomes that wait for the store to come back.
+    pub late: Vec<Late>,
     /// Last known content, if any.
     pub copy: Option<Copy>,
     /// Earliest time of the next write without a credit.
     pub due: Option<Instant>,
 }
 
+/// Outcomes that a lane keeps while the store is away; the end of the work of
+/// further claims stays unknown.
+const MAX_LATE: usize = 1_000;
+
+impl Held {
+    /// Keeps the outcomes of a batch that could not be written.
+    pub fn keep(&mut self, operations: &[Operation]) {
+        let settled = operations.iter().filter_map(|o| match &o.ask {
+            Ask::Settle(outcome) => {
+                Some(Late { key: o.key.clone(), nonce: o.nonce, outcome: outcome.clone() })
+            }
+            Ask::Claim { .. } => None,
+        });
+        let free = MAX_LATE.saturating_sub(self.late.len());
+        self.late.extend(settled.take(free));
+    }
+}
+
 /// Queue and copy of one bucket.
 #[derive(Debug)]
 pub struct Lane {
--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -111,6 +111,9 @@
 
     /// Records how claimed work ended. A claim that another attempt has
     /// replaced is left alone.
+    ///
+    /// An outcome that the store did not take is kept in memory; the next write
+    /// of its bucket and [`Claims::sweep`] try it again.
     pub async fn settle(&self, request: SettleRequest) -> Result<(), StoreError> {
         let Ok(bucket) = bucket_of(&request.key) else {
             // A malformed key was never claimed.
@@ -121,11 +124,16 @@
     }
 
     /// Deletes the buckets whose keys have all expired; returns their number.
-    /// It also forgets the copies of all buckets that are not in use.
+    /// It also records late outcomes, and forgets the copies of all buckets
+    /// that are not in use.
     pub async fn sweep(&self) -> Result<usize, StoreError> {
         let limit = self.clock.wall() - key::RETENTION - SWEEP_DELAY;
         let expired = |name: &str| key::end_of(name).is_some_and(|end| end < limit);
-        self.lanes().retain(|_, lane| Arc::strong_count(lane) > 1);
+        self.write_late().await;
+        self.lanes().retain(|name, lane| {
+            let late = lane.held.try_lock().map_or(true, |held| !held.late.is_empty());
+            Arc::strong_count(lane) > 1 || late && !expired(name)
+        });
         let mut deleted = 0;
         for (name, revision) in self.store.list(key::PREFIX).await? {
             if expired(&name) {
@@ -140,6 +148,18 @@
         Ok(deleted)
     }
 
+    async fn write_late(&self) {
+        let lanes: Vec<Arc<Lane>> = self.lanes().values().cloned().collect();
+        for lane in lanes {
+            // A lane whose lock is held is being written anyway.
+            if let Ok(mut held) = lane.held.try_lock()
+                && !held.late.is_empty()
+            {
+                self.write(&lane, &mut held).await;
+            }
+        }
+    }
+
     async fn submit(&self, bucket: Box<str>, key: Box<str>, nonce: u64, ask: Ask) -> Reply {
         let lane = self.lane(bucket);
         let (reply, mut replied) = oneshot::channel();
--- a/crates/claim/src/write.rs
+++ b/crates/claim/src/write.rs
@@ -35,7 +35,7 @@
     pub(crate) async fn write(&self, lane: &Lane, held: &mut Held) {
         self.pace(held).await;
         let batch = lane.take();
-        if batch.operations().is_empty() {
+        if batch.operations().is_empty() && held.late.is_empty() {
             return;
         }
         let mut fresh = false;
@@ -45,7 +45,10 @@
                 self.pause(attempt).await;
             }
             match self.try_write(lane, held, &batch, &mut fresh).await {
-                Step::Done(replies) => return batch.reply(replies),
+                Step::Done(replies) => {
+                    held.late.clear();
+                    return batch.reply(replies);
+                }
                 Step::Reread(error) => {
                     fresh = false;
                     held.copy = None;
@@ -57,6 +60,7 @@
                 }
             }
         }
+        held.keep(batch.operations());
         batch.fail(if unknown { &StoreError::Unknown } else { &StoreError::Unavailable });
     }
 
@@ -78,7 +82,8 @@
                     Err(e) => return Step::Failed(e),
                 },
             };
-            let effect = batch::apply(&copy.bucket, batch.operations(), self.clock.wall());
+            let effect =
+                batch::apply(&copy.bucket, &held.late, batch.operations(), self.clock.wall());
             if effect.volatile && !*fresh {
                 // The copy was taken above, so that the next round reads.
                 continue;
--- a/crates/claim/tests/claims.rs
+++ b/crates/claim/tests/claims.rs
@@ -134,6 +134,24 @@
     assert_eq!(known, ClaimReply::Done { body: "r".into() });
 }
 
+// Guards against an outcome that is lost because the store is away for a
+// moment.
+#[tokio::test(start_paused = true)]
+async fn outcome_is_recorded_after_an_outage() {
+    let world = world();
+    let host = world.host(1);
+    host.claim(request(KEY, 1)).await;
+    world.store.set_faults(Faults { down: true, ..Faults::default() });
+    let during = host.settle(settle(KEY, 1, done("r"))).await;
+    world.store.set_faults(Faults::default());
+
+    host.sweep().await.unwrap();
+    let reply = world.host(2).claim(request(KEY, 2)).await;
+
+    assert_eq!(during, Err(StoreError::Unavailable));
+    assert_eq!(reply, ClaimReply::Done { body: "r".into() });
+}
+
 // Guards against a store that hangs and holds the caller beyond its deadline.
 #[tokio::test(start_paused = true)]
 async fn slow_store_refuses_at_the_timeout() {
