Apply a lease only with its ownership, and replace attempts shard by shard

Causes: the write check adopted a lease before the ownership that came with it, so that a slow actor could send for a lost server; a fresh attempt ended attempts of its query for other shards; a silent status delayed items for 0.5 s at each retry; a host without a catalog called every server unknown. While a host is leaving, the lease is read every 50 ms.

--- a/crates/backend/src/http.rs
+++ b/crates/backend/src/http.rs
@@ -21,10 +21,12 @@
 use crate::link::Connection;
 use crate::link::LinkError;
 use crate::link::Opened;
+use crate::link::RunAnswer;
 use crate::link::RunCall;
 use crate::link::ServerStatus;
 use crate::wire::AskBody;
 use crate::wire::RefusalBody;
+use crate::wire::RunBody;
 use crate::wire::StatusBody;
 use crate::wire::VersionsBody;
 
@@ -175,7 +177,7 @@
         reply.accepted()?.json::<AskBody>().map(AskAnswer::from)
     }
 
-    async fn run(&self, call: &RunCall) -> Result<Box<str>, LinkError> {
+    async fn run(&self, call: &RunCall) -> Result<RunAnswer, LinkError> {
         let path = format!("/run/{}", call.service);
         let request = self.post(&path, call.timeout, call.trace.as_deref());
         let request =
@@ -183,7 +185,9 @@
         let reply = self.send(request, call.timeout).await?.accepted()?;
         let body = String::from_utf8(reply.body);
         let body = body.map_err(|e| LinkError::Unreadable { cause: e.to_string().into() })?;
-        Ok(body.into())
+        // The reply is the caller's; its load is optional.
+        let load = serde_json::from_str::<RunBody>(&body).ok().map(RunBody::load);
+        Ok(RunAnswer { body: body.into(), load })
     }
 
     async fn status(&self, timeout: Duration) -> Result<ServerStatus, LinkError> {
--- a/crates/backend/src/link.rs
+++ b/crates/backend/src/link.rs
@@ -68,6 +68,15 @@
         pub trace: Option<Box<str>>,
     }
 
+    /// Reply to non-idempotent work.
+    #[derive(Eq)]
+    pub struct RunAnswer {
+        /// The server's reply.
+        pub body: Box<str>,
+        /// Load at the time of the reply, when reported.
+        pub load: Option<Load>,
+    }
+
     /// State that a server reports of itself.
     #[derive(Eq)]
     pub struct ServerStatus {
@@ -163,8 +172,8 @@
     /// Requests one shard.
     async fn ask(&self, call: &AskCall) -> Result<AskAnswer, LinkError>;
 
-    /// Sends non-idempotent work once; returns the server's reply.
-    async fn run(&self, call: &RunCall) -> Result<Box<str>, LinkError>;
+    /// Sends non-idempotent work once.
+    async fn run(&self, call: &RunCall) -> Result<RunAnswer, LinkError>;
 
     /// Requests the server's status.
     async fn status(&self, timeout: Duration) -> Result<ServerStatus, LinkError>;
--- a/crates/backend/src/wire.rs
+++ b/crates/backend/src/wire.rs
@@ -29,6 +29,12 @@
         uptime_ms: u64,
     }
 
+    /// Load in the reply to non-idempotent work.
+    pub(crate) struct RunBody {
+        load: LoadBody,
+        uptime_ms: u64,
+    }
+
     /// Reply to a status request.
     pub(crate) struct StatusBody {
         versions: Vec<HeldVersion>,
@@ -64,6 +70,12 @@
     Load { running: body.running, slots: body.slots, uptime }
 }
 
+impl RunBody {
+    pub(crate) fn load(self) -> Load {
+        load(self.load, self.uptime_ms)
+    }
+}
+
 impl From<AskBody> for AskAnswer {
     fn from(body: AskBody) -> AskAnswer {
         let uptime = body.uptime_ms;
--- a/crates/gate/src/agent.rs
+++ b/crates/gate/src/agent.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use chervil_base::clock::Clock;
@@ -14,11 +16,14 @@
 use tokio::time::MissedTickBehavior;
 use xtra::Address;
 
-use crate::rights::Rights;
 use crate::state::GateState;
 use crate::state::SetLease;
 use crate::state::SetView;
 
+/// Interval at which the lease is read while a host is leaving. A planned
+/// handover would otherwise wait for the usual interval.
+const HANDOVER_POLL: Duration = Duration::from_millis(50);
+
 /// Longest wait of one request for the view.
 const VIEW_WAIT: Duration = Duration::from_secs(5);
 
@@ -37,28 +42,27 @@
     pub(crate) peers: Arc<Peers>,
     pub(crate) address: SocketAddr,
     pub(crate) clock: Arc<dyn Clock>,
+    /// Whether a host is leaving, so that ownership is about to change.
+    pub(crate) leaving: Arc<AtomicBool>,
 }
 
 impl AgentLink {
     /// Reads the quorum lease at a fixed interval; its time counts from the
     /// moment of the request, so that a paused gate or agent loses it.
-    pub(crate) async fn poll_lease(
-        self,
-        rights: Arc<Rights>,
-        state: Address<GateState>,
-        interval: Duration,
-    ) {
+    pub(crate) async fn poll_lease(self, state: Address<GateState>, interval: Duration) {
         let mut timer = time::interval(interval);
         timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             timer.tick().await;
+            if self.leaving.load(Ordering::Relaxed) {
+                timer.reset_after(interval.min(HANDOVER_POLL));
+            }
             let sent = self.clock.now();
             let Some(lease) = self.lease().await else {
                 self.peers.forget(self.address).await;
                 continue;
             };
             let until = sent + Duration::from_millis(lease.remaining_ms);
-            rights.set_lease(until);
             if state.send(SetLease { lease, until }).await.is_err() {
                 return;
             }
@@ -77,6 +81,8 @@
                 continue;
             };
             after = view.sequence;
+            let leaving = view.hosts.iter().any(|h| h.leaving);
+            self.leaving.store(leaving, Ordering::Relaxed);
             if let Some(catalog) = &view.catalog {
                 revision = catalog.revision;
             }
--- a/crates/gate/src/app.rs
+++ b/crates/gate/src/app.rs
@@ -105,6 +105,8 @@
     state: Address<GateState>,
     agent: AgentLink,
     serving: Serving,
+    /// Tasks that ask the agent.
+    polls: Vec<JoinHandle<()>>,
     tasks: Vec<JoinHandle<()>>,
     limit: Duration,
 }
@@ -132,7 +134,6 @@
     let lifecycle = Lifecycle::new();
     let clock: Arc<dyn Clock> = Arc::new(SystemClock);
     let peers = Arc::new(Peers::new(settings.secret.clone(), CONNECT_LIMIT));
-    let rights = Arc::new(Rights::default());
     let metrics = Metrics::new("chervil.gate", settings.node.statsd)?;
     let (state, mailbox) = Mailbox::bounded(MAILBOX);
     let parts = Parts {
@@ -140,7 +141,7 @@
         link: Arc::new(HttpLink::new(settings.tunables.http())),
         clock: clock.clone(),
         peers: peers.clone(),
-        rights: rights.clone(),
+        rights: Arc::new(Rights::default()),
         metrics,
         lifecycle: lifecycle.clone(),
         open_timeout: Duration::from_millis(settings.tunables.open_timeout_ms),
@@ -150,18 +151,20 @@
     let admin = admin::serve(settings.node.admin, lifecycle.clone()).await?;
     let methods = GateMethods { state: state.clone(), lifecycle: lifecycle.clone() };
     let serving = server::serve(settings.listen, &settings.secret, methods.into_rpc()).await?;
-    let agent = AgentLink { peers, address: settings.agent, clock };
+    let agent = AgentLink { peers, address: settings.agent, clock, leaving: Arc::default() };
     let poll = Duration::from_millis(settings.tunables.lease_poll_ms);
+    let polls = vec![
+        tokio::spawn(agent.clone().poll_lease(state.clone(), poll)),
+        tokio::spawn(agent.clone().poll_view(state.clone())),
+    ];
     let tasks = vec![
         admin,
         tokio::spawn(xtra::run(mailbox, GateState::new(parts, slots))),
-        tokio::spawn(agent.clone().poll_lease(rights, state.clone(), poll)),
-        tokio::spawn(agent.clone().poll_view(state.clone())),
         tokio::spawn(tick(state.clone())),
     ];
     spdlog::info!("gate started", kv: { listen = serving.address.to_string().as_str() });
     let limit = Duration::from_millis(settings.tunables.stop_limit_ms);
-    Ok(Gate { address: serving.address, lifecycle, state, agent, serving, tasks, limit })
+    Ok(Gate { address: serving.address, lifecycle, state, agent, serving, polls, tasks, limit })
 }
 
 impl Gate {
@@ -185,6 +188,9 @@
         // replies to finished work are waited for.
         self.lifecycle.drained(QUIET, FLUSH_LIMIT).await;
         let _ = self.state.send(HintAll).await;
+        // The agent takes a request for the lease after the release for that of
+        // a new gate.
+        self.polls.iter().for_each(JoinHandle::abort);
         if !self.agent.release().await {
             spdlog::warn!("the agent did not take the release; the takeover waits for the lease");
         }
--- a/crates/gate/src/state/calls.rs
+++ b/crates/gate/src/state/calls.rs
@@ -140,7 +140,7 @@
                 call.timeout = deadline.saturating_duration_since(now);
                 call.trace = trace.or(call.trace);
                 match connection.run(&call).await {
-                    Ok(body) => Answer::Run(body),
+                    Ok(answer) => Answer::Run(answer),
                     Err(e) => Answer::Failed(e),
                 }
             }
--- a/crates/gate/src/state/events.rs
+++ b/crates/gate/src/state/events.rs
@@ -8,6 +8,7 @@
 use chervil_backend::link::LinkError;
 use chervil_backend::link::Load;
 use chervil_backend::link::Opened;
+use chervil_backend::link::RunAnswer;
 use chervil_backend::link::ServerRefusal;
 use chervil_backend::link::ServerStatus;
 use chervil_rpc::gate::AskResult;
@@ -64,7 +65,7 @@
     /// Reply to a request for one shard.
     Ask(AskAnswer),
     /// Reply to non-idempotent work.
-    Run(Box<str>),
+    Run(RunAnswer),
     /// The right to send was lost before the write.
     NoRight,
     /// The call failed.
@@ -240,7 +241,7 @@
 
 fn run_reply(answer: Answer) -> RunReply {
     match answer {
-        Answer::Run(body) => RunReply::Done { body },
+        Answer::Run(a) => RunReply::Done { body: a.body },
         Answer::NoRight => RunReply::NotRun { reason: Refusal::NotOwner },
         Answer::Failed(LinkError::NotConnected { .. }) => {
             RunReply::NotRun { reason: Refusal::Unreachable }
@@ -255,7 +256,7 @@
 fn end_of(answer: &Answer, sent: Instant) -> End {
     match answer {
         Answer::Ask(a) => End::Replied { report: a.load.map(|l| report_of(l, sent)) },
-        Answer::Run(_) => End::Replied { report: None },
+        Answer::Run(a) => End::Replied { report: a.load.map(|l| report_of(l, sent)) },
         Answer::NoRight => End::NoRight,
         Answer::Failed(LinkError::NotConnected { .. }) => End::NotWritten,
         Answer::Failed(LinkError::Refused { refusal }) => {
--- a/crates/gate/src/state/view.rs
+++ b/crates/gate/src/state/view.rs
@@ -66,6 +66,8 @@
                 self.reassign();
             }
         }
+        // Not before the ownership that came with it is applied.
+        self.parts.rights.set_lease(until);
         self.act();
     }
 }
--- a/crates/gate/src/state/work.rs
+++ b/crates/gate/src/state/work.rs
@@ -59,6 +59,7 @@
                 server: item.server.clone(),
                 source: batch.incarnation,
                 query: batch.query,
+                shard: item.shard,
                 fresh: item.fresh,
                 deadline: job.deadline,
             };
@@ -80,6 +81,7 @@
             server: request.server.clone(),
             source: digest::stable_hash(&request.key),
             query: self.runs,
+            shard: 0,
             fresh: false,
             deadline: self.now() + Duration::from_millis(request.timeout_ms.into()),
         };
--- a/crates/slots/src/machine.rs
+++ b/crates/slots/src/machine.rs
@@ -39,6 +39,7 @@
 struct Item {
     server: ServerKey,
     lane: Lane,
+    shard: u32,
     fresh: bool,
     deadline: Instant,
     stage: Stage,
@@ -95,6 +96,7 @@
         let key = self.items.insert(Item {
             server,
             lane,
+            shard: work.shard,
             fresh: work.fresh,
             deadline: work.deadline,
             stage: Stage::Queued,
@@ -112,7 +114,7 @@
             }
         }
         if work.fresh {
-            self.set_aside(server, work);
+            self.set_aside(server, key);
         }
         self.dispatch(server, now);
         Ok(key)
@@ -213,7 +215,8 @@
             return refuse(Refusal::Expired);
         }
         let Some(&key) = self.names.get(&work.server) else {
-            let known = self.catalog.contains(&work.server);
+            // Without a catalog, the host has only just started.
+            let known = self.catalog.is_empty() || self.catalog.contains(&work.server);
             return refuse(if known { Refusal::NotOwner } else { Refusal::UnknownServer });
         };
         let server = &self.servers[key];
--- a/crates/slots/src/machine/dispatch.rs
+++ b/crates/slots/src/machine/dispatch.rs
@@ -16,12 +16,14 @@
 use crate::types::ConnKey;
 use crate::types::Refused;
 use crate::types::ServerKey;
-use crate::types::Work;
 use crate::types::WorkKey;
 
 /// First pause after a failed attempt to reach a server.
 const BACKOFF_START: Duration = Duration::from_millis(50);
 
+/// Time for which the status of a server that does not send it is not requested.
+pub(super) const MUTE: Duration = Duration::from_secs(5);
+
 /// Time after which a connection that is being opened, beyond twice its usual
 /// cost, no longer keeps another one from being opened.
 const OPEN_PATIENCE: Duration = Duration::from_millis(100);
@@ -48,7 +50,7 @@
             return;
         }
         // A status that cannot be read is not waited for.
-        if !server.known && !server.is_mute(now) {
+        if !server.known && server.mute.is_none() {
             self.learn_status(key, now);
             return;
         }
@@ -73,18 +75,28 @@
     }
 
     /// Sets the connections of an item's earlier attempts aside.
-    pub(super) fn set_aside(&mut self, key: ServerKey, work: &Work) {
-        for r in &self.servers[key].running {
-            let item = &self.items[r.work];
-            if (item.lane.source, item.lane.query) != (work.source, work.query) {
-                continue;
-            }
-            if let Stage::Running(conn) = item.stage {
-                self.conns[conn].state = ConnState::Aside(r.work);
+    pub(super) fn set_aside(&mut self, key: ServerKey, work: WorkKey) {
+        for stalled in self.stalled(key, work) {
+            if let Stage::Running(conn) = self.items[stalled.work].stage {
+                self.conns[conn].state = ConnState::Aside(stalled.work);
             }
         }
     }
 
+    /// Running attempts that a fresh item replaces, oldest first.
+    fn stalled(&self, key: ServerKey, work: WorkKey) -> Vec<Running> {
+        let item = &self.items[work];
+        let running = self.servers[key].running.iter().copied();
+        let mut stalled: Vec<Running> = running
+            .filter(|r| {
+                let other = &self.items[r.work];
+                item.fresh && (other.lane, other.shard) == (item.lane, item.shard)
+            })
+            .collect();
+        stalled.sort_by_key(|r| r.started);
+        stalled
+    }
+
     /// Opens a connection, if the server's limit allows.
     pub(super) fn dial(&mut self, key: ServerKey, now: Instant) {
         let server = &mut self.servers[key];
@@ -93,7 +105,8 @@
         }
         let conn = server.pool.open(&mut self.conns, key, now);
         let address = server.address;
-        let open = if server.is_mute(now) {
+        // Items do not wait for a status that will probably not come.
+        let open = if server.mute.is_some() {
             Action::Prepare { conn, address }
         } else {
             Action::Open { conn, address }
@@ -101,13 +114,27 @@
         self.actions.push(open);
     }
 
+    /// Requests again the status of a server that did not send it, on a
+    /// connection of its own.
+    pub(super) fn retry_status(&mut self, key: ServerKey, now: Instant) {
+        let server = &mut self.servers[key];
+        if server.mute.is_none_or(|at| now < at) {
+            return;
+        }
+        server.mute = Some(now + MUTE);
+        if server.pool.used(now) < server.connections as usize {
+            let conn = server.pool.open(&mut self.conns, key, now);
+            self.actions.push(Action::Open { conn, address: server.address });
+        }
+    }
+
     /// Requests the status at once, as the load of the server is in doubt.
     pub(super) fn urge(&mut self, key: ServerKey, now: Instant) {
         let Some(server) = self.servers.get_mut(key).filter(|s| s.owned) else {
             return;
         };
         server.probe_at = now + self.settings.urgent;
-        if server.is_mute(now) || server.pool.is_asking(&self.conns) {
+        if server.mute.is_some() || server.pool.is_asking(&self.conns) {
             return;
         }
         match server.pool.newest(&self.conns, None) {
@@ -152,13 +179,10 @@
     /// Gives up the stalled attempt that a fresh one replaces, as the server
     /// has no slot for both.
     fn free_slot(&mut self, key: ServerKey, work: WorkKey, now: Instant) -> bool {
-        let item = &self.items[work];
-        if !item.fresh || self.servers[key].limit() == 0 {
+        if self.servers[key].limit() == 0 {
             return false;
         }
-        let lane = item.lane;
-        let stalled = self.servers[key].running.iter().find(|r| self.items[r.work].lane == lane);
-        let Some(stalled) = stalled.map(|r| r.work) else {
+        let Some(stalled) = self.stalled(key, work).first().map(|r| r.work) else {
             return false;
         };
         if let Some(Item { stage: Stage::Running(conn), .. }) = self.items.remove(stalled) {
@@ -171,10 +195,8 @@
     }
 
     fn choose(&self, key: ServerKey, work: WorkKey) -> Choice {
-        let item = &self.items[work];
         let server = &self.servers[key];
-        let stalled = server.running.iter().filter(|r| self.items[r.work].lane == item.lane);
-        let after = stalled.map(|r| r.started).max().filter(|_| item.fresh);
+        let after = self.stalled(key, work).last().map(|r| r.started);
         if let Some(conn) = server.pool.newest(&self.conns, after) {
             return Choice::Use(conn);
         }
--- a/crates/slots/src/machine/events.rs
+++ b/crates/slots/src/machine/events.rs
@@ -1,6 +1,5 @@
 //! Ends of items, connections and status requests.
 
-use std::time::Duration;
 use std::time::Instant;
 
 use chervil_rpc::gate::Refusal;
@@ -8,6 +7,7 @@
 use super::Item;
 use super::Slots;
 use super::Stage;
+use super::dispatch::MUTE;
 use crate::foreign::Foreign;
 use crate::pool::ConnState;
 use crate::types::ConnKey;
@@ -18,9 +18,6 @@
 use crate::types::StatusReport;
 use crate::types::WorkKey;
 
-/// Time for which the status of a server that does not send it is not requested.
-const MUTE: Duration = Duration::from_secs(5);
-
 impl Slots {
     /// A connection was opened, and the server sent its status on it.
     pub fn opened(&mut self, conn: ConnKey, status: &StatusReport, now: Instant) {
@@ -52,7 +49,6 @@
         self.close(conn, now);
         let server = &mut self.servers[key];
         server.mute = Some(now + MUTE);
-        server.probe_at = now + MUTE;
         if !server.known {
             server.known = true;
             // Nothing can be known of the work of others.
--- a/crates/slots/src/machine/tick.rs
+++ b/crates/slots/src/machine/tick.rs
@@ -21,6 +21,7 @@
                 self.refuse_queue(key, Refusal::NotOwner);
             }
             self.probe_due(key, now);
+            self.retry_status(key, now);
             if lease {
                 self.dispatch(key, now);
             }
@@ -40,7 +41,7 @@
 
     fn probe_due(&mut self, key: ServerKey, now: Instant) {
         let server = &self.servers[key];
-        if !server.owned || server.is_mute(now) || now < server.probe_at {
+        if !server.owned || server.mute.is_some() || now < server.probe_at {
             return;
         }
         let blocked = server.foreign.count() > 0 && !server.queue.is_empty();
--- a/crates/slots/src/server.rs
+++ b/crates/slots/src/server.rs
@@ -80,7 +80,7 @@
     /// Whether it, its service and its zone are in service.
     pub(crate) usable: bool,
     pub(crate) drain: Drain,
-    /// Until when its status is taken to be unreadable.
+    /// When to request the status again that it did not send.
     pub(crate) mute: Option<Instant>,
     /// Whether its status was read since ownership was gained.
     pub(crate) known: bool,
@@ -138,7 +138,7 @@
     pub(crate) fn limit(&self) -> usize {
         let slots = if self.reported > 0 { self.slots.min(self.reported) } else { self.slots };
         let limit = slots.min(self.warmup.level()).saturating_sub(self.foreign.count());
-        if self.foreign.is_trying() { limit.max(1) as usize } else { limit as usize }
+        if self.foreign.is_trying() { limit.max(slots.min(1)) as usize } else { limit as usize }
     }
 
     /// Items that may still be started.
@@ -156,11 +156,6 @@
         !self.known && self.untouched && young
     }
 
-    /// Whether its status is not requested for now.
-    pub(crate) fn is_mute(&self, now: Instant) -> bool {
-        self.mute.is_some_and(|until| now < until)
-    }
-
     /// Whether it gets new work, apart from the quorum lease.
     pub(crate) fn refusal(&self) -> Option<Refusal> {
         if !self.owned {
--- a/crates/slots/src/types.rs
+++ b/crates/slots/src/types.rs
@@ -42,8 +42,11 @@
         pub source: u64,
         /// Query of that process; queues are fair between these, too.
         pub query: u64,
-        /// Whether the item must avoid the connections of stalled attempts of
-        /// its query.
+        /// Shard asked for; attempts of one query for one shard replace each
+        /// other.
+        pub shard: u32,
+        /// Whether the item must avoid the connections of stalled attempts for
+        /// its shard.
         pub fresh: bool,
         /// Time after which the item is of no use.
         pub deadline: Instant,
--- a/crates/slots/tests/connections.rs
+++ b/crates/slots/tests/connections.rs
@@ -6,6 +6,7 @@
 
 use chervil_slots::types::End;
 use chervil_slots::types::Fate;
+use chervil_slots::types::Work;
 use fixture::HOUR;
 use fixture::MS;
 use fixture::Rig;
@@ -74,6 +75,20 @@
     assert_eq!(rig.started.len(), 1);
 }
 
+/// Guards against a fresh attempt ending attempts for other shards.
+#[test]
+fn attempts_for_other_shards_go_on() {
+    let mut rig = Rig::warm(1);
+    let running = rig.submit(1).unwrap();
+    let other = Work { shard: 1, ..fixture::fresh(1, rig.now + HOUR) };
+
+    rig.submit_work(&other).unwrap();
+    rig.finish(running, &End::Replied { report: None });
+
+    assert!(rig.abandoned.is_empty() && rig.closed.is_empty());
+    assert_eq!(rig.started.len(), 1);
+}
+
 /// Guards against pooled connections that went silent while idle.
 #[test]
 fn a_failed_status_request_closes_older_idle_connections() {
@@ -109,6 +124,8 @@
     rig.sort();
 
     assert_eq!(rig.started.len(), 1);
+    rig.settle(0, 6 * SECOND);
+    assert_eq!((rig.opens.len(), rig.prepares.len()), (1, 0));
 }
 
 /// Guards against a request that was never written being reported as failed,
