--- /dev/null
+++ b/crates/entry/src/directory/build.rs
@@ -0,0 +1,90 @@
+//! Builds the servers, groups and gates that a service's queries choose from.
+
+use chervil_base::HashMap;
+use chervil_base::catalog::BackendServerKey;
+use chervil_base::catalog::Catalog;
+use chervil_base::catalog::GroupKey;
+use chervil_members::rank::rank;
+use chervil_plan::layout::Gate;
+use chervil_plan::layout::GateAt;
+use chervil_plan::layout::Group;
+use chervil_plan::layout::GroupAt;
+use chervil_plan::layout::Parts;
+use chervil_plan::layout::Server;
+use chervil_rpc::agent::Member;
+use chervil_rpc::agent::MemberHost;
+
+/// Gates that are tried for one group: the likely owner, and those that take
+/// over from it.
+const GATES_PER_GROUP: usize = 3;
+
+/// Parts of the layout of a service.
+pub(super) fn parts(catalog: &Catalog, hosts: &[Member], service: &str, zone: &str) -> Parts {
+    let live = hosts.iter().filter(|h| h.up && !h.leaving).map(|h| h.host.clone());
+    let mut builder = Builder {
+        catalog,
+        live: live.collect(),
+        gates: HashMap::default(),
+        groups: HashMap::default(),
+        parts: Parts::default(),
+    };
+    if let Some(key) = catalog.service(service) {
+        for &server in &catalog.services[key].servers {
+            builder.add(server, zone);
+        }
+    }
+    builder.parts
+}
+
+struct Builder<'a> {
+    catalog: &'a Catalog,
+    live: Vec<MemberHost>,
+    gates: HashMap<Box<str>, GateAt>,
+    groups: HashMap<GroupKey, Option<GroupAt>>,
+    parts: Parts,
+}
+
+impl Builder<'_> {
+    fn add(&mut self, key: BackendServerKey, zone: &str) {
+        let server = &self.catalog.servers[key];
+        if !self.catalog.is_usable(key) {
+            return;
+        }
+        let Some(group) = self.group(server.group) else { return };
+        self.parts.servers.push(Server {
+            name: server.name.clone(),
+            group,
+            local: &*self.catalog.zones[server.zone].name == zone,
+            slots: server.slots,
+        });
+    }
+
+    /// Position of a group; `None` when no host can own it.
+    fn group(&mut self, key: GroupKey) -> Option<GroupAt> {
+        if let Some(at) = self.groups.get(&key) {
+            return *at;
+        }
+        let group = &self.catalog.groups[key];
+        let zone = &self.catalog.zones[group.zone].name;
+        let live = std::mem::take(&mut self.live);
+        let owners = rank(&live, &group.name, Some(zone)).into_iter().take(GATES_PER_GROUP);
+        let gates: Vec<GateAt> = owners.map(|h| self.gate(h)).collect();
+        self.live = live;
+        let at = (!gates.is_empty()).then(|| {
+            self.parts.groups.push(Group { gates });
+            GroupAt(self.parts.groups.len() as u32 - 1)
+        });
+        self.groups.insert(key, at);
+        at
+    }
+
+    fn gate(&mut self, host: &MemberHost) -> GateAt {
+        if let Some(at) = self.gates.get(&host.host) {
+            return *at;
+        }
+        let at = GateAt(self.parts.gates.len() as u32);
+        self.parts.gates.push(Gate { host: host.host.clone(), address: host.gate });
+        self.gates.insert(host.host.clone(), at);
+        at
+    }
+}
--- /dev/null
+++ b/crates/entry/src/respond.rs
@@ -0,0 +1,197 @@
+//! Responses to callers.
+
+use chervil_base::coverage::Coverage;
+use chervil_base::coverage::Outcome;
+use chervil_plan::query::Ending;
+use chervil_plan::query::NotRun;
+use chervil_rpc::gate::Refusal;
+use chervil_rpc::gate::Row;
+use serde::Serialize;
+use warp::http::HeaderValue;
+use warp::http::Response;
+use warp::http::StatusCode;
+use warp::http::header::CONTENT_TYPE;
+use warp::http::header::RETRY_AFTER;
+
+use crate::caller::CallerError;
+use crate::once::WorkEnd;
+
+/// Response with a body in memory.
+pub type Reply = Response<Vec<u8>>;
+
+/// Retry hint where none is known, in milliseconds.
+pub const RETRY_MS: u32 = 1000;
+
+#[derive(Serialize)]
+struct AnswerBody<'a> {
+    outcome: Outcome,
+    version: Option<u64>,
+    coverage: &'a Coverage,
+    rows: &'a [Row],
+}
+
+#[derive(Serialize)]
+struct ShortBody<'a> {
+    outcome: Outcome,
+    reason: &'a str,
+    remedy: &'a str,
+    version: Option<u64>,
+    coverage: &'a Coverage,
+}
+
+#[derive(Serialize)]
+struct NotRunBody<'a> {
+    outcome: Outcome,
+    reason: &'a str,
+    remedy: &'a str,
+    retry_ms: u32,
+}
+
+#[derive(Serialize)]
+struct RunBody<'a> {
+    outcome: Outcome,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    reply: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    reason: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    remedy: Option<&'a str>,
+}
+
+#[derive(Serialize)]
+struct ErrorBody<'a> {
+    outcome: Outcome,
+    error: &'a str,
+    message: Box<str>,
+}
+
+/// Response to a query.
+pub fn query(ending: &Ending, min_coverage: f64) -> Reply {
+    match ending {
+        Ending::Answer { coverage, rows } => answer(coverage, rows, min_coverage),
+        Ending::NotRun { reason, retry_ms } => {
+            let (reason, remedy) = explain(*reason);
+            not_run(reason, remedy, *retry_ms)
+        }
+    }
+}
+
+fn answer(coverage: &Coverage, rows: &[Row], min_coverage: f64) -> Reply {
+    let mut reply = if !coverage.is_whole() && coverage.ratio() < min_coverage {
+        let body = ShortBody {
+            outcome: Outcome::Unknown,
+            reason: "coverage_not_reached",
+            remedy: "resend with a longer x-timeout-ms or a lower x-min-coverage",
+            version: coverage.version,
+            coverage,
+        };
+        json(StatusCode::GATEWAY_TIMEOUT, &body)
+    } else {
+        let whole = coverage.is_whole();
+        let status = if whole { StatusCode::OK } else { StatusCode::PARTIAL_CONTENT };
+        let outcome = Outcome::Done;
+        json(status, &AnswerBody { outcome, version: coverage.version, coverage, rows })
+    };
+    let share = format!("{}/{}", coverage.answered, coverage.total);
+    header(&mut reply, "x-coverage", &share);
+    if let Some(version) = coverage.version {
+        header(&mut reply, "x-index-version", &version.to_string());
+    }
+    reply
+}
+
+/// Response to a request that was not run.
+pub fn not_run(reason: &str, remedy: &str, retry_ms: u32) -> Reply {
+    let body = NotRunBody { outcome: Outcome::NotRun, reason, remedy, retry_ms };
+    let mut reply = json(StatusCode::SERVICE_UNAVAILABLE, &body);
+    // The header counts whole seconds.
+    let seconds = retry_ms.div_ceil(1000).max(1);
+    reply.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
+    reply
+}
+
+/// Response to an invalid request.
+pub fn invalid(error: &CallerError) -> Reply {
+    let message = error.to_string().into();
+    let body = ErrorBody { outcome: Outcome::NotRun, error: error.kind(), message };
+    json(error.status(), &body)
+}
+
+/// Response to non-idempotent work.
+pub fn work(end: &WorkEnd) -> Reply {
+    let conflict = |reason, remedy| {
+        let (reason, remedy) = (Some(reason), Some(remedy));
+        let body = RunBody { outcome: Outcome::Unknown, reply: None, reason, remedy };
+        json(StatusCode::CONFLICT, &body)
+    };
+    match end {
+        WorkEnd::Done(body) => {
+            let (reason, remedy) = (None, None);
+            let body = RunBody { outcome: Outcome::Done, reply: Some(body), reason, remedy };
+            json(StatusCode::OK, &body)
+        }
+        WorkEnd::Running => {
+            conflict("still_running", "resend with the same key to learn the outcome")
+        }
+        WorkEnd::Mismatch => conflict("key_reused", "use a new key for another request"),
+        WorkEnd::Invalid(remedy) => invalid(&CallerError::Refused { remedy: remedy.clone() }),
+        WorkEnd::Unavailable => {
+            not_run("store_unavailable", "resend later with the same key", RETRY_MS)
+        }
+        WorkEnd::NotRun(refusal) => {
+            not_run(refused(*refusal), "resend later with the same key", RETRY_MS)
+        }
+        WorkEnd::Unknown => {
+            let (reason, remedy) = (
+                Some("outcome_unknown"),
+                Some("resend with the same key to learn the outcome; it runs no second time"),
+            );
+            let body = RunBody { outcome: Outcome::Unknown, reply: None, reason, remedy };
+            json(StatusCode::GATEWAY_TIMEOUT, &body)
+        }
+    }
+}
+
+fn explain(reason: NotRun) -> (&'static str, &'static str) {
+    match reason {
+        NotRun::Suspect => {
+            ("suspect", "do not resend this request for 10 minutes; it may end backend servers")
+        }
+        NotRun::NoIndex => ("no_index", "resend later; no index version is known yet"),
+        NotRun::NoPermit => ("no_permit", "resend later or with a longer x-timeout-ms"),
+        NotRun::Refused => ("refused", "resend later; every backend server refused"),
+        NotRun::NoReplica => ("no_replica", "resend later; no backend server may get work"),
+        NotRun::Late => ("late", "resend with a longer x-timeout-ms"),
+    }
+}
+
+fn refused(refusal: Option<Refusal>) -> &'static str {
+    match refusal {
+        None => "no_replica",
+        Some(Refusal::Busy) => "busy",
+        Some(Refusal::Cold) => "cold",
+        Some(Refusal::Expired) => "late",
+        Some(Refusal::Unreachable) => "unreachable",
+        Some(_) => "refused",
+    }
+}
+
+fn header(reply: &mut Reply, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        reply.headers_mut().insert(name, value);
+    }
+}
+
+fn json<T>(status: StatusCode, body: &T) -> Reply
+where
+    T: Serialize,
+{
+    let (status, bytes) = match serde_json::to_vec(body) {
+        Ok(bytes) => (status, bytes),
+        Err(_) => (StatusCode::INTERNAL_SERVER_ERROR, Vec::new()),
+    };
+    let mut reply = Response::new(bytes);
+    *reply.status_mut() = status;
+    reply.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    reply
+}
--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,69 @@
+//! Settings of an entry.
+
+use std::net::SocketAddr;
+
+use chervil_node::settings::NodeSettings;
+use chervil_plan::tunables::Tunables;
+use chervil_rpc::secret::Secret;
+use serde::Deserialize;
+use snafu::Snafu;
+use snafu::ensure;
+
+/// Settings file of an entry.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// Settings that all processes share.
+    pub node: NodeSettings,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address of the host's own agent.
+    pub agent: SocketAddr,
+    /// Secret shared by all processes.
+    pub secret: Secret,
+    /// Settings of the query decisions.
+    #[serde(default)]
+    pub plan: Tunables,
+    /// Longest wait for running requests at a stop, in milliseconds.
+    #[serde(default = "default_drain")]
+    pub drain_ms: u64,
+    /// Time without a request after which a stop ends, in milliseconds.
+    #[serde(default = "default_quiet")]
+    pub quiet_ms: u64,
+}
+
+fn default_drain() -> u64 {
+    20_000
+}
+
+fn default_quiet() -> u64 {
+    1_000
+}
+
+/// A value out of bounds.
+#[derive(Debug, Snafu)]
+#[snafu(display("`{name}` is out of bounds; set it to {bounds}"))]
+pub struct BoundsError {
+    name: &'static str,
+    bounds: &'static str,
+}
+
+impl EntrySettings {
+    /// Checks what the types cannot express.
+    pub fn check(&self) -> Result<(), BoundsError> {
+        let plan = &self.plan;
+        let share = 0.0..=1.0;
+        let (name, bounds) = ("plan.hedges", "at most 4");
+        ensure!(plan.hedges <= 4, BoundsSnafu { name, bounds });
+        let (name, bounds) = ("plan.quantile", "a number between 0.5 and 0.9999");
+        ensure!((0.5..=0.9999).contains(&plan.quantile), BoundsSnafu { name, bounds });
+        let (name, bounds) = ("plan.steady_extra", "a share between 0 and 1");
+        ensure!(share.contains(&plan.steady_extra), BoundsSnafu { name, bounds });
+        let (name, bounds) = ("plan.fault_extra", "a share between steady_extra and 1");
+        let fault = plan.steady_extra..=1.0;
+        ensure!(fault.contains(&plan.fault_extra), BoundsSnafu { name, bounds });
+        let (name, bounds) = ("plan.first_limit", "at least 1 and at most max_limit");
+        ensure!((1..=plan.max_limit).contains(&plan.first_limit), BoundsSnafu { name, bounds });
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/plan/src/latency.rs
@@ -0,0 +1,85 @@
+//! Recent latency of the sub-requests of one service.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use hdrhistogram::Histogram;
+
+/// Samples below which the quantile is not trusted.
+const MIN_SAMPLES: u64 = 200;
+
+/// Age at which a histogram is replaced; a quantile sees one to two of these.
+const GENERATION: Duration = Duration::from_secs(5);
+
+/// How long a computed quantile is used.
+const CACHE: Duration = Duration::from_millis(100);
+
+/// Largest latency that is told apart, in microseconds.
+const MAX_MICROS: u64 = 60_000_000;
+
+/// Decaying histogram of latencies.
+#[derive(Clone, Debug)]
+pub struct Latency {
+    current: Option<Histogram<u64>>,
+    previous: Option<Histogram<u64>>,
+    started: Option<Instant>,
+    cached: Option<(Instant, Duration)>,
+}
+
+impl Default for Latency {
+    fn default() -> Latency {
+        Latency::new()
+    }
+}
+
+impl Latency {
+    /// An empty histogram.
+    pub fn new() -> Latency {
+        Latency { current: histogram(), previous: histogram(), started: None, cached: None }
+    }
+
+    /// Records the latency of one sub-request, or how long a sub-request had
+    /// run when it was given up.
+    pub fn record(&mut self, latency: Duration, now: Instant) {
+        self.rotate(now);
+        if let Some(h) = &mut self.current {
+            h.saturating_record((latency.as_micros() as u64).clamp(1, MAX_MICROS));
+        }
+    }
+
+    /// Latency at `quantile`, once there are enough samples.
+    pub fn quantile(&mut self, quantile: f64, now: Instant) -> Option<Duration> {
+        if let Some((at, value)) = self.cached
+            && now.saturating_duration_since(at) < CACHE
+        {
+            return Some(value);
+        }
+        self.rotate(now);
+        let mut all = self.current.clone()?;
+        if let Some(previous) = &self.previous {
+            all.add(previous).ok()?;
+        }
+        if all.len() < MIN_SAMPLES {
+            return None;
+        }
+        let value = Duration::from_micros(all.value_at_quantile(quantile));
+        self.cached = Some((now, value));
+        Some(value)
+    }
+
+    fn rotate(&mut self, now: Instant) {
+        let started = *self.started.get_or_insert(now);
+        if now.saturating_duration_since(started) >= GENERATION {
+            std::mem::swap(&mut self.current, &mut self.previous);
+            if let Some(h) = &mut self.current {
+                h.reset();
+            }
+            self.started = Some(now);
+        }
+    }
+}
+
+fn histogram() -> Option<Histogram<u64>> {
+    // Valid bounds; two significant digits keep a histogram at a few KB.
+    Histogram::new_with_bounds(1, MAX_MICROS, 2).ok()
+}
--- /dev/null
+++ b/crates/plan/src/query.rs
@@ -0,0 +1,398 @@
+//! State machine of one query.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use chervil_base::coverage::Coverage;
+use chervil_base::coverage::MissingReason;
+use chervil_base::digest::Digest;
+use chervil_base::message;
+use chervil_base::shards::Shard;
+use chervil_base::value;
+use chervil_rpc::agent::CanaryReply;
+use chervil_rpc::agent::CanaryReport;
+use chervil_rpc::agent::CanaryRequest;
+use chervil_rpc::gate::AskBatch;
+use chervil_rpc::gate::AskReply;
+use chervil_rpc::gate::Refusal;
+use chervil_rpc::gate::Row;
+
+use crate::layout::GateAt;
+use crate::layout::GroupAt;
+use crate::layout::Layout;
+use crate::layout::Pinned;
+use crate::layout::ServerAt;
+use crate::policy::Policy;
+
+mod ask;
+mod canary;
+mod choose;
+mod finish;
+mod reply;
+mod restart;
+
+pub(crate) use choose::mix;
+
+/// Most attempts of one shard within one version.
+const MAX_ATTEMPTS: u8 = 12;
+
+/// What a query asks, and on whose behalf.
+#[derive(Clone, Debug)]
+pub struct Spec {
+    /// Incarnation of the entry's process.
+    pub incarnation: u64,
+    /// Number of the query, unique within the incarnation.
+    pub query: u64,
+    /// Service asked.
+    pub service: Box<str>,
+    /// Digest of service and body.
+    pub digest: Digest,
+    /// The caller's query.
+    pub body: Box<str>,
+    /// Time at which the caller stops waiting.
+    pub deadline: Instant,
+    /// W3C trace context.
+    pub trace: Option<Box<str>>,
+    /// Seed of all random choices.
+    pub seed: u64,
+}
+
+/// What happened to a query.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A gate reported the end of an attempt.
+    Reply(AskReply),
+    /// The link to a gate was lost, or it closed the batch early.
+    BatchLost {
+        /// Batch, as numbered in [`Action::Ask`].
+        batch: u32,
+    },
+    /// The agent answered a canary request; `None` when it could not be asked.
+    Canary {
+        /// Nonce of the request.
+        nonce: u64,
+        /// Answer.
+        reply: Option<CanaryReply>,
+    },
+    /// The servers, gates or versions changed.
+    Layout(Arc<Layout>),
+    /// The time of [`Query::timer`] has come.
+    Timer,
+}
+
+/// What the owner of a query has to do.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Send a batch to a gate.
+    Ask {
+        /// Number of the batch within the query.
+        batch: u32,
+        /// Gate that it goes to.
+        gate: GateAt,
+        /// Layout that the gate's position refers to.
+        layout: Arc<Layout>,
+        /// Content.
+        ask: AskBatch,
+    },
+    /// Drop what is left of a batch.
+    Cancel {
+        /// Number of the batch within the query.
+        batch: u32,
+    },
+    /// Ask the agent for a canary permit.
+    AskCanary(CanaryRequest),
+    /// Tell the agent how a probe ended.
+    ReportCanary(CanaryReport),
+    /// Learn anew what the servers hold: a reply contradicted the layout.
+    Refresh {
+        /// What servers told.
+        told: Vec<chervil_base::index::ServerIndex>,
+    },
+    /// Answer the caller; nothing follows.
+    Finish(Ending),
+}
+
+value! {
+    /// How a query ended.
+    pub enum Ending {
+        /// The answer, whole or partial.
+        Answer {
+            /// What it covers.
+            coverage: Coverage,
+            /// Rows of the covered shards, sorted by key.
+            rows: Vec<Row>,
+        },
+        /// No backend server started the query.
+        NotRun {
+            /// Why.
+            reason: NotRun,
+            /// When to try again, in milliseconds.
+            retry_ms: u32,
+        },
+    }
+}
+
+message! {
+    /// Why a query was not run.
+    #[derive(Copy, Eq, Hash)]
+    #[serde(rename_all = "snake_case")]
+    pub enum NotRun {
+        /// Two backend servers were lost to this request.
+        Suspect,
+        /// No index version of the service is known.
+        NoIndex,
+        /// No canary permit was granted before the deadline.
+        NoPermit,
+        /// Every attempt was refused.
+        Refused,
+        /// No backend server that may get work holds any shard.
+        NoReplica,
+        /// The deadline left no time for any attempt.
+        Late,
+    }
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    /// A whole reply.
+    Good,
+    /// The server declared its reply partial.
+    Partial,
+    /// The server does not hold the shard at the pinned version.
+    Gone,
+    Refused(Refusal),
+    Lost,
+    Failed,
+    TimedOut,
+    /// The link to the gate was lost.
+    GateLost,
+    /// Another attempt was faster, or the query restarted.
+    Dropped,
+}
+
+#[derive(Clone, Debug)]
+struct Attempt {
+    shard: Shard,
+    server: ServerAt,
+    gate: GateAt,
+    batch: u32,
+    sent: Instant,
+    /// Attempt of the same shard before this one.
+    before: Option<u32>,
+    end: Option<End>,
+}
+
+#[derive(Clone, Debug)]
+struct ShardState {
+    /// Latest attempt.
+    last: Option<u32>,
+    open: u8,
+    attempts: u8,
+    hedges: u8,
+    losses: u8,
+    answered: bool,
+    /// Nothing more can be tried at the pinned version.
+    stuck: bool,
+    /// When to hedge, or to retry when no attempt is open.
+    due: Option<Instant>,
+    reason: MissingReason,
+    rows: Vec<Row>,
+}
+
+#[derive(Clone, Debug)]
+struct Batch {
+    gate: GateAt,
+    first: u32,
+    open: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Canary,
+    Running,
+    Finished,
+}
+
+/// One query.
+#[derive(Clone, Debug)]
+pub struct Query {
+    spec: Spec,
+    layout: Arc<Layout>,
+    pinned: Arc<Pinned>,
+    phase: Phase,
+    canary: canary::Canary,
+    shards: Vec<ShardState>,
+    attempts: Vec<Attempt>,
+    batches: Vec<Batch>,
+    /// Attempts of earlier versions have lower numbers.
+    round_start: u32,
+    restarts: u8,
+    /// Sub-requests of this query per server of the layout.
+    assigned: Vec<u16>,
+    /// Whether a gate of the layout got work of this query.
+    opened: Vec<bool>,
+    /// Number of gates that disowned a group.
+    disowned: Vec<(GroupAt, u32)>,
+    told: Vec<chervil_base::index::ServerIndex>,
+    unanswered: u32,
+    /// Shards that are stuck.
+    stuck: u32,
+    overloads: u32,
+    hedge_delay: Duration,
+    started: Instant,
+    finish_at: Instant,
+    gone_since: Option<Instant>,
+    /// Servers whose news were considered for a restart.
+    considered: usize,
+    timer: Instant,
+}
+
+impl Query {
+    /// Starts a query that [`crate::limiter::Limiter::enter`] has admitted.
+    pub fn start(
+        spec: Spec,
+        layout: Arc<Layout>,
+        policy: &mut Policy,
+        now: Instant,
+    ) -> (Query, Vec<Action>) {
+        let empty = || Arc::new(Pinned { version: 0, holders: Vec::new() });
+        let pinned = layout.pinned().cloned().unwrap_or_else(empty);
+        let mut query = Query::new(spec, layout, pinned, policy, now);
+        let mut actions = Vec::new();
+        if query.pinned.holders.is_empty() {
+            query.not_run(NotRun::NoIndex, policy, now, &mut actions);
+        } else if query.pinned.ratio() == 0.0 {
+            query.not_run(NotRun::NoReplica, policy, now, &mut actions);
+        } else if query.finish_at <= now {
+            query.not_run(NotRun::Late, policy, now, &mut actions);
+        } else if !policy.tunables.canary || policy.recent.contains(query.spec.digest, now) {
+            query.run_all(policy, now);
+            query.flush(policy, now, &mut actions);
+        } else {
+            query.ask_permit(&mut actions);
+        }
+        (query, actions)
+    }
+
+    /// Takes in an event.
+    pub fn handle(&mut self, event: Event, policy: &mut Policy, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.phase == Phase::Finished {
+            return actions;
+        }
+        match event {
+            Event::Reply(reply) => self.on_reply(reply, policy, now, &mut actions),
+            Event::BatchLost { batch } => self.on_batch_lost(batch, policy, now, &mut actions),
+            Event::Canary { nonce, reply } => {
+                self.on_permit(nonce, reply, policy, now, &mut actions)
+            }
+            Event::Layout(layout) => self.on_layout(layout, policy, now, &mut actions),
+            Event::Timer => {}
+        }
+        self.flush(policy, now, &mut actions);
+        actions
+    }
+
+    /// Gives the query up because its caller left.
+    pub fn abandon(&mut self, policy: &mut Policy) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.phase != Phase::Finished {
+            self.phase = Phase::Finished;
+            self.close_all(policy, &mut actions);
+            self.give_up_probes(&mut actions);
+            policy.limiter.abandon();
+        }
+        actions
+    }
+
+    /// When [`Event::Timer`] is due.
+    pub fn timer(&self) -> Instant {
+        self.timer.min(self.finish_at)
+    }
+
+    /// Whether the query has ended.
+    pub fn is_finished(&self) -> bool {
+        self.phase == Phase::Finished
+    }
+
+    fn new(
+        spec: Spec,
+        layout: Arc<Layout>,
+        pinned: Arc<Pinned>,
+        policy: &mut Policy,
+        now: Instant,
+    ) -> Query {
+        let left = spec.deadline.saturating_duration_since(now);
+        // A tenth of a short deadline, so that some time is left for the work.
+        let margin = policy.tunables.margin().min(left / 10);
+        let mut query = Query {
+            finish_at: spec.deadline.checked_sub(margin).unwrap_or(now),
+            spec,
+            layout,
+            pinned,
+            phase: Phase::Canary,
+            canary: canary::Canary::default(),
+            shards: Vec::new(),
+            attempts: Vec::new(),
+            batches: Vec::new(),
+            round_start: 0,
+            restarts: 0,
+            assigned: Vec::new(),
+            opened: Vec::new(),
+            disowned: Vec::new(),
+            told: Vec::new(),
+            unanswered: 0,
+            stuck: 0,
+            overloads: 0,
+            hedge_delay: policy.hedge_delay(now),
+            started: now,
+            gone_since: None,
+            considered: 0,
+            timer: now,
+        };
+        query.timer = query.finish_at;
+        query.begin_round();
+        query
+    }
+
+    /// Resets what belongs to one pinned version.
+    fn begin_round(&mut self) {
+        let count = self.pinned.holders.len();
+        let fresh = ShardState {
+            last: None,
+            open: 0,
+            attempts: 0,
+            hedges: 0,
+            losses: 0,
+            answered: false,
+            stuck: false,
+            due: None,
+            reason: MissingReason::Timeout,
+            rows: Vec::new(),
+        };
+        self.shards = vec![fresh; count];
+        self.unanswered = count as u32;
+        self.stuck = 0;
+        self.round_start = self.attempts.len() as u32;
+        self.assigned = vec![0; self.layout.parts().servers.len()];
+        self.opened = vec![false; self.layout.parts().gates.len()];
+        self.disowned.clear();
+        self.gone_since = None;
+    }
+
+    /// Schedules every shard that has not been asked.
+    fn run_all(&mut self, policy: &mut Policy, now: Instant) {
+        self.phase = Phase::Running;
+        policy.budget.deposit(self.pinned.holders.len() as u32);
+        for shard in self.shards.iter_mut().filter(|s| !s.answered && s.open == 0) {
+            shard.due = Some(now);
+        }
+        self.wake(now);
+    }
+
+    fn wake(&mut self, at: Instant) {
+        self.timer = self.timer.min(at);
+    }
+}
--- /dev/null
+++ b/crates/plan/src/query/ask.rs
@@ -0,0 +1,168 @@
+//! Sending what is due: first attempts, hedges and retries.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use chervil_base::coverage::MissingReason;
+use chervil_base::shards::Shard;
+use chervil_rpc::gate::AskBatch;
+use chervil_rpc::gate::AskItem;
+
+use super::Action;
+use super::Attempt;
+use super::Batch;
+use super::MAX_ATTEMPTS;
+use super::Phase;
+use super::Query;
+use super::choose::Choice;
+use crate::policy::Policy;
+
+/// Time after which an attempt that the budget denied is considered again.
+const BUDGET_WAIT: Duration = Duration::from_millis(5);
+
+/// Time kept back from a gate's part for its replies to travel.
+const WAY_BACK: Duration = Duration::from_millis(2);
+
+impl Query {
+    /// Sends what is due, and finishes when nothing more can be gained.
+    pub(super) fn flush(&mut self, policy: &mut Policy, now: Instant, actions: &mut Vec<Action>) {
+        if self.phase == Phase::Finished {
+            return;
+        }
+        if self.phase == Phase::Canary {
+            self.flush_canary(policy, now, actions);
+        } else if self.timer <= now {
+            self.timer = self.finish_at;
+            let choices = self.collect_due(policy, now);
+            self.send(choices, policy, now, actions);
+        }
+        self.finish_if_done(policy, now, actions);
+    }
+
+    fn collect_due(&mut self, policy: &mut Policy, now: Instant) -> Vec<Choice> {
+        let mut choices = Vec::new();
+        for shard in 0..self.shards.len() as Shard {
+            match self.shards[shard as usize].due {
+                Some(due) if due <= now => choices.extend(self.due(shard, policy, now)),
+                Some(due) => self.wake(due),
+                None => {}
+            }
+        }
+        choices
+    }
+
+    /// Decides on the attempt of a shard whose time has come.
+    fn due(&mut self, shard: Shard, policy: &mut Policy, now: Instant) -> Option<Choice> {
+        let state = &self.shards[shard as usize];
+        let (hedge, first) = (state.open > 0, state.attempts == 0);
+        if state.attempts >= MAX_ATTEMPTS {
+            self.shards[shard as usize].due = None;
+            if !hedge {
+                self.set_stuck(shard);
+            }
+            return None;
+        }
+        let Some(choice) = self.choose(shard, policy, now) else {
+            self.nothing_to_ask(shard, now);
+            return None;
+        };
+        let granted = match (hedge, first) {
+            (true, _) => policy.budget.take_hedge(now),
+            (false, true) => true,
+            (false, false) => !self.reached_server(shard) || policy.budget.take_retry(),
+        };
+        if !granted {
+            self.schedule(shard, now + BUDGET_WAIT);
+            return None;
+        }
+        self.account(shard, hedge, policy, now);
+        Some(choice)
+    }
+
+    fn account(&mut self, shard: Shard, hedge: bool, policy: &Policy, now: Instant) {
+        let state = &mut self.shards[shard as usize];
+        state.attempts += 1;
+        state.open += 1;
+        state.hedges += u8::from(hedge);
+        state.due = None;
+        if state.hedges < policy.tunables.hedges {
+            let at = now + self.hedge_delay;
+            self.schedule(shard, at);
+        }
+    }
+
+    /// Whether the latest attempt of a shard may have reached its server, so
+    /// that another one adds load.
+    fn reached_server(&self, shard: Shard) -> bool {
+        let last = self.shards[shard as usize].last;
+        let end = last.and_then(|l| self.attempts[l as usize].end);
+        end.is_none_or(|e| !e.is_before_server())
+    }
+
+    fn nothing_to_ask(&mut self, shard: Shard, now: Instant) {
+        let none = self.pinned.holders[shard as usize].is_empty();
+        let state = &mut self.shards[shard as usize];
+        state.due = None;
+        if state.open == 0 {
+            state.reason = if none { MissingReason::NoReplica } else { state.reason };
+            self.gone_since.get_or_insert(now);
+            self.set_stuck(shard);
+        }
+    }
+
+    pub(super) fn schedule(&mut self, shard: Shard, at: Instant) {
+        self.shards[shard as usize].due = Some(at);
+        self.wake(at);
+    }
+
+    /// Groups choices by gate and sends one batch to each.
+    pub(super) fn send(
+        &mut self,
+        mut choices: Vec<Choice>,
+        policy: &mut Policy,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        choices.sort_by_key(|c| (c.gate, c.shard));
+        for part in choices.chunk_by(|a, b| a.gate == b.gate) {
+            let batch = self.batches.len() as u32;
+            let (gate, first) = (part[0].gate, self.attempts.len() as u32);
+            self.batches.push(Batch { gate, first, open: part.len() as u32 });
+            let items = part.iter().map(|c| self.attempt(c, batch, policy, now)).collect();
+            let ask = self.batch(items, now);
+            actions.push(Action::Ask { batch, gate, layout: self.layout.clone(), ask });
+        }
+    }
+
+    fn attempt(&mut self, c: &Choice, batch: u32, policy: &mut Policy, now: Instant) -> AskItem {
+        let attempt = self.attempts.len() as u32;
+        let before = self.shards[c.shard as usize].last.replace(attempt);
+        self.attempts.push(Attempt {
+            shard: c.shard,
+            server: c.server,
+            gate: c.gate,
+            batch,
+            sent: now,
+            before,
+            end: None,
+        });
+        let server = &self.layout.server(c.server).name;
+        policy.replicas.sent(server);
+        AskItem { attempt, shard: c.shard, server: server.clone(), fresh: c.fresh }
+    }
+
+    fn batch(&self, items: Vec<AskItem>, now: Instant) -> AskBatch {
+        let left = self.finish_at.saturating_duration_since(now).saturating_sub(WAY_BACK);
+        AskBatch {
+            incarnation: self.spec.incarnation,
+            query: self.spec.query,
+            service: self.spec.service.clone(),
+            version: self.pinned.version,
+            timeout_ms: left.as_millis().max(1) as u32,
+            digest: self.spec.digest,
+            body: self.spec.body.clone(),
+            trace: self.spec.trace.clone(),
+            items,
+        }
+    }
+}
--- /dev/null
+++ b/crates/plan/src/query/choose.rs
@@ -0,0 +1,161 @@
+//! Choice of the replica and gate for one attempt.
+
+use std::time::Instant;
+
+use chervil_base::shards::Shard;
+
+use super::End;
+use super::Query;
+use crate::layout::GateAt;
+use crate::layout::GroupAt;
+use crate::layout::ServerAt;
+use crate::policy::Policy;
+
+/// Cost factor of a gate that has no work of the query yet.
+const NEW_GATE: f64 = 1.25;
+
+/// Cost factor of a server in another zone.
+const OTHER_ZONE: f64 = 1.25;
+
+/// Attempt that has been decided on.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Choice {
+    pub(super) shard: Shard,
+    pub(super) server: ServerAt,
+    pub(super) gate: GateAt,
+    pub(super) fresh: bool,
+}
+
+impl Query {
+    /// Chooses the replica of a shard's next attempt.
+    ///
+    /// Replicas that have failed are asked after the others but stay
+    /// candidates. Among the rest, the query's first choice competes with one
+    /// random other on cost. The first choice follows an order of gates that
+    /// is random for each query and the same for all of its shards, so that
+    /// the shards meet at few gates.
+    pub(super) fn choose(&mut self, shard: Shard, policy: &Policy, now: Instant) -> Option<Choice> {
+        let pinned = self.pinned.clone();
+        let mut pool = Pool::default();
+        for &server in &pinned.holders[shard as usize] {
+            if let Some(class) = self.class(shard, server, policy, now) {
+                pool.add(class, server);
+            }
+        }
+        let server = self.pick(shard, &pool, policy)?;
+        let fresh = self.chain(shard).any(|(s, e)| s == server && e.is_none_or(End::may_stall));
+        let gate = self.gate_of(self.layout.server(server).group);
+        self.assigned[server.0 as usize] += 1;
+        self.opened[gate.0 as usize] = true;
+        Some(Choice { shard, server, gate, fresh })
+    }
+
+    /// Rank of a candidate, lower first; `None` when it cannot answer.
+    fn class(&self, shard: Shard, server: ServerAt, policy: &Policy, now: Instant) -> Option<u32> {
+        let mut tried = 0;
+        for (_, end) in self.chain(shard).filter(|(s, _)| *s == server) {
+            match end {
+                Some(End::Gone) => return None,
+                // The open attempt is the one to be hedged.
+                None => tried += 4,
+                Some(_) => tried += 2,
+            }
+        }
+        let info = self.layout.server(server);
+        let gate = self.layout.gate(self.gate_of(info.group));
+        let failing = policy.replicas.is_failing(&info.name, now)
+            || policy.replicas.is_gate_failing(&gate.host, now);
+        Some(tried + u32::from(failing))
+    }
+
+    fn pick(&self, shard: Shard, pool: &Pool, policy: &Policy) -> Option<ServerAt> {
+        let first = pool.best.iter().copied().min_by_key(|s| self.order(*s))?;
+        if pool.best.len() == 1 {
+            return Some(first);
+        }
+        let at = mix(self.spec.seed, u64::from(shard)) as usize % (pool.best.len() - 1);
+        let mut others = pool.best.iter().copied().filter(|s| *s != first);
+        let other = others.nth(at)?;
+        let better = self.cost(other, policy) < self.cost(first, policy);
+        Some(if better { other } else { first })
+    }
+
+    /// Position of a server in the query's order of preference.
+    fn order(&self, server: ServerAt) -> (bool, u64, u64) {
+        let info = self.layout.server(server);
+        let gate = self.gate_of(info.group);
+        let (gate, group) = (u64::from(gate.0), u64::from(info.group.0));
+        (!info.local, mix(self.spec.seed, gate), mix(self.spec.seed, group))
+    }
+
+    fn cost(&self, server: ServerAt, policy: &Policy) -> f64 {
+        let info = self.layout.server(server);
+        let gate = self.gate_of(info.group);
+        let more = u32::from(self.assigned[server.0 as usize]);
+        let mut cost = policy.replicas.cost(&info.name, info.slots, more);
+        if !self.opened[gate.0 as usize] {
+            cost *= NEW_GATE;
+        }
+        if !info.local {
+            cost *= OTHER_ZONE;
+        }
+        cost
+    }
+
+    /// Gate to ask for a group: the likely owner, or the next one for each
+    /// gate that disowned it.
+    fn gate_of(&self, group: GroupAt) -> GateAt {
+        let gates = &self.layout.group(group).gates;
+        let skip = self.disowned.iter().find(|(g, _)| *g == group).map_or(0, |(_, n)| *n);
+        gates[skip as usize % gates.len()]
+    }
+
+    /// Records that a gate does not own a group.
+    pub(super) fn disown(&mut self, group: GroupAt, gate: GateAt) {
+        if self.gate_of(group) != gate {
+            return;
+        }
+        match self.disowned.iter_mut().find(|(g, _)| *g == group) {
+            Some((_, n)) => *n += 1,
+            None => self.disowned.push((group, 1)),
+        }
+    }
+
+    /// Attempts of a shard, the latest first.
+    fn chain(&self, shard: Shard) -> impl Iterator<Item = (ServerAt, Option<End>)> + '_ {
+        let mut next = self.shards[shard as usize].last;
+        std::iter::from_fn(move || {
+            let attempt = &self.attempts[next? as usize];
+            next = attempt.before;
+            Some((attempt.server, attempt.end))
+        })
+    }
+}
+
+/// Candidates of the lowest class.
+#[derive(Default)]
+struct Pool {
+    class: u32,
+    best: Vec<ServerAt>,
+}
+
+impl Pool {
+    fn add(&mut self, class: u32, server: ServerAt) {
+        if self.best.is_empty() || class < self.class {
+            self.best.clear();
+            self.class = class;
+        }
+        if class == self.class {
+            self.best.push(server);
+        }
+    }
+}
+
+/// Pseudo-random number for `value` under `seed`.
+pub(crate) fn mix(seed: u64, value: u64) -> u64 {
+    // The finalizer of SplitMix64.
+    let mut z = seed ^ value.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
--- /dev/null
+++ b/crates/plan/src/query/reply.rs
@@ -0,0 +1,291 @@
+//! Replies, refusals and losses.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use chervil_base::coverage::MissingReason;
+use chervil_base::index::HeldVersion;
+use chervil_base::index::ServerIndex;
+use chervil_base::shards::Shard;
+use chervil_rpc::gate::AskReply;
+use chervil_rpc::gate::AskResult;
+use chervil_rpc::gate::Refusal;
+use chervil_rpc::gate::Row;
+
+use super::Action;
+use super::End;
+use super::MAX_ATTEMPTS;
+use super::Query;
+use crate::policy::Policy;
+
+/// Losses after which a shard is not asked again: its request may be what
+/// ends the servers.
+const MAX_LOSSES: u8 = 2;
+
+/// First wait before a refused shard is asked again where every replica
+/// refused; it doubles each time.
+const REFUSED_WAIT: Duration = Duration::from_millis(5);
+
+/// Longest such wait.
+const MAX_REFUSED_WAIT: Duration = Duration::from_millis(200);
+
+/// How long a server that refused without a hint is asked last.
+const BUSY_WAIT: Duration = Duration::from_millis(50);
+
+impl End {
+    /// Whether the attempt ended before any backend server heard of it.
+    pub(super) fn is_before_server(self) -> bool {
+        use Refusal::*;
+        matches!(self, End::Refused(NotOwner | OutOfService | UnknownServer | Stopping | Expired))
+    }
+
+    /// Whether the attempt may have left a stalled connection behind.
+    pub(super) fn may_stall(self) -> bool {
+        matches!(self, End::Lost | End::Failed | End::TimedOut | End::Dropped)
+    }
+
+    /// Whether it is proven that no backend server started the attempt.
+    pub(super) fn is_not_run(self) -> bool {
+        matches!(self, End::Refused(_))
+    }
+
+    fn reason(self) -> MissingReason {
+        match self {
+            End::Gone => MissingReason::VersionGone,
+            End::Refused(_) => MissingReason::Refused,
+            End::Lost | End::Failed | End::GateLost => MissingReason::Lost,
+            End::Partial => MissingReason::PartialReply,
+            End::Good | End::TimedOut | End::Dropped => MissingReason::Timeout,
+        }
+    }
+}
+
+impl Query {
+    /// Takes in a reply, unless it is late, a duplicate or someone else's.
+    pub(super) fn on_reply(
+        &mut self,
+        reply: AskReply,
+        policy: &mut Policy,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let own = reply.incarnation == self.spec.incarnation && reply.query == self.spec.query;
+        let open = self.attempts.get(reply.attempt as usize).is_some_and(|a| a.end.is_none());
+        if !own || !open {
+            return;
+        }
+        let at = reply.attempt;
+        let host = &self.layout.gate(self.attempts[at as usize].gate).host;
+        policy.replicas.gate_good(host);
+        match reply.result {
+            AskResult::Rows { version, .. } if version != self.pinned.version => {
+                self.ended(at, End::Gone, policy, now, actions)
+            }
+            AskResult::Rows { partial: true, .. } => {
+                self.ended(at, End::Partial, policy, now, actions)
+            }
+            AskResult::Rows { rows, .. } => self.good(at, rows, policy, now, actions),
+            AskResult::WrongVersion { held } => self.gone(at, held, policy, now, actions),
+            AskResult::Refused { reason, retry_ms } => {
+                self.refused(at, reason, retry_ms, policy, now, actions)
+            }
+            AskResult::Lost => self.ended(at, End::Lost, policy, now, actions),
+            AskResult::Failed => self.ended(at, End::Failed, policy, now, actions),
+            AskResult::TimedOut => self.ended(at, End::TimedOut, policy, now, actions),
+        }
+    }
+
+    /// Ends all open attempts of a batch whose gate cannot report any more.
+    pub(super) fn on_batch_lost(
+        &mut self,
+        batch: u32,
+        policy: &mut Policy,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(info) = self.batches.get(batch as usize).filter(|b| b.open > 0) else { return };
+        let (first, host) = (info.first, &self.layout.gate(info.gate).host);
+        policy.replicas.gate_failed(host, now);
+        policy.budget.fault(now);
+        let next = self.batches.get(batch as usize + 1);
+        let end = next.map_or(self.attempts.len() as u32, |b| b.first);
+        for at in first..end {
+            if self.attempts[at as usize].end.is_none() {
+                self.ended(at, End::GateLost, policy, now, actions);
+            }
+        }
+    }
+
+    fn good(
+        &mut self,
+        at: u32,
+        rows: Vec<Row>,
+        policy: &mut Policy,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let attempt = &self.attempts[at as usize];
+        let (shard, server) = (attempt.shard, attempt.server);
+        let took = now.saturating_duration_since(attempt.sent);
+        let name = &self.layout.server(server).name;
+        policy.replicas.good(name);
+        policy.replicas.latency(name, took);
+        policy.latency.record(took, now);
+        self.close(at, End::Good, policy, actions);
+        let state = &mut self.shards[shard as usize];
+        (state.answered, state.due, state.rows) = (true, None, rows);
+        self.unanswered -= 1;
+        self.drop_rest(shard, policy, now, actions);
+        self.probe_good(at, policy, now, actions);
+    }
+
+    /// Drops the attempts that a faster one has made pointless.
+    fn drop_rest(
+        &mut self,
+        shard: Shard,
+        policy: &mut Policy,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let mut next = self.shards[shard as usize].last;
+        while let Some(at) = next {
+            let attempt = &self.attempts[at as usize];
+            next = attempt.before;
+            if attempt.end.is_none() {
+                // What it has taken so far is a lower bound of its latency.
+                let took = now.saturating_duration_since(attempt.sent);
+                policy.latency.record(took, now);
+                policy.replicas.slow(&self.layout.server(attempt.server).name, took, now);
+                self.close(at, End::Dropped, policy, actions);
+            }
+        }
+    }
+
+    fn gone(
+        &mut self,
+        at: u32,
+        held: Vec<HeldVersion>,
+        policy: &mut Policy,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let server = self.layout.server(self.attempts[at as usize].server).name.clone();
+        self.told.retain(|t| t.server != server);
+        let told = ServerIndex { server, versions: held };
+        self.told.push(told.clone());
+        actions.push(Action::Refresh { told: vec![told] });
+        self.ended(at, End::Gone, policy, now, actions);
+    }
+
+    fn refused(
+        &mut self,
+        at: u32,
+        reason: Refusal,
+        retry_ms: Option<u32>,
+        policy: &mut Policy,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let attempt = &self.attempts[at as usize];
+        let (server, gate) = (self.layout.server(attempt.server), attempt.gate);
+        let wait = retry_ms.map_or(BUSY_WAIT, |ms| Duration::from_millis(ms.into()));
+        match reason {
+            Refusal::Busy | Refusal::Expired => self.overloads += 1,
+            _ => policy.budget.fault(now),
+        }
+        match reason {
+            Refusal::Unreachable => policy.replicas.failed(&server.name, now),
+            Refusal::NotOwner | Refusal::Stopping => self.disown(server.group, gate),
+            _ => policy.replicas.busy(&server.name, wait, now),
+        }
+        self.ended(at, End::Refused(reason), policy, now, actions);
+    }
+
+    /// Ends an attempt that brought nothing and schedules what comes next.
+    fn ended(
+        &mut self,
+        at: u32,
+        end: End,
+        policy: &mut Policy,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let attempt = &self.attempts[at as usize];
+        let (shard, server) = (attempt.shard, attempt.server);
+        if matches!(end, End::Lost | End::Failed | End::TimedOut) {
+            policy.replicas.failed(&self.layout.server(server).name, now);
+            policy.budget.fault(now);
+        }
+        self.close(at, end, policy, actions);
+        let state = &mut self.shards[shard as usize];
+        state.reason = end.reason();
+        state.losses += u8::from(end == End::Lost);
+        if end == End::Lost {
+            policy.recent.remove(self.spec.digest);
+        }
+        if self.probe_ended(at, end, now, actions) || self.shards[shard as usize].open > 0 {
+            return;
+        }
+        self.retry(shard, end, now);
+    }
+
+    fn retry(&mut self, shard: Shard, end: End, now: Instant) {
+        if self.shards[shard as usize].losses >= MAX_LOSSES {
+            return self.set_stuck(shard);
+        }
+        let tries = match end {
+            End::Refused(Refusal::NotOwner | Refusal::Stopping) => self.gates_of(shard),
+            End::Refused(_) => self.pinned.holders[shard as usize].len(),
+            _ => usize::from(MAX_ATTEMPTS),
+        };
+        let wait = match usize::from(self.shards[shard as usize].attempts).checked_sub(tries) {
+            Some(rounds) => (REFUSED_WAIT * (1 << rounds.min(10))).min(MAX_REFUSED_WAIT),
+            None => Duration::ZERO,
+        };
+        self.schedule(shard, now + wait);
+    }
+
+    /// Number of gates that may own a replica of the shard.
+    fn gates_of(&self, shard: Shard) -> usize {
+        let holders = &self.pinned.holders[shard as usize];
+        let groups = holders.iter().map(|s| self.layout.server(*s).group);
+        groups.map(|g| self.layout.group(g).gates.len()).sum()
+    }
+
+    /// Records that nothing more can be tried for a shard.
+    pub(super) fn set_stuck(&mut self, shard: Shard) {
+        let state = &mut self.shards[shard as usize];
+        state.due = None;
+        self.stuck += u32::from(!state.stuck);
+        state.stuck = true;
+    }
+
+    /// Marks an attempt as ended; the last one of a batch ends the batch.
+    pub(super) fn close(
+        &mut self,
+        at: u32,
+        end: End,
+        policy: &mut Policy,
+        actions: &mut Vec<Action>,
+    ) {
+        let attempt = &mut self.attempts[at as usize];
+        attempt.end = Some(end);
+        let batch = attempt.batch;
+        policy.replicas.ended(&self.layout.server(attempt.server).name);
+        self.shards[attempt.shard as usize].open -= 1;
+        let open = &mut self.batches[batch as usize].open;
+        *open -= 1;
+        if *open == 0 {
+            actions.push(Action::Cancel { batch });
+        }
+    }
+
+    /// Ends every open attempt.
+    pub(super) fn close_all(&mut self, policy: &mut Policy, actions: &mut Vec<Action>) {
+        for at in self.round_start..self.attempts.len() as u32 {
+            if self.attempts[at as usize].end.is_none() {
+                self.close(at, End::Dropped, policy, actions);
+            }
+        }
+    }
+}
