Let hosts adopt from peers in the interleaving test; report errors as JSON

Pulls from peers, also of incomplete deltas, were not part of the random test. Retries now begin after 50 ms and double, so that a lost reply costs an urgent change 50 ms instead of 500 ms.

--- a/crates/config/src/editor.rs
+++ b/crates/config/src/editor.rs
@@ -34,14 +34,14 @@
     pub struct EditorSettings {
         /// Attempts at one step before its result is given up as unknown.
         pub attempts: usize,
-        /// Pause between attempts.
+        /// Pause after the first attempt; it doubles up to sixteen times this.
         pub pause: Duration,
     }
 }
 
 impl Default for EditorSettings {
     fn default() -> EditorSettings {
-        EditorSettings { attempts: 8, pause: Duration::from_millis(500) }
+        EditorSettings { attempts: 9, pause: Duration::from_millis(50) }
     }
 }
 
@@ -190,7 +190,7 @@
     /// Reads again after a record of `old` was missing: the head or the record
     /// was a stale read.
     async fn reread(&self, old: Base, change: &Change) -> Result<Base, ChangeResult> {
-        time::sleep(self.settings.pause).await;
+        self.pause(0).await;
         let new = self.read_head().await?;
         self.rebase(old, new, change)
     }
@@ -222,7 +222,7 @@
     async fn read_at_least(&self, revision: Revision) -> Option<Result<Base, ChangeResult>> {
         for attempt in 0..self.settings.attempts {
             if attempt > 0 {
-                time::sleep(self.settings.pause).await;
+                self.pause(attempt - 1).await;
             }
             match self.read_head().await {
                 Ok(base) if base.key_revision >= revision => return Some(Ok(base)),
@@ -233,6 +233,10 @@
         None
     }
 
+    async fn pause(&self, attempt: usize) {
+        time::sleep(self.settings.pause * (1 << attempt.min(4))).await;
+    }
+
     async fn write_records(&self, records: &[ConfigRecord]) -> Result<Written, ChangeResult> {
         for record in records {
             if let Written::Taken = self.write_record(record).await? {
@@ -244,12 +248,12 @@
 
     async fn write_record(&self, record: &ConfigRecord) -> Result<Written, ChangeResult> {
         let key = record_key(&record.name, record.revision);
-        for _ in 0..self.settings.attempts {
+        for attempt in 0..self.settings.attempts {
             match self.store.put_if(&key, 0, &record.body).await {
                 Ok(_) => return Ok(Written::Done),
                 Err(StoreError::TooLarge { size }) => return Err(ChangeResult::TooLarge { size }),
                 Err(StoreError::Unavailable) => return Err(ChangeResult::StoreDown),
-                Err(StoreError::Unknown) => time::sleep(self.settings.pause).await,
+                Err(StoreError::Unknown) => self.pause(attempt).await,
                 Err(StoreError::Conflict { .. }) => {
                     // An earlier attempt may have written it.
                     let found = self.store.get(&key).await.map_err(|_| ChangeResult::StoreDown)?;
@@ -269,7 +273,7 @@
         let text = serde_json::to_string(next).map_err(|e| damaged(HEAD_KEY, &e))?;
         let unknown = || ChangeResult::Unknown { operation: id.into() };
         let mut sent = false;
-        for _ in 0..self.settings.attempts {
+        for attempt in 0..self.settings.attempts {
             match self.store.put_if(HEAD_KEY, base.key_revision, &text).await {
                 Ok(_) => {
                     let done = next.operation(id).cloned();
@@ -286,7 +290,7 @@
                     };
                 }
             }
-            time::sleep(self.settings.pause).await;
+            self.pause(attempt).await;
         }
         Err(unknown())
     }
--- a/crates/config/tests/interleaving.rs
+++ b/crates/config/tests/interleaving.rs
@@ -1,6 +1,7 @@
 //! Two operators and three hosts under random interleavings and faults.
 #![allow(clippy::unwrap_used, reason = "a step that fails should end the test")]
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 
 use chervil_base::catalog::CatalogSpec;
@@ -59,15 +60,29 @@
     log
 }
 
-/// Catalogs that a host adopted, in order.
-async fn adopt(store: &dyn Store, pulls: usize) -> Vec<CatalogSpec> {
-    let mut host = Adopted::new();
+/// Catalogs that host `me` adopted, in order. Most pulls go to the store, the
+/// others to a peer, whose delta may lack a record.
+async fn adopt(
+    store: &dyn Store,
+    hosts: &[RefCell<Adopted>],
+    me: usize,
+    pulls: usize,
+) -> Vec<CatalogSpec> {
     let mut seen = Vec::new();
-    for _ in 0..pulls {
-        if let Ok(newer) = read_newer(store, &host).await
-            && host.apply(&newer).unwrap()
-        {
-            seen.push(host.catalog());
+    for i in 0..pulls {
+        let host = hosts[me].borrow().clone();
+        let offer = if i % 3 == 1 {
+            let mut delta = hosts[(me + i) % hosts.len()].borrow().newer_than(host.revision());
+            delta.records.truncate(if i % 2 == 0 { usize::MAX } else { 1 });
+            delta
+        } else {
+            read_newer(store, &host).await.unwrap_or_default()
+        };
+        let before = hosts[me].borrow().clone();
+        let grew = hosts[me].borrow_mut().apply(&offer);
+        match grew {
+            Ok(true) => seen.push(hosts[me].borrow().catalog()),
+            _ => assert_eq!(*hosts[me].borrow(), before),
         }
     }
     seen
@@ -110,17 +125,18 @@
         let runtime = Builder::new_current_thread().enable_all().build().unwrap();
         let store = FakeStore::new();
         let stepped = Stepped::new(&store, seed, faulty);
+        let copies: [RefCell<Adopted>; 3] = Default::default();
         let (a, b, hosts, history) = runtime.block_on(async {
             common::change(&store, &common::apply(common::sheet(5, 70, 2)), "start").await;
             let (a, b, h1, h2, h3) = tokio::join!(
                 operate(&stepped, "alice", &first),
                 operate(&stepped, "bob", &second),
-                adopt(&stepped, PULLS),
-                adopt(&stepped, PULLS),
-                adopt(&stepped, PULLS),
+                adopt(&stepped, &copies, 0, PULLS),
+                adopt(&stepped, &copies, 1, PULLS),
+                adopt(&stepped, &copies, 2, PULLS),
             );
             stepped.settle().await;
-            let end = adopt(&store, 1).await;
+            let end = adopt(&store, &[RefCell::default()], 0, 1).await;
             (a, b, [h1, h2, h3, end], read_history(&store).await.unwrap())
         });
         let start = common::apply(common::sheet(5, 70, 2));
--- a/crates/ctl/src/agents.rs
+++ b/crates/ctl/src/agents.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use chervil_base::HashSet;
 use chervil_platform::HostList as _;
 use chervil_platform::Store as _;
 use chervil_rpc::agent::AgentRpcClient as _;
@@ -92,19 +93,23 @@
 }
 
 /// Hosts of the installation: those of the settings, or else of the member
-/// list, or else of the platform's host list.
+/// list and of the platform's host list. Neither of the two is complete while
+/// hosts come and go.
 pub(crate) async fn list(session: &Session) -> Vec<AgentHost> {
     let given = &session.settings.agents;
     if !given.is_empty() {
         let host = |a: &SocketAddr| AgentHost { name: a.to_string().into(), agent: *a };
         return given.iter().map(host).collect();
     }
-    if let Ok(Some(found)) = session.store.get(MEMBERS_KEY).await
-        && let Ok(members) = serde_json::from_str::<MemberList>(&found.value)
-    {
-        let hosts = members.hosts.into_iter();
-        return hosts.map(|h| AgentHost { name: h.host, agent: h.agent }).collect();
-    }
-    let listed = session.hosts.hosts().await.unwrap_or_default();
-    listed.into_iter().map(|h| AgentHost { name: h.host, agent: h.agent }).collect()
+    let (members, listed) = tokio::join!(session.store.get(MEMBERS_KEY), session.hosts.hosts());
+    let members = members.ok().flatten();
+    let members = members.and_then(|f| serde_json::from_str::<MemberList>(&f.value).ok());
+    let members = members.unwrap_or_default().hosts.into_iter();
+    let mut hosts: Vec<AgentHost> =
+        members.map(|h| AgentHost { name: h.host, agent: h.agent }).collect();
+    let known: HashSet<Box<str>> = hosts.iter().map(|h| h.name.clone()).collect();
+    let listed = listed.unwrap_or_default().into_iter();
+    let others = listed.filter(|h| !h.leaving && !known.contains(&h.host));
+    hosts.extend(others.map(|h| AgentHost { name: h.host, agent: h.agent }));
+    hosts
 }
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -62,6 +62,7 @@
     let json = options.json;
     match execute(options) {
         Ok(report) => report.print(json),
+        Err(e) if json => report::fail_json(&e),
         Err(e) => report::fail(BINARY, e.exit(), &e),
     }
 }
--- a/crates/ctl/src/report.rs
+++ b/crates/ctl/src/report.rs
@@ -1,13 +1,17 @@
 //! What a command prints and how the process exits.
 
+use std::fmt;
 use std::fmt::Display;
 use std::io;
 use std::io::Write as _;
 use std::process::ExitCode;
 
+use chervil_base::message;
 use serde::Serialize;
 use serde_json::Value;
 
+use crate::error::CtlError;
+
 /// Exit code of the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Exit {
@@ -23,6 +27,30 @@
     }
 }
 
+message! {
+    #[derive(Eq)]
+    struct SheetProblem {
+        file: Box<str>,
+        line: u64,
+        /// From 1; 0 when the problem concerns the whole line.
+        column: usize,
+        heading: Box<str>,
+        problem: Box<str>,
+    }
+
+    #[derive(Eq)]
+    struct Failure {
+        error: Box<str>,
+        problems: Vec<SheetProblem>,
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.error)
+    }
+}
+
 /// Result of a command, as text and as JSON.
 #[derive(Debug)]
 pub(crate) struct Report {
@@ -65,3 +93,20 @@
 {
     chervil_node::cli::fail(binary, exit as u8, error)
 }
+
+/// Prints an error as JSON, with the places of a sheet's problems.
+pub(crate) fn fail_json(error: &CtlError) -> ExitCode {
+    let problems = match error {
+        CtlError::Sheet { source } => &source.problems[..],
+        _ => &[],
+    };
+    let problems = problems.iter().map(|p| SheetProblem {
+        file: p.file.clone(),
+        line: p.line,
+        column: p.column,
+        heading: p.heading.into(),
+        problem: p.kind.to_string().into(),
+    });
+    let failure = Failure { error: error.to_string().into(), problems: problems.collect() };
+    Report::new(&failure, error.exit()).print(true)
+}
--- a/crates/ctl/src/settings.rs
+++ b/crates/ctl/src/settings.rs
@@ -24,7 +24,8 @@
     /// Bound on a call to the store, in milliseconds.
     #[serde(default = "default_timeout")]
     pub(crate) timeout_ms: u64,
-    /// Attempts to learn what became of a change, half a second apart.
+    /// Attempts to learn what became of a change; nine take four seconds and
+    /// the time of the calls.
     #[serde(default = "default_attempts")]
     pub(crate) resolve_attempts: usize,
 }
@@ -38,5 +39,5 @@
 }
 
 fn default_attempts() -> usize {
-    8
+    9
 }
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -168,12 +168,16 @@
     let site = Site::new();
     let applied = site.run(&["--json", "apply", path(&site.sheet(6, 10))]);
     let status = site.run(&["status", "--json"]);
+    let bad = site.write("bad.csv", &sheet_text(6, 2).replace(",2,50", ",0,50"));
+    let refused = site.run(&["check", path(&bad), "--json"]);
 
-    for text in [&applied.out, &status.out] {
+    for text in [&applied.out, &status.out, &refused.out] {
         assert!(serde_json::from_str::<serde_json::Value>(text).is_ok(), "{text}");
     }
     assert!(applied.out.contains(r#""result":"accepted""#), "{}", applied.out);
     assert!(status.out.contains(r#""in_service":true"#), "{}", status.out);
+    assert!(refused.out.contains(r#""heading":"slots","line":6"#), "{}", refused.out);
+    assert_eq!(refused.code, 1);
 }
 
 /// Guards the exit code of wrong usage.
