Let the measurement script end its load generator too

An interrupted run left the load generator behind, because it ran in a subshell whose id was not recorded.

--- a/bench/cluster.sh
+++ b/bench/cluster.sh
@@ -42,7 +42,7 @@
 connections = $6
 connect_ms = $7
 start_cold = true
-faults = { queue = ${SERVER_QUEUE:-0} }
+faults = { base_ms = ${BASE_MS:-10.0}, jitter_ms = ${JITTER_MS:-10.0}, queue = ${SERVER_QUEUE:-0} }
 EOF
 }
 
--- a/bench/run.sh
+++ b/bench/run.sh
@@ -10,8 +10,8 @@
 #
 # Variables: HOSTS (4), ZONES (4), SERVICE (quoting), DURATION in seconds (20),
 # LOAD as a share of the slots (0.5), RUN_RATE (5), ZONE (z2), BASE_PORT
-# (21000), SERVER_QUEUE (0), BIN (target/debug), WORK (a new directory),
-# ONLY (naive or tier).
+# (21000), SERVER_QUEUE (0), BASE_MS (10.0) and JITTER_MS (10.0) of the service
+# time, BIN (target/debug), WORK (a new directory), ONLY (naive or tier).
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -45,25 +45,26 @@
 
 # Does what the load generator announces. Marking comes first when a zone goes
 # out and when it returns, so that the count of late work errs upwards.
-follow_events() {
-    local line
-    while read -r line; do
-        case $line in
-        zone-out)
-            control "control/zone:$ZONE/mark" '{"on":true}'
-            ctl zone out "$ZONE" >>"$WORK/logs/ctl.log" 2>&1 || echo "zone out failed" >&2
-            ;;
-        zone-in)
-            control "control/zone:$ZONE/mark" '{"on":false}'
-            ctl zone in "$ZONE" >>"$WORK/logs/ctl.log" 2>&1 || echo "zone in failed" >&2
-            ;;
-        rolling-restart) rolling_restart ;;
-        done) return ;;
-        esac
-    done
+handle() { # event
+    case $1 in
+    zone-out)
+        control "control/zone:$ZONE/mark" '{"on":true}'
+        ctl zone out "$ZONE" >>"$WORK/logs/ctl.log" 2>&1 || echo "zone out failed" >&2
+        ;;
+    zone-in)
+        control "control/zone:$ZONE/mark" '{"on":false}'
+        ctl zone in "$ZONE" >>"$WORK/logs/ctl.log" 2>&1 || echo "zone in failed" >&2
+        ;;
+    rolling-restart) rolling_restart ;;
+    esac
+}
+
+finish() {
+    stop bench
+    stop_all
 }
 
-trap stop_all EXIT
+trap finish EXIT
 start_all
 write_bench_settings >"$WORK/bench.toml"
 mkfifo "$WORK/events"
@@ -71,14 +72,15 @@
 exec 3<>"$WORK/events"
 only=()
 [ -z "${ONLY:-}" ] || only=(--only "$ONLY")
-{
-    status=0
-    "$BIN/chervil-bench" --settings "$WORK/bench.toml" --events "$WORK/events" \
-        --json "$WORK/result.json" "${only[@]}" "$@" || status=$?
-    echo "$status" >"$WORK/status"
-    echo done >&3
-} &
-follow_events <&3
-wait $!
+"$BIN/chervil-bench" --settings "$WORK/bench.toml" --events "$WORK/events" \
+    --json "$WORK/result.json" "${only[@]}" "$@" &
+bench=$!
+echo "$bench" >"$WORK/pids/bench"
+while kill -0 "$bench" 2>/dev/null; do
+    if read -r -t 0.2 line <&3; then handle "$line"; fi
+done
+status=0
+wait "$bench" || status=$?
+rm -f "$WORK/pids/bench"
 echo "settings, logs and result.json are in $WORK"
-exit "$(cat "$WORK/status")"
+exit "$status"
