Measure the wait in queues and pass levels on during a stop

The stop sent the levels after the last work and held the actor meanwhile; now both run at the same time. Metrics gain the wait in the queue, the lease and the number of owned servers.

--- a/crates/backend/tests/http.rs
+++ b/crates/backend/tests/http.rs
@@ -10,12 +10,7 @@
 
 use chervil_backend::http::HttpLink;
 use chervil_backend::http::HttpSettings;
-use chervil_backend::link::AskCall;
-use chervil_backend::link::BackendLink as _;
-use chervil_backend::link::Connection;
-use chervil_backend::link::LinkError;
-use chervil_backend::link::RunCall;
-use chervil_backend::link::ServerRefusal;
+use chervil_backend::link::*;
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpListener;
--- a/crates/gate/src/app.rs
+++ b/crates/gate/src/app.rs
@@ -25,6 +25,7 @@
 use chervil_rpc::server::ServeError;
 use chervil_rpc::server::Serving;
 use chervil_slots::machine::Slots;
+use futures::future::join_all;
 use snafu::ResultExt as _;
 use snafu::Snafu;
 use tokio::task::JoinHandle;
@@ -180,14 +181,14 @@
         self.lifecycle.stop();
         // The actor runs until the end of this method.
         let _ = self.state.send(Stop).await;
-        let left = self.finish_work().await;
+        let hints = self.state.send(HintAll).await.unwrap_or_default();
+        let (left, _) = tokio::join!(self.finish_work(), join_all(hints));
         if left > 0 {
             spdlog::warn!("work is left at the stop", kv: { left });
         }
         // New requests keep coming until the peers know of the stop; only the
         // replies to finished work are waited for.
         self.lifecycle.drained(QUIET, FLUSH_LIMIT).await;
-        let _ = self.state.send(HintAll).await;
         // The agent takes a request for the lease after the release for that of
         // a new gate.
         self.polls.iter().for_each(JoinHandle::abort);
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -99,6 +99,7 @@
 /// An accepted work item.
 struct Job {
     server: Box<str>,
+    accepted: Instant,
     deadline: Instant,
     span: Span,
     kind: Kind,
--- a/crates/gate/src/state/calls.rs
+++ b/crates/gate/src/state/calls.rs
@@ -67,6 +67,8 @@
         let Some(job) = self.jobs.get(work) else {
             return;
         };
+        let waited = self.now().saturating_duration_since(job.accepted);
+        self.parts.metrics.time("queue", waited);
         let span = job.span.clone();
         let call = Call::of(job);
         let server = job.server.clone();
--- a/crates/gate/src/state/events.rs
+++ b/crates/gate/src/state/events.rs
@@ -222,6 +222,9 @@
     }
 
     fn report(&self) {
+        let lease = self.slots.has_lease(self.now());
+        self.parts.metrics.gauge("lease", lease.into());
+        self.parts.metrics.gauge("servers", self.slots.owned().count() as u64);
         let loads = self.slots.owned().filter_map(|s| self.slots.load(s));
         let (mut queued, mut running, mut connections) = (0, 0, 0);
         for load in loads {
--- a/crates/gate/src/state/hints.rs
+++ b/crates/gate/src/state/hints.rs
@@ -9,7 +9,7 @@
 use chervil_rpc::gate::GateRpcClient as _;
 use chervil_rpc::gate::WarmupLevel;
 use chervil_slots::ownership;
-use futures::future::join_all;
+use tokio::task::JoinHandle;
 use tokio::time;
 use xtra::Context;
 use xtra::Handler;
@@ -28,7 +28,7 @@
 /// Levels from a former owner.
 pub(crate) struct Hint(pub(crate) Vec<WarmupLevel>);
 
-/// Sends all levels and waits until they have arrived, before a stop.
+/// Sends all levels, before a stop; the tasks end when they have arrived.
 pub(crate) struct HintAll;
 
 impl Handler<Hint> for GateState {
@@ -42,11 +42,11 @@
 }
 
 impl Handler<HintAll> for GateState {
-    type Return = ();
+    type Return = Vec<JoinHandle<()>>;
 
-    async fn handle(&mut self, _: HintAll, _: &mut Context<Self>) {
+    async fn handle(&mut self, _: HintAll, _: &mut Context<Self>) -> Self::Return {
         let messages = self.levels_by_host(self.slots.groups());
-        join_all(messages.into_iter().map(|(to, levels)| self.message(to, levels))).await;
+        messages.into_iter().map(|(to, levels)| tokio::spawn(self.message(to, levels))).collect()
     }
 }
 
@@ -58,6 +58,9 @@
         }
         self.hint_at = now + INTERVAL;
         let mut groups = self.slots.take_changed();
+        for level in groups.iter().flat_map(|g| self.slots.levels(g)) {
+            spdlog::debug!("warm-up level", kv: { server = &*level.server, level = level.level });
+        }
         if self.resend_at.is_none_or(|at| now >= at) {
             self.resend_at = Some(now + RESEND);
             groups = self.slots.groups();
--- a/crates/gate/src/state/work.rs
+++ b/crates/gate/src/state/work.rs
@@ -77,13 +77,14 @@
         trace::set_parent(&span, request.trace.as_deref());
         self.parts.metrics.count("run", 1);
         self.runs += 1;
+        let accepted = self.now();
         let work = Work {
             server: request.server.clone(),
             source: digest::stable_hash(&request.key),
             query: self.runs,
             shard: 0,
             fresh: false,
-            deadline: self.now() + Duration::from_millis(request.timeout_ms.into()),
+            deadline: accepted + Duration::from_millis(request.timeout_ms.into()),
         };
         let call = RunCall {
             service: request.service,
@@ -93,7 +94,7 @@
             trace: request.trace,
         };
         let kind = Kind::Run { call: Arc::new(call), reply };
-        let job = Job { server: request.server, deadline: work.deadline, span, kind };
+        let job = Job { server: request.server, accepted, deadline: work.deadline, span, kind };
         self.submit(&work, job);
     }
 }
@@ -171,9 +172,11 @@
             replies: replies.clone(),
         };
         let span = tracing::info_span!(parent: span, "backend.ask", server = &*item.server, shard = item.shard);
+        let accepted = self.now();
         Job {
             server: item.server.clone(),
-            deadline: self.now() + Duration::from_millis(batch.timeout_ms.into()),
+            accepted,
+            deadline: accepted + Duration::from_millis(batch.timeout_ms.into()),
             span,
             kind: Kind::Ask { call: Arc::new(call), to },
         }
