--- a/demo.sh
+++ b/demo.sh
@@ -129,7 +129,7 @@
 grep -qi '^x-coverage: 12/12' "$dir/headers"
 
 echo "== run non-idempotent work twice with one key"
-key="$(date +%s)-demo"
+key="$(date +%s)-demo$(printf %08d "$RANDOM")"
 for port in 27132 27133; do
     curl -s -D "$dir/headers" -H "idempotency-key: $key" -H 'x-timeout-ms: 2000' \
         -d '{"invoice":1}' "http://127.0.0.1:$port/run/splice-lookup"
