--- /dev/null
+++ b/crates/plan/tests/support/mod.rs
@@ -0,0 +1,7 @@
+//! Simulated gates and backend servers on a manual clock.
+
+#![allow(dead_code, clippy::unwrap_used)]
+
+pub mod naive;
+pub mod sim;
+pub mod world;
