--- a/crates/bench/src/policy.rs
+++ b/crates/bench/src/policy.rs
@@ -94,7 +94,8 @@
         let status = reply.status();
         if status != StatusCode::OK && status != StatusCode::PARTIAL_CONTENT {
             let body: Value = reply.json().await.unwrap_or_default();
-            let reason = body.get("reason").and_then(Value::as_str).unwrap_or("no reason");
+            let reason = body.get("reason").or_else(|| body.get("error"));
+            let reason = reason.and_then(Value::as_str).unwrap_or("no reason");
             return Answer::Refused(format!("{} {reason}", status.as_u16()).into());
         }
         match reply.json().await {
