Bound what a change sends from the operator's host

A sheet that changes every record is 3.3 MB at 20,000 servers; pushed to 2,700 hosts it would be 8.8 GB from one host. A push now sends at most 64 MB, and the other hosts pull from their peers.

--- a/crates/ctl/src/agents.rs
+++ b/crates/ctl/src/agents.rs
@@ -29,6 +29,13 @@
 /// fifth of 2,700 hosts does not answer, which costs three rounds of this.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Most bytes that one change sends from the operator's host. A sheet that
+/// changes all records is 3.3 MB at 20,000 servers, and there are 2,700 hosts.
+const MAX_PUSHED: usize = 64 * 1024 * 1024;
+
+/// Hosts that get a change in any case.
+const MIN_PUSHES: usize = 8;
+
 /// Hosts that are asked before a change whether they are ahead of the store.
 const SAMPLE: usize = 16;
 
@@ -53,10 +60,11 @@
         Agents { peers: Peers::new(secret, CALL_TIMEOUT) }
     }
 
-    /// Offers `state` to all hosts. One that does not take it gets the change
-    /// from its peers.
+    /// Offers `state` to hosts, within [`MAX_PUSHED`]. The others, and those
+    /// that do not take it, get the change from their peers.
     pub(crate) async fn push(&self, hosts: &[AgentHost], state: &PullReply) {
-        let calls = hosts.iter().map(|host| async {
+        let pushed = (MAX_PUSHED / size(state)).max(MIN_PUSHES);
+        let calls = hosts.iter().take(pushed).map(|host| async {
             let push =
                 async { self.peers.get(host.agent).await.ok()?.push(state.clone()).await.ok() };
             let _ = time::timeout(CALL_TIMEOUT, push).await;
@@ -92,6 +100,12 @@
     }
 }
 
+/// Bytes of a state, without those of its framing.
+fn size(state: &PullReply) -> usize {
+    let records: usize = state.records.iter().map(|r| r.body.len()).sum();
+    (records + state.head.as_ref().map_or(0, |h| h.len())).max(1)
+}
+
 /// Hosts of the installation: those of the settings, or else of the member
 /// list and of the platform's host list. Neither of the two is complete while
 /// hosts come and go.
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -2,6 +2,8 @@
 #![allow(clippy::unwrap_used, reason = "a step that fails should end the test")]
 
 use chervil_fakes::Faults;
+use chervil_platform::ListedHost;
+use chervil_rpc::agent::MemberHost;
 
 mod common;
 
@@ -45,6 +47,33 @@
     assert_eq!(host.adopted.lock().unwrap().catalog().servers.len(), 100);
 }
 
+/// Guards against hosts that are not followed because one of the two lists
+/// lags, or that are counted twice.
+#[test]
+fn hosts_come_from_the_member_list_and_the_host_list() {
+    let mut site = Site::new();
+    let agents = ["h1", "h2", "h3"].map(|h| (h, site.agent(h, false).0));
+    let members = agents[..2].iter().map(|(host, agent)| MemberHost {
+        host: (*host).into(),
+        zone: "z1".into(),
+        agent: *agent,
+        gate: *agent,
+    });
+    site.set_members(members.collect());
+    let listed = agents[1..].iter().map(|(host, agent)| ListedHost {
+        host: (*host).into(),
+        zone: "z1".into(),
+        agent: *agent,
+        gate: *agent,
+        leaving: false,
+    });
+    site.hosts.set(listed.collect());
+
+    let applied = site.run(&["apply", path(&site.sheet(6, 10))]);
+
+    assert!(applied.out.contains("revision 1 in force on 3 of 3"), "{}", applied.out);
+}
+
 /// Guards against hosts that are counted although they hold an older revision
 /// or do not answer.
 #[test]
--- a/crates/ctl/tests/common/mod.rs
+++ b/crates/ctl/tests/common/mod.rs
@@ -20,6 +20,7 @@
 use chervil_fakes::FakeHosts;
 use chervil_fakes::FakeStore;
 use chervil_fakes::http;
+use chervil_platform::Store as _;
 use chervil_rpc::agent::*;
 use chervil_rpc::secret::Secret;
 use chervil_rpc::server::Serving;
@@ -107,6 +108,7 @@
     runtime: Runtime,
     dir: PathBuf,
     pub store: Arc<FakeStore>,
+    pub hosts: Arc<FakeHosts>,
     servings: Vec<Serving>,
 }
 
@@ -125,9 +127,9 @@
         fs::create_dir_all(&dir).unwrap();
         let runtime = Runtime::new().unwrap();
         let store = Arc::new(FakeStore::new());
-        let (address, _) =
-            runtime.block_on(http::serve(store.clone(), Arc::new(FakeHosts::default()))).unwrap();
-        let site = Site { runtime, dir, store, servings: Vec::new() };
+        let hosts = Arc::new(FakeHosts::default());
+        let (address, _) = runtime.block_on(http::serve(store.clone(), hosts.clone())).unwrap();
+        let site = Site { runtime, dir, store, hosts, servings: Vec::new() };
         site.settings(&format!("http://{address}"), &[]);
         site
     }
@@ -162,6 +164,13 @@
         (address, agent)
     }
 
+    /// Writes the member list into the store.
+    pub fn set_members(&self, hosts: Vec<MemberHost>) {
+        let list = MemberList { epoch: 1, hosts, previous: Vec::new() };
+        let text = serde_json::to_string(&list).unwrap();
+        self.runtime.block_on(self.store.put_if("members", 0, &text)).unwrap();
+    }
+
     pub fn write(&self, name: &str, text: &str) -> PathBuf {
         let path = self.dir.join(name);
         fs::write(&path, text).unwrap();
--- a/crates/platform/src/http/store.rs
+++ b/crates/platform/src/http/store.rs
@@ -90,6 +90,9 @@
         url.query_pairs_mut().append_pair("if_revision", &expected.to_string());
         let request = self.transport.client().put(url).body(value.to_owned());
         let response = self.transport.send(request, Effect::Write, Duration::ZERO).await?;
+        if response.status() == StatusCode::PAYLOAD_TOO_LARGE {
+            return Err(StoreError::TooLarge { size: value.len() });
+        }
         if response.status() != StatusCode::OK {
             return Err(refused(response).await);
         }
