Report a host ready only once it is in the member list

Cause: a host that had adopted the configuration but was not listed yet reported ready and refused all work with no_replica; the demo failed so. Ruled out: unknown index versions (the run path does not need them) and connections to gates. Change: readiness also needs membership.

--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -246,9 +246,12 @@
     }
 
     /// Whether new work may be accepted.
+    ///
+    /// A host that is not in the member list does not know which gates to ask.
     pub(crate) fn is_ready(&self, now: Instant) -> bool {
         let fresh = self.fresh_age(now).is_some_and(|age| age <= FRESH_LIMIT);
-        !self.leaving && self.revision() > 0 && (fresh || self.membership.holds_lease(now))
+        let informed = self.revision() > 0 && self.membership.is_member();
+        !self.leaving && informed && (fresh || self.membership.holds_lease(now))
     }
 
     /// Age of the last successful read of the head by any host.
--- a/demo.sh
+++ b/demo.sh
@@ -16,7 +16,7 @@
     for ((i = ${#pids[@]} - 1; i >= 0; i--)); do kill "${pids[i]}" 2>/dev/null; done
     for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null; done
     if [ "$code" -ne 0 ]; then tail -n 5 "$dir"/*.log; fi
-    rm -rf "$dir"
+    [ -n "${KEEP:-}" ] || rm -rf "$dir"
     exit "$code"
 }
 trap stop EXIT
