--- a/demo.sh
+++ b/demo.sh
@@ -16,7 +16,7 @@
     for ((i = ${#pids[@]} - 1; i >= 0; i--)); do kill "${pids[i]}" 2>/dev/null; done
     for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null; done
     if [ "$code" -ne 0 ]; then tail -n 5 "$dir"/*.log; fi
-    rm -rf "$dir"
+    [ -n "${KEEP:-}" ] || rm -rf "$dir"
     exit "$code"
 }
 trap stop EXIT
@@ -129,7 +129,7 @@
 grep -qi '^x-coverage: 12/12' "$dir/headers"
 
 echo "== run non-idempotent work twice with one key"
-key="$(date +%s)-demo"
+key="$(date +%s)-demo$(printf %08d "$RANDOM")"
 for port in 27132 27133; do
     curl -s -D "$dir/headers" -H "idempotency-key: $key" -H 'x-timeout-ms: 2000' \
         -d '{"invoice":1}' "http://127.0.0.1:$port/run/splice-lookup"
