Report a replaced attempt as timed out and answer no index without a lease

An attempt that gave its slot to a fresh one was reported as lost, which counts as a suspected crash of the server. An empty index without a quorum lease kept entries from asking the next host.

--- a/crates/gate/src/rpc.rs
+++ b/crates/gate/src/rpc.rs
@@ -14,6 +14,7 @@
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::core::SubscriptionResult;
 use jsonrpsee::core::async_trait;
+use jsonrpsee::types::ErrorObject;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use xtra::Address;
@@ -25,6 +26,11 @@
 use crate::state::SubmitBatch;
 use crate::state::SubmitRun;
 
+/// Error code of a gate that cannot tell what its servers hold.
+const NO_LEASE: i32 = 1;
+
+const NO_LEASE_TEXT: &str = "this gate holds no quorum lease; ask the next host in order";
+
 /// Serves the methods from the actor's state.
 pub(crate) struct GateMethods {
     pub(crate) state: Address<GateState>,
@@ -56,7 +62,8 @@
     }
 
     async fn index(&self, service: Box<str>) -> RpcResult<Vec<ServerIndex>> {
-        Ok(self.state.send(Index(service)).await.unwrap_or_default())
+        let index = self.state.send(Index(service)).await.ok().flatten();
+        index.ok_or_else(|| ErrorObject::owned(NO_LEASE, NO_LEASE_TEXT, None::<()>))
     }
 
     async fn hint(&self, levels: Vec<WarmupLevel>) -> RpcResult<()> {
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -209,7 +209,8 @@
 
     fn abandon(&mut self, work: WorkKey) {
         match self.jobs.remove(work).map(|j| j.kind) {
-            Some(Kind::Ask { to, .. }) => to.send(AskResult::Lost),
+            // Not a loss: the request did not end its connection.
+            Some(Kind::Ask { to, .. }) => to.send(AskResult::TimedOut),
             Some(Kind::Run { reply, .. }) => {
                 // The caller may have gone.
                 let _ = reply.send(RunReply::Unknown);
--- a/crates/gate/src/state/view.rs
+++ b/crates/gate/src/state/view.rs
@@ -25,7 +25,8 @@
     pub(crate) until: Instant,
 }
 
-/// Asks for the index versions of a service's owned servers.
+/// Asks for the index versions of a service's owned servers; without a quorum
+/// lease there is no answer.
 pub(crate) struct Index(pub(crate) Box<str>);
 
 impl Handler<SetView> for GateState {
@@ -73,24 +74,23 @@
 }
 
 impl Handler<Index> for GateState {
-    type Return = Vec<ServerIndex>;
+    type Return = Option<Vec<ServerIndex>>;
 
-    async fn handle(&mut self, Index(service): Index, _: &mut Context<Self>) -> Vec<ServerIndex> {
-        let Some(key) = self.catalog.service(&service) else {
-            return Vec::new();
-        };
+    async fn handle(&mut self, Index(service): Index, _: &mut Context<Self>) -> Self::Return {
         if !self.slots.has_lease(self.now()) {
-            return Vec::new();
+            return None;
         }
+        let Some(key) = self.catalog.service(&service) else {
+            return Some(Vec::new());
+        };
         let servers = self.catalog.services[key].servers.iter();
         let names = servers.map(|s| &self.catalog.servers[*s].name);
         let usable = names.filter(|n| self.slots.accepts(n));
-        usable
-            .filter_map(|n| {
-                let versions = self.index.get(n)?.versions().to_vec();
-                Some(ServerIndex { server: n.clone(), versions })
-            })
-            .collect()
+        let index = usable.filter_map(|n| {
+            let versions = self.index.get(n)?.versions().to_vec();
+            Some(ServerIndex { server: n.clone(), versions })
+        });
+        Some(index.collect())
     }
 }
 
--- a/crates/gate/tests/ask.rs
+++ b/crates/gate/tests/ask.rs
@@ -124,6 +124,6 @@
     let replies = fixture::ask(&system.client, fresh).await;
 
     assert!(matches!(replies[0].result, AskResult::Rows { .. }));
-    assert!(matches!(fixture::next(&mut stalled).await.result, AskResult::Lost));
+    assert!(matches!(fixture::next(&mut stalled).await.result, AskResult::TimedOut));
     assert_eq!(system.stats().peak_running, 1);
 }
--- a/crates/gate/tests/lifecycle.rs
+++ b/crates/gate/tests/lifecycle.rs
@@ -36,6 +36,7 @@
     agent.change(|a| a.hang = true);
     fixture::eventually(async || refusal(client).await == Some(Refusal::NotOwner)).await;
     let arrived = system.arrived();
+    assert!(client.index("lookup".into()).await.is_err());
     let reply = client.run(fixture::run_request("k1")).await.unwrap();
     fixture::eventually(async || !gate.is_ready()).await;
 
--- a/crates/slots/src/types.rs
+++ b/crates/slots/src/types.rs
@@ -102,7 +102,7 @@
             /// Why.
             refused: Refused,
         },
-        /// Report a running item as lost; its connection is closed.
+        /// Report a running item as timed out; its connection is closed.
         Abandon {
             /// Item.
             work: WorkKey,
