--- /dev/null
+++ b/crates/slots/tests/random.rs
@@ -0,0 +1,127 @@
+//! Random events in random order.
+
+use chervil_base::catalog::Catalog;
+use chervil_rpc::gate::Refusal;
+use chervil_slots::types::End;
+use chervil_slots::types::Work;
+use fixture::HOUR;
+use fixture::MS;
+use fixture::Rig;
+use fixture::SERVER;
+use proptest::prelude::*;
+
+mod fixture;
+
+const SLOTS: u32 = 3;
+const CONNECTIONS: u32 = 2;
+
+fn end(pick: usize, rig: &Rig) -> End {
+    let report = Some(rig.report(pick as u32 % 4));
+    let refused = |reason| End::Refused { reason };
+    let ends = [
+        End::Replied { report },
+        End::Replied { report: None },
+        End::WrongVersion,
+        refused(Refusal::Busy),
+        refused(Refusal::Cold),
+        refused(Refusal::Draining),
+        End::NoRight,
+        End::NotWritten,
+        End::Lost,
+        End::TimedOut,
+        End::Unreadable,
+    ];
+    ends[pick % ends.len()]
+}
+
+fn step(rig: &mut Rig, op: u8, pick: usize) {
+    match op {
+        0..=5 => {
+            let work = Work {
+                fresh: pick.is_multiple_of(3),
+                shard: pick as u32 % 2,
+                ..fixture::work(1, pick as u64 % 3, rig.now + 50 * MS)
+            };
+            let _ = rig.submit_work(&work);
+        }
+        6..=9 if !rig.started.is_empty() => {
+            let (work, _) = rig.started[pick % rig.started.len()];
+            let end = end(pick, rig);
+            rig.finish(work, &end);
+        }
+        10 if !rig.started.is_empty() => {
+            if let Some((work, _)) = rig.started.remove(pick % rig.started.len()) {
+                rig.slots.cancel(work, rig.now);
+            }
+        }
+        11..=13 => answer(rig, pick),
+        14 => rig.slots.set_lease(rig.now + (pick as u32 % 100) * MS, rig.now),
+        15 => {
+            rig.spec.servers[0].in_service = !pick.is_multiple_of(4);
+            rig.spec.servers[0].address.set_port(9000 + u16::from(pick.is_multiple_of(5)));
+            let catalog = Catalog::new(&rig.spec);
+            let owned = fixture::all_groups(&catalog, pick.is_multiple_of(2));
+            let owned = if pick.is_multiple_of(3) { &[] } else { &owned[..] };
+            rig.slots.configure(&catalog, owned, rig.now);
+        }
+        16 => rig.slots.hint(&[fixture::level(pick as u32 % 5)], rig.now),
+        _ => {
+            rig.advance((pick as u32 % 40) * MS);
+            rig.slots.tick(rig.now);
+        }
+    }
+    rig.sort();
+}
+
+/// Ends the oldest call about a connection.
+fn answer(rig: &mut Rig, pick: usize) {
+    let mut status = rig.status(pick as u32 % 4);
+    status.draining = pick.is_multiple_of(11);
+    if let Some(conn) = rig.opens.pop_front() {
+        match pick % 4 {
+            0 => rig.slots.open_failed(conn, rig.now),
+            1 => rig.slots.silent(conn, rig.now),
+            _ => rig.slots.opened(conn, &status, rig.now),
+        }
+    } else if let Some(conn) = rig.prepares.pop_front() {
+        rig.slots.prepared(conn, rig.now);
+    } else if let Some(conn) = rig.probes.pop_front() {
+        let status = (!pick.is_multiple_of(3)).then_some(&status);
+        rig.slots.probed(conn, status, rig.now);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 500, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against panics, excess and leaks: after any events, the limits
+    /// hold, and once all has ended nothing is left.
+    #[test]
+    fn any_order_of_events_keeps_the_limits(
+        ops in prop::collection::vec((0..20_u8, 0..1000_usize), 1..300),
+    ) {
+        let mut rig = Rig::new(SLOTS, CONNECTIONS, false);
+        for (op, pick) in ops {
+            step(&mut rig, op, pick);
+            if let Some(load) = rig.slots.load(SERVER) {
+                prop_assert!(load.running <= SLOTS as usize);
+                prop_assert!(load.connections <= CONNECTIONS as usize);
+                prop_assert!(load.queued <= 8);
+            }
+        }
+
+        let catalog = Catalog::new(&rig.spec);
+        rig.slots.configure(&catalog, &[], rig.now);
+        rig.advance(HOUR);
+        rig.sort();
+        while let Some((work, _)) = rig.started.front().copied() {
+            rig.finish(work, &End::TimedOut);
+        }
+        while rig.opens.len() + rig.prepares.len() + rig.probes.len() > 0 {
+            answer(&mut rig, 2);
+            rig.sort();
+        }
+        prop_assert_eq!(rig.slots.pending(), 0);
+        prop_assert!(rig.slots.load(SERVER).is_none());
+    }
+}
