--- a/crates/plan/src/replica.rs
+++ b/crates/plan/src/replica.rs
@@ -18,13 +18,17 @@
 /// Weight of a new latency sample.
 const ALPHA: f64 = 0.1;
 
-/// Latency assumed of a server that has not replied yet.
+/// Weight of a new latency sample in what is typical of all servers.
+const TYPICAL_ALPHA: f64 = 0.01;
+
+/// Latency taken for typical before any reply.
 const FIRST_LATENCY: f64 = 0.02;
 
 /// Observations of one server or gate.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Seen {
-    latency: f64,
+    /// In seconds; `None` before the first sample.
+    latency: Option<f64>,
     open: u32,
     failures: u32,
     /// Sub-requests in a row that were given up as slow.
@@ -32,17 +36,20 @@
     penalty_until: Option<Instant>,
 }
 
-impl Default for Seen {
-    fn default() -> Seen {
-        Seen { latency: FIRST_LATENCY, open: 0, failures: 0, slow: 0, penalty_until: None }
-    }
-}
-
 /// Observations of the backend servers and gates of one service.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Replicas {
     servers: HashMap<Box<str>, Seen>,
     gates: HashMap<Box<str>, Seen>,
+    /// Latency typical of all servers, in seconds.
+    typical: f64,
+}
+
+impl Default for Replicas {
+    fn default() -> Replicas {
+        let (servers, gates) = (HashMap::default(), HashMap::default());
+        Replicas { servers, gates, typical: FIRST_LATENCY }
+    }
 }
 
 impl Replicas {
@@ -60,8 +67,11 @@
 
     /// Records a latency, or how long a sub-request had run when given up.
     pub fn latency(&mut self, server: &str, latency: Duration) {
+        let sample = latency.as_secs_f64();
+        self.typical += TYPICAL_ALPHA * (sample - self.typical);
         let s = entry(&mut self.servers, server);
-        s.latency += ALPHA * (latency.as_secs_f64() - s.latency);
+        let known = s.latency.unwrap_or(self.typical);
+        s.latency = Some(known + ALPHA * (sample - known));
     }
 
     /// Records that a sub-request was given up after `waited` because another
@@ -121,8 +131,11 @@
     /// Expected wait at a server, relative to others, with `more` sub-requests
     /// added to those that are open.
     pub fn cost(&self, server: &str, slots: u32, more: u32) -> f64 {
-        let (latency, open) =
-            self.servers.get(server).map_or((FIRST_LATENCY, 0), |s| (s.latency, s.open));
+        let seen = self.servers.get(server);
+        let open = seen.map_or(0, |s| s.open);
+        // A server that has not replied yet counts as typical, or it would be
+        // avoided for ever.
+        let latency = seen.and_then(|s| s.latency).unwrap_or(self.typical);
         latency * f64::from(open + more + 1) / f64::from(slots.max(1))
     }
 
--- a/crates/plan/tests/support/mod.rs
+++ b/crates/plan/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, clippy::unwrap_used)]
 
+pub mod large;
 pub mod naive;
 pub mod sim;
 pub mod world;
