--- a/crates/bench/src/answer.rs
+++ b/crates/bench/src/answer.rs
@@ -1,6 +1,7 @@
 //! One answer, whichever policy gave it, and its check against the index.
 
 use chervil_base::coverage::Coverage;
+use chervil_base::coverage::MissingReason;
 use chervil_base::message;
 use chervil_base::shards::Shard;
 use chervil_standin::rows::Row;
@@ -27,6 +28,8 @@
         total: u32,
         /// Whether it was declared complete.
         complete: bool,
+        /// Why the other shards are missing.
+        missing: Vec<MissingReason>,
         /// Whether the rows are exactly those that the coverage promises.
         accurate: bool,
     },
@@ -50,6 +53,7 @@
             answered: *answered,
             total: *total,
             complete: declared,
+            missing: missing.iter().map(|m| m.reason).collect(),
             accurate: whole && sum && (rows || empty),
         }
     }
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -141,6 +141,9 @@
             effort.repeated_keys,
             effort.store_calls,
         )?;
+        for (reason, count) in &callers.missing {
+            write!(f, "\n{:<10}   missing shards: {reason:?}: {count}", "")?;
+        }
         for (reason, count) in &callers.refusals {
             write!(f, "\n{:<10}   refused: {reason}: {count}", "")?;
         }
--- a/crates/bench/src/tally.rs
+++ b/crates/bench/src/tally.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use chervil_base::coverage::MissingReason;
 use chervil_base::message;
 use hdrhistogram::CreationError;
 use hdrhistogram::Histogram;
@@ -34,6 +35,8 @@
         pub inaccurate: u64,
         /// Shards of all queries that were not refused.
         pub needed: u64,
+        /// Shards missing from answers, by reason.
+        pub missing: BTreeMap<MissingReason, u64>,
         /// Refusals by kind.
         pub refusals: BTreeMap<Box<str>, u64>,
     }
@@ -48,6 +51,7 @@
     coverage: f64,
     inaccurate: u64,
     needed: u64,
+    missing: BTreeMap<MissingReason, u64>,
     refusals: BTreeMap<Box<str>, u64>,
 }
 
@@ -64,6 +68,7 @@
             coverage: 0.0,
             inaccurate: 0,
             needed: 0,
+            missing: BTreeMap::new(),
             refusals: BTreeMap::new(),
         })
     }
@@ -75,11 +80,14 @@
     pub fn add(&mut self, answer: &Answer, latency: Duration) {
         self.latency.saturating_record(latency.as_micros() as u64);
         match answer {
-            Answer::Rows { answered, total, complete, accurate } => {
+            Answer::Rows { answered, total, complete, missing, accurate } => {
                 self.complete += u64::from(*complete);
                 self.in_time += u64::from(*complete && latency <= TARGET);
                 self.inaccurate += u64::from(!accurate);
                 self.needed += u64::from(*total);
+                for reason in missing {
+                    *self.missing.entry(*reason).or_insert(0) += 1;
+                }
                 if *total > 0 {
                     self.coverage += f64::from(*answered) / f64::from(*total);
                 }
@@ -103,6 +111,7 @@
             coverage: share(self.coverage),
             inaccurate: self.inaccurate,
             needed: self.needed,
+            missing: self.missing.clone(),
             refusals: self.refusals.clone(),
         }
     }
--- a/crates/bench/tests/figures.rs
+++ b/crates/bench/tests/figures.rs
@@ -39,7 +39,8 @@
 }
 
 fn rows(answered: u32, total: u32) -> Answer {
-    Answer::Rows { answered, total, complete: answered == total, accurate: true }
+    let missing = vec![MissingReason::Timeout; (total - answered) as usize];
+    Answer::Rows { answered, total, complete: answered == total, missing, accurate: true }
 }
 
 // Guards against a check that accepts anything.
@@ -85,6 +86,7 @@
     assert!((499.0..=501.0).contains(&summary.p99_ms), "{}", summary.p99_ms);
     assert!((999.0..=1_001.0).contains(&summary.p999_ms), "{}", summary.p999_ms);
     assert_eq!(summary.refusals["503 busy"], 1);
+    assert_eq!(summary.missing[&MissingReason::Timeout], 2);
 }
 
 // Guards against extra load that is averaged away.
