Check the gate's tunables and share a batch's body between its attempts

A lease interval of 0 ended the process with a panic; each attempt copied the query twice. Backend servers get 2 ms less than the gate has, for the way back.

--- a/crates/backend/src/http.rs
+++ b/crates/backend/src/http.rs
@@ -33,6 +33,12 @@
 /// Probes of the operating system before it gives up a connection.
 const KEEPALIVE_PROBES: u32 = 3;
 
+/// Time that is kept for the reply's way back.
+const WAY_BACK: Duration = Duration::from_millis(2);
+
+/// Shortest time that a server is given.
+const MIN_TIMEOUT: Duration = Duration::from_millis(1);
+
 value! {
     /// Limits of a link.
     #[derive(Copy, Eq)]
@@ -123,6 +129,7 @@
 impl HttpConnection {
     fn post(&self, path: &str, timeout: Duration, trace: Option<&str>) -> RequestBuilder {
         let mut request = self.client.post(format!("{}{path}", self.base));
+        let timeout = timeout.saturating_sub(WAY_BACK).max(MIN_TIMEOUT);
         request = request.header("x-timeout-ms", timeout.as_millis().to_string());
         if let Some(trace) = trace {
             request = request.header("traceparent", trace);
@@ -172,7 +179,7 @@
         let request = request
             .header("x-index-version", call.version)
             .header("x-request-id", &*call.request)
-            .body(String::from(call.body.clone()));
+            .body(String::from(&*call.body));
         let reply = self.send(request, call.timeout).await?;
         reply.accepted()?.json::<AskBody>().map(AskAnswer::from)
     }
@@ -180,8 +187,7 @@
     async fn run(&self, call: &RunCall) -> Result<RunAnswer, LinkError> {
         let path = format!("/run/{}", call.service);
         let request = self.post(&path, call.timeout, call.trace.as_deref());
-        let request =
-            request.header("idempotency-key", &*call.key).body(String::from(call.body.clone()));
+        let request = request.header("idempotency-key", &*call.key).body(String::from(&*call.body));
         let reply = self.send(request, call.timeout).await?.accepted()?;
         let body = String::from_utf8(reply.body);
         let body = body.map_err(|e| LinkError::Unreadable { cause: e.to_string().into() })?;
--- a/crates/backend/src/link.rs
+++ b/crates/backend/src/link.rs
@@ -1,6 +1,7 @@
 //! The protocol of backend servers as the gate sees it.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -24,8 +25,8 @@
         pub request: Box<str>,
         /// Time left for the reply.
         pub timeout: Duration,
-        /// The caller's query.
-        pub body: Box<str>,
+        /// The caller's query; the attempts of a batch share it.
+        pub body: Arc<str>,
         /// W3C trace context of the asking span.
         pub trace: Option<Box<str>>,
     }
@@ -63,7 +64,7 @@
         /// Time left for the reply.
         pub timeout: Duration,
         /// The caller's request.
-        pub body: Box<str>,
+        pub body: Arc<str>,
         /// W3C trace context of the asking span.
         pub trace: Option<Box<str>>,
     }
--- a/crates/gate/src/agent.rs
+++ b/crates/gate/src/agent.rs
@@ -36,6 +36,14 @@
 /// Pause after a failed request for the view.
 const PAUSE: Duration = Duration::from_millis(100);
 
+fn log_answers(answers: bool) {
+    if answers {
+        spdlog::info!("the agent answers again");
+    } else {
+        spdlog::warn!("the agent does not answer; work is refused when the lease ends");
+    }
+}
+
 /// Link to the host's agent.
 #[derive(Clone)]
 pub(crate) struct AgentLink {
@@ -50,6 +58,7 @@
     /// Reads the quorum lease at a fixed interval; its time counts from the
     /// moment of the request, so that a paused gate or agent loses it.
     pub(crate) async fn poll_lease(self, state: Address<GateState>, interval: Duration) {
+        let mut answers = true;
         let mut timer = time::interval(interval);
         timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
@@ -58,7 +67,12 @@
                 timer.reset_after(interval.min(HANDOVER_POLL));
             }
             let sent = self.clock.now();
-            let Some(lease) = self.lease().await else {
+            let lease = self.lease().await;
+            if answers != lease.is_some() {
+                answers = lease.is_some();
+                log_answers(answers);
+            }
+            let Some(lease) = lease else {
                 self.peers.forget(self.address).await;
                 continue;
             };
--- a/crates/gate/src/main.rs
+++ b/crates/gate/src/main.rs
@@ -46,7 +46,10 @@
 }
 
 fn load(path: &Path) -> Result<GateSettings, ExitCode> {
-    settings::load(path).map_err(|e| cli::fail(BINARY, cli::EXIT_USAGE, e))
+    let settings: GateSettings =
+        settings::load(path).map_err(|e| cli::fail(BINARY, cli::EXIT_USAGE, e))?;
+    settings.check().map_err(|e| cli::fail(BINARY, cli::EXIT_USAGE, e))?;
+    Ok(settings)
 }
 
 fn run(path: &Path) -> ExitCode {
--- a/crates/gate/src/settings.rs
+++ b/crates/gate/src/settings.rs
@@ -8,6 +8,7 @@
 use chervil_rpc::secret::Secret;
 use chervil_slots::types::SlotsSettings;
 use serde::Deserialize;
+use snafu::Snafu;
 
 /// Settings file of `chervil-gate`.
 #[derive(Clone, Debug, Deserialize)]
@@ -69,6 +70,41 @@
     }
 }
 
+/// A tunable that the gate cannot work with.
+#[derive(Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("tunables.{name} is {value}; set it to a number from {low} to {high}"))]
+pub struct TunableError {
+    name: &'static str,
+    value: u64,
+    low: u64,
+    high: u64,
+}
+
+impl GateSettings {
+    /// Refuses tunables that would stop the gate from working.
+    pub fn check(&self) -> Result<(), TunableError> {
+        let t = &self.tunables;
+        // A lease of 1.2 s must be read several times before it ends.
+        let ranges = [
+            ("lease_poll_ms", t.lease_poll_ms, 10, 400),
+            ("queue", t.queue as u64, 1, 100_000),
+            ("probe_ms", t.probe_ms, 10, 60_000),
+            ("urgent_probe_ms", t.urgent_probe_ms, 1, 1_000),
+            ("open_timeout_ms", t.open_timeout_ms, 10, 30_000),
+            ("backoff_ms", t.backoff_ms, 10, 60_000),
+            ("max_reply", t.max_reply as u64, 1_024, 1 << 30),
+            ("keepalive_ms", t.keepalive_ms, 1_000, 3_600_000),
+            ("user_timeout_ms", t.user_timeout_ms, 100, 3_600_000),
+            ("stop_limit_ms", t.stop_limit_ms, 0, 3_600_000),
+        ];
+        let wrong = ranges.into_iter().find(|(_, value, low, high)| value < low || value > high);
+        match wrong {
+            Some((name, value, low, high)) => Err(TunableError { name, value, low, high }),
+            None => Ok(()),
+        }
+    }
+}
+
 impl Tunables {
     /// Settings of the state machine.
     pub fn slots(&self, seed: u64) -> SlotsSettings {
--- a/crates/gate/src/state/work.rs
+++ b/crates/gate/src/state/work.rs
@@ -53,8 +53,9 @@
         let span = tracing::info_span!("gate.ask", service = &*batch.service, query = batch.query);
         trace::set_parent(&span, batch.trace.as_deref());
         self.parts.metrics.count("ask", batch.items.len() as i64);
+        let body: Arc<str> = batch.body.clone().into();
         let accepted = batch.items.iter().filter_map(|item| {
-            let job = self.ask_job(&batch, item, &replies, &span);
+            let job = self.ask_job(&batch, &body, item, &replies, &span);
             let work = Work {
                 server: item.server.clone(),
                 source: batch.incarnation,
@@ -90,7 +91,7 @@
             service: request.service,
             key: request.key,
             timeout: Duration::ZERO,
-            body: request.body,
+            body: request.body.into(),
             trace: request.trace,
         };
         let kind = Kind::Run { call: Arc::new(call), reply };
@@ -151,6 +152,7 @@
     fn ask_job(
         &self,
         batch: &AskBatch,
+        body: &Arc<str>,
         item: &AskItem,
         replies: &mpsc::UnboundedSender<AskReply>,
         span: &tracing::Span,
@@ -162,7 +164,7 @@
             version: batch.version,
             request: request.into(),
             timeout: Duration::ZERO,
-            body: batch.body.clone(),
+            body: body.clone(),
             trace: batch.trace.clone(),
         };
         let to = Recipient {
--- a/crates/gate/tests/cli.rs
+++ b/crates/gate/tests/cli.rs
@@ -38,11 +38,14 @@
 fn settings_are_checked() {
     let good = file("good.toml", SETTINGS);
     let bad = file("bad.toml", &format!("{SETTINGS}[tunables]\nqueu = 3\n"));
+    let zero = file("zero.toml", &format!("{SETTINGS}[tunables]\nlease_poll_ms = 0\n"));
 
     let accepted = gate(&["--check", "--settings", good.to_str().unwrap()]);
     let refused = gate(&["--check", "--settings", bad.to_str().unwrap()]);
+    let invalid = gate(&["--check", "--settings", zero.to_str().unwrap()]);
 
     assert!(accepted.status.success());
+    assert_eq!(invalid.status.code(), Some(2));
     assert_eq!(refused.status.code(), Some(2));
     let text = String::from_utf8(refused.stderr).unwrap();
     assert!(text.contains("line 9") && text.contains("queu"), "{text}");
--- a/crates/slots/src/foreign.rs
+++ b/crates/slots/src/foreign.rs
@@ -157,7 +157,7 @@
     /// proves no fall.
     pub fn observe(&mut self, report: &Report, started: &[Instant], now: Instant) {
         let certain = started.iter().filter(|s| **s + ORDER_MARGIN < report.sent).count();
-        let ended = self.ends.iter().filter(|e| **e >= report.sent).count();
+        let ended = self.ends.len() - self.ends.partition_point(|e| *e < report.sent);
         let possible = started.len() + ended;
         let high = report.running.saturating_sub(certain as u32);
         let low = report.running.saturating_sub(possible as u32);
