Look up failing replicas once per query and tell unsent batches apart

A gate that could not be reached counted against the retry budget although no backend server heard of the batch. Queries that run out of time at over half of their shards now lower the service's limit too, because a long queue brings no refusal in time.

--- a/crates/entry/src/query.rs
+++ b/crates/entry/src/query.rs
@@ -186,8 +186,8 @@
         let task = tokio::spawn(async move {
             // The end of the stream is a loss unless every reply has arrived,
             // which the query knows.
-            relay(&entry, &gate, ask, &events).await;
-            let _ = events.send(Event::BatchLost { batch });
+            let sent = relay(&entry, &gate, ask, &events).await;
+            let _ = events.send(Event::BatchLost { batch, sent });
         });
         self.batches.insert(batch, task.abort_handle());
     }
@@ -229,18 +229,20 @@
     }
 }
 
-async fn relay(entry: &Entry, gate: &Gate, ask: AskBatch, events: &UnboundedSender<Event>) {
+/// Relays the replies of a batch; whether the batch may have been sent.
+async fn relay(entry: &Entry, gate: &Gate, ask: AskBatch, events: &UnboundedSender<Event>) -> bool {
     let client = match entry.peers.get(gate.address).await {
         Ok(client) => client,
         Err(e) => {
             spdlog::debug!("a gate cannot be reached", kv: { host: = gate.host, error: = e });
-            return;
+            return false;
         }
     };
-    let Ok(mut replies) = client.ask(ask).await else { return };
+    let Ok(mut replies) = client.ask(ask).await else { return true };
     while let Some(Ok(reply)) = replies.next().await {
         if events.send(Event::Reply(reply)).is_err() {
-            return;
+            break;
         }
     }
+    true
 }
--- a/crates/plan/src/query.rs
+++ b/crates/plan/src/query.rs
@@ -4,17 +4,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use chervil_base::coverage::Coverage;
 use chervil_base::coverage::MissingReason;
-use chervil_base::digest::Digest;
-use chervil_base::message;
+use chervil_base::index::ServerIndex;
 use chervil_base::shards::Shard;
-use chervil_base::value;
-use chervil_rpc::agent::CanaryReply;
-use chervil_rpc::agent::CanaryReport;
-use chervil_rpc::agent::CanaryRequest;
-use chervil_rpc::gate::AskBatch;
-use chervil_rpc::gate::AskReply;
 use chervil_rpc::gate::Refusal;
 use chervil_rpc::gate::Row;
 
@@ -28,131 +20,21 @@
 mod ask;
 mod canary;
 mod choose;
+mod event;
 mod finish;
 mod reply;
 mod restart;
 
 pub(crate) use choose::mix;
+pub use event::Action;
+pub use event::Ending;
+pub use event::Event;
+pub use event::NotRun;
+pub use event::Spec;
 
 /// Most attempts of one shard within one version.
 const MAX_ATTEMPTS: u8 = 12;
 
-/// What a query asks, and on whose behalf.
-#[derive(Clone, Debug)]
-pub struct Spec {
-    /// Incarnation of the entry's process.
-    pub incarnation: u64,
-    /// Number of the query, unique within the incarnation.
-    pub query: u64,
-    /// Service asked.
-    pub service: Box<str>,
-    /// Digest of service and body.
-    pub digest: Digest,
-    /// The caller's query.
-    pub body: Box<str>,
-    /// Time at which the caller stops waiting.
-    pub deadline: Instant,
-    /// W3C trace context.
-    pub trace: Option<Box<str>>,
-    /// Seed of all random choices.
-    pub seed: u64,
-}
-
-/// What happened to a query.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// A gate reported the end of an attempt.
-    Reply(AskReply),
-    /// The link to a gate was lost, or it closed the batch early.
-    BatchLost {
-        /// Batch, as numbered in [`Action::Ask`].
-        batch: u32,
-    },
-    /// The agent answered a canary request; `None` when it could not be asked.
-    Canary {
-        /// Nonce of the request.
-        nonce: u64,
-        /// Answer.
-        reply: Option<CanaryReply>,
-    },
-    /// The servers, gates or versions changed.
-    Layout(Arc<Layout>),
-    /// The time of [`Query::timer`] has come.
-    Timer,
-}
-
-/// What the owner of a query has to do.
-#[derive(Clone, Debug)]
-pub enum Action {
-    /// Send a batch to a gate.
-    Ask {
-        /// Number of the batch within the query.
-        batch: u32,
-        /// Gate that it goes to.
-        gate: GateAt,
-        /// Layout that the gate's position refers to.
-        layout: Arc<Layout>,
-        /// Content.
-        ask: AskBatch,
-    },
-    /// Drop what is left of a batch.
-    Cancel {
-        /// Number of the batch within the query.
-        batch: u32,
-    },
-    /// Ask the agent for a canary permit.
-    AskCanary(CanaryRequest),
-    /// Tell the agent how a probe ended.
-    ReportCanary(CanaryReport),
-    /// Learn anew what the servers hold: a reply contradicted the layout.
-    Refresh {
-        /// What servers told.
-        told: Vec<chervil_base::index::ServerIndex>,
-    },
-    /// Answer the caller; nothing follows.
-    Finish(Ending),
-}
-
-value! {
-    /// How a query ended.
-    pub enum Ending {
-        /// The answer, whole or partial.
-        Answer {
-            /// What it covers.
-            coverage: Coverage,
-            /// Rows of the covered shards, sorted by key.
-            rows: Vec<Row>,
-        },
-        /// No backend server started the query.
-        NotRun {
-            /// Why.
-            reason: NotRun,
-            /// When to try again, in milliseconds.
-            retry_ms: u32,
-        },
-    }
-}
-
-message! {
-    /// Why a query was not run.
-    #[derive(Copy, Eq, Hash)]
-    #[serde(rename_all = "snake_case")]
-    pub enum NotRun {
-        /// Two backend servers were lost to this request.
-        Suspect,
-        /// No index version of the service is known.
-        NoIndex,
-        /// No canary permit was granted before the deadline.
-        NoPermit,
-        /// Every attempt was refused.
-        Refused,
-        /// No backend server that may get work holds any shard.
-        NoReplica,
-        /// The deadline left no time for any attempt.
-        Late,
-    }
-}
-
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum End {
@@ -168,6 +50,8 @@
     TimedOut,
     /// The link to the gate was lost.
     GateLost,
+    /// No connection to the gate could be opened.
+    NoGate,
     /// Another attempt was faster, or the query restarted.
     Dropped,
 }
@@ -233,9 +117,13 @@
     assigned: Vec<u16>,
     /// Whether a gate of the layout got work of this query.
     opened: Vec<bool>,
+    /// Servers of the layout that are asked after the others.
+    failing: Vec<bool>,
+    /// Gates of the layout that are asked after the others.
+    failing_gates: Vec<bool>,
     /// Number of gates that disowned a group.
     disowned: Vec<(GroupAt, u32)>,
-    told: Vec<chervil_base::index::ServerIndex>,
+    told: Vec<ServerIndex>,
     unanswered: u32,
     /// Shards that are stuck.
     stuck: u32,
@@ -284,7 +172,10 @@
         }
         match event {
             Event::Reply(reply) => self.on_reply(reply, policy, now, &mut actions),
-            Event::BatchLost { batch } => self.on_batch_lost(batch, policy, now, &mut actions),
+            Event::BatchLost { batch, sent } => {
+                let end = if sent { End::GateLost } else { End::NoGate };
+                self.on_batch_lost(batch, end, policy, now, &mut actions)
+            }
             Event::Canary { nonce, reply } => {
                 self.on_permit(nonce, reply, policy, now, &mut actions)
             }
@@ -341,6 +232,8 @@
             restarts: 0,
             assigned: Vec::new(),
             opened: Vec::new(),
+            failing: Vec::new(),
+            failing_gates: Vec::new(),
             disowned: Vec::new(),
             told: Vec::new(),
             unanswered: 0,
@@ -353,12 +246,12 @@
             timer: now,
         };
         query.timer = query.finish_at;
-        query.begin_round();
+        query.begin_round(policy, now);
         query
     }
 
     /// Resets what belongs to one pinned version.
-    fn begin_round(&mut self) {
+    fn begin_round(&mut self, policy: &mut Policy, now: Instant) {
         let count = self.pinned.holders.len();
         let fresh = ShardState {
             last: None,
@@ -379,6 +272,7 @@
         self.assigned = vec![0; self.layout.parts().servers.len()];
         self.opened = vec![false; self.layout.parts().gates.len()];
         self.disowned.clear();
+        self.mark_failing(policy, now);
         self.gone_since = None;
     }
 
--- a/crates/plan/src/query/ask.rs
+++ b/crates/plan/src/query/ask.rs
@@ -62,7 +62,7 @@
             }
             return None;
         }
-        let Some(choice) = self.choose(shard, policy, now) else {
+        let Some(choice) = self.choose(shard, policy) else {
             self.nothing_to_ask(shard, now);
             return None;
         };
--- a/crates/plan/src/query/canary.rs
+++ b/crates/plan/src/query/canary.rs
@@ -116,7 +116,7 @@
         let count = self.shards.len() as Shard;
         let start = mix(self.spec.seed, self.spec.query) as Shard % count.max(1);
         let mut order = (0..count).map(|i| (start + i) % count);
-        let Some(choice) = order.find_map(|s| self.choose(s, policy, now)) else {
+        let Some(choice) = order.find_map(|s| self.choose(s, policy)) else {
             return;
         };
         let probe = &mut self.canary.probes[at];
--- a/crates/plan/src/query/choose.rs
+++ b/crates/plan/src/query/choose.rs
@@ -34,11 +34,11 @@
     /// random other on cost. The first choice follows an order of gates that
     /// is random for each query and the same for all of its shards, so that
     /// the shards meet at few gates.
-    pub(super) fn choose(&mut self, shard: Shard, policy: &Policy, now: Instant) -> Option<Choice> {
+    pub(super) fn choose(&mut self, shard: Shard, policy: &Policy) -> Option<Choice> {
         let pinned = self.pinned.clone();
         let mut pool = Pool::default();
         for &server in &pinned.holders[shard as usize] {
-            if let Some(class) = self.class(shard, server, policy, now) {
+            if let Some(class) = self.class(shard, server) {
                 pool.add(class, server);
             }
         }
@@ -51,7 +51,7 @@
     }
 
     /// Rank of a candidate, lower first; `None` when it cannot answer.
-    fn class(&self, shard: Shard, server: ServerAt, policy: &Policy, now: Instant) -> Option<u32> {
+    fn class(&self, shard: Shard, server: ServerAt) -> Option<u32> {
         let mut tried = 0;
         for (_, end) in self.chain(shard).filter(|(s, _)| *s == server) {
             match end {
@@ -61,13 +61,27 @@
                 Some(_) => tried += 2,
             }
         }
-        let info = self.layout.server(server);
-        let gate = self.layout.gate(self.gate_of(info.group));
-        let failing = policy.replicas.is_failing(&info.name, now)
-            || policy.replicas.is_gate_failing(&gate.host, now);
+        let gate = self.gate_of(self.layout.server(server).group);
+        let failing = self.failing[server.0 as usize] || self.failing_gates[gate.0 as usize];
         Some(tried + u32::from(failing))
     }
 
+    /// Looks up once which servers and gates are failing, because the choice
+    /// considers each of them many times.
+    pub(super) fn mark_failing(&mut self, policy: &mut Policy, now: Instant) {
+        let parts = self.layout.parts();
+        self.failing = vec![false; parts.servers.len()];
+        self.failing_gates = vec![false; parts.gates.len()];
+        for server in policy.replicas.failing(now).filter_map(|n| self.layout.position(n)) {
+            self.failing[server.0 as usize] = true;
+        }
+        for host in policy.replicas.failing_gates(now) {
+            if let Some(at) = parts.gates.iter().position(|g| &*g.host == host) {
+                self.failing_gates[at] = true;
+            }
+        }
+    }
+
     fn pick(&self, shard: Shard, pool: &Pool, policy: &Policy) -> Option<ServerAt> {
         let first = pool.best.iter().copied().min_by_key(|s| self.order(*s))?;
         if pool.best.len() == 1 {
--- a/crates/plan/src/query/finish.rs
+++ b/crates/plan/src/query/finish.rs
@@ -25,6 +25,10 @@
 /// service's limit.
 const OVERLOAD_PERCENT: u32 = 5;
 
+/// Share of shards without any reply, in percent, that lowers the service's
+/// limit. A single server that hangs must not reach it.
+const LATE_PERCENT: u32 = 50;
+
 /// Retry hint of a request that cannot be served as it is, in milliseconds.
 const LONG_RETRY_MS: u32 = 1000;
 
@@ -100,7 +104,9 @@
 
     fn leave(&mut self, policy: &mut Policy, now: Instant, actions: &mut Vec<Action>) {
         let shards = self.shards.len() as u32;
-        let overloaded = self.overloads * 100 > shards * OVERLOAD_PERCENT;
+        let late = self.shards.iter().filter(|s| !s.answered && s.reason == MissingReason::Timeout);
+        let overloaded = self.overloads * 100 > shards * OVERLOAD_PERCENT
+            || late.count() as u32 * 100 > shards * LATE_PERCENT;
         let took = now.saturating_duration_since(self.started);
         self.phase = Phase::Finished;
         self.close_all(policy, actions);
--- a/crates/plan/src/query/reply.rs
+++ b/crates/plan/src/query/reply.rs
@@ -36,7 +36,11 @@
     /// Whether the attempt ended before any backend server heard of it.
     pub(super) fn is_before_server(self) -> bool {
         use Refusal::*;
-        matches!(self, End::Refused(NotOwner | OutOfService | UnknownServer | Stopping | Expired))
+        matches!(
+            self,
+            End::NoGate
+                | End::Refused(NotOwner | OutOfService | UnknownServer | Stopping | Expired)
+        )
     }
 
     /// Whether the attempt may have left a stalled connection behind.
@@ -46,14 +50,14 @@
 
     /// Whether it is proven that no backend server started the attempt.
     pub(super) fn is_not_run(self) -> bool {
-        matches!(self, End::Refused(_))
+        matches!(self, End::Refused(_) | End::NoGate)
     }
 
     fn reason(self) -> MissingReason {
         match self {
             End::Gone => MissingReason::VersionGone,
             End::Refused(_) => MissingReason::Refused,
-            End::Lost | End::Failed | End::GateLost => MissingReason::Lost,
+            End::Lost | End::Failed | End::GateLost | End::NoGate => MissingReason::Lost,
             End::Partial => MissingReason::PartialReply,
             End::Good | End::TimedOut | End::Dropped => MissingReason::Timeout,
         }
@@ -99,19 +103,21 @@
     pub(super) fn on_batch_lost(
         &mut self,
         batch: u32,
+        end: End,
         policy: &mut Policy,
         now: Instant,
         actions: &mut Vec<Action>,
     ) {
         let Some(info) = self.batches.get(batch as usize).filter(|b| b.open > 0) else { return };
-        let (first, host) = (info.first, &self.layout.gate(info.gate).host);
-        policy.replicas.gate_failed(host, now);
+        let (first, gate) = (info.first, info.gate);
+        policy.replicas.gate_failed(&self.layout.gate(gate).host, now);
+        self.failing_gates[gate.0 as usize] = true;
         policy.budget.fault(now);
         let next = self.batches.get(batch as usize + 1);
-        let end = next.map_or(self.attempts.len() as u32, |b| b.first);
-        for at in first..end {
+        let next = next.map_or(self.attempts.len() as u32, |b| b.first);
+        for at in first..next {
             if self.attempts[at as usize].end.is_none() {
-                self.ended(at, End::GateLost, policy, now, actions);
+                self.ended(at, end, policy, now, actions);
             }
         }
     }
@@ -189,6 +195,7 @@
         let attempt = &self.attempts[at as usize];
         let (server, gate) = (self.layout.server(attempt.server), attempt.gate);
         let wait = retry_ms.map_or(BUSY_WAIT, |ms| Duration::from_millis(ms.into()));
+        let position = attempt.server;
         match reason {
             Refusal::Busy | Refusal::Expired => self.overloads += 1,
             _ => policy.budget.fault(now),
@@ -198,6 +205,9 @@
             Refusal::NotOwner | Refusal::Stopping => self.disown(server.group, gate),
             _ => policy.replicas.busy(&server.name, wait, now),
         }
+        if !matches!(reason, Refusal::NotOwner | Refusal::Stopping) {
+            self.failing[position.0 as usize] = true;
+        }
         self.ended(at, End::Refused(reason), policy, now, actions);
     }
 
@@ -214,6 +224,7 @@
         let (shard, server) = (attempt.shard, attempt.server);
         if matches!(end, End::Lost | End::Failed | End::TimedOut) {
             policy.replicas.failed(&self.layout.server(server).name, now);
+            self.failing[server.0 as usize] = true;
             policy.budget.fault(now);
         }
         self.close(at, end, policy, actions);
--- a/crates/plan/src/query/restart.rs
+++ b/crates/plan/src/query/restart.rs
@@ -28,7 +28,7 @@
         actions: &mut Vec<Action>,
     ) {
         if self.phase == Phase::Canary {
-            return self.adopt(layout);
+            return self.adopt(layout, policy, now);
         }
         if self.gone_since.is_none() {
             return;
@@ -69,12 +69,12 @@
     }
 
     /// Uses a new layout from the start, while no attempt is open.
-    fn adopt(&mut self, layout: Arc<Layout>) {
+    fn adopt(&mut self, layout: Arc<Layout>, policy: &mut Policy, now: Instant) {
         let idle = self.batches.iter().all(|b| b.open == 0);
         if let Some(pinned) = layout.pinned().filter(|p| idle && p.ratio() > 0.0) {
             self.pinned = pinned.clone();
             self.layout = layout;
-            self.begin_round();
+            self.begin_round(policy, now);
         }
     }
 
@@ -90,7 +90,7 @@
         self.restarts += 1;
         self.layout = layout;
         self.pinned = Arc::new(pinned);
-        self.begin_round();
+        self.begin_round(policy, now);
         self.run_all(policy, now);
     }
 }
--- a/crates/plan/src/replica.rs
+++ b/crates/plan/src/replica.rs
@@ -33,23 +33,19 @@
     failures: u32,
     /// Sub-requests in a row that were given up as slow.
     slow: u32,
-    penalty_until: Option<Instant>,
 }
 
 /// Observations of the backend servers and gates of one service.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Replicas {
     servers: HashMap<Box<str>, Seen>,
     gates: HashMap<Box<str>, Seen>,
+    /// Servers that are asked last, and until when; usually few.
+    last_servers: HashMap<Box<str>, Instant>,
+    /// Gates that are asked last, and until when.
+    last_gates: HashMap<Box<str>, Instant>,
     /// Latency typical of all servers, in seconds.
-    typical: f64,
-}
-
-impl Default for Replicas {
-    fn default() -> Replicas {
-        let (servers, gates) = (HashMap::default(), HashMap::default());
-        Replicas { servers, gates, typical: FIRST_LATENCY }
-    }
+    typical: Option<f64>,
 }
 
 impl Replicas {
@@ -68,9 +64,10 @@
     /// Records a latency, or how long a sub-request had run when given up.
     pub fn latency(&mut self, server: &str, latency: Duration) {
         let sample = latency.as_secs_f64();
-        self.typical += TYPICAL_ALPHA * (sample - self.typical);
+        let typical = self.typical.get_or_insert(sample);
+        *typical += TYPICAL_ALPHA * (sample - *typical);
         let s = entry(&mut self.servers, server);
-        let known = s.latency.unwrap_or(self.typical);
+        let known = s.latency.unwrap_or(*typical);
         s.latency = Some(known + ALPHA * (sample - known));
     }
 
@@ -81,7 +78,8 @@
         let s = entry(&mut self.servers, server);
         s.slow += 1;
         if s.slow >= MAX_SLOW {
-            penalize(s, now);
+            let until = now + penalty(s);
+            self.last_servers.insert(server.into(), until);
         }
     }
 
@@ -90,42 +88,56 @@
         let s = entry(&mut self.servers, server);
         s.failures = 0;
         s.slow = 0;
-        s.penalty_until = None;
+        self.last_servers.remove(server);
     }
 
     /// Records a failure; the server is asked last for a while.
     pub fn failed(&mut self, server: &str, now: Instant) {
-        penalize(entry(&mut self.servers, server), now);
+        let until = now + penalty(entry(&mut self.servers, server));
+        self.last_servers.insert(server.into(), until);
     }
 
     /// Records that the server asks to be left alone for `wait`.
     pub fn busy(&mut self, server: &str, wait: Duration, now: Instant) {
-        let s = entry(&mut self.servers, server);
         let until = now + wait.min(MAX_PENALTY);
-        s.penalty_until = Some(s.penalty_until.map_or(until, |t| t.max(until)));
+        let last = self.last_servers.entry(server.into()).or_insert(until);
+        *last = until.max(*last);
     }
 
     /// Records that the connection to a gate was lost.
     pub fn gate_failed(&mut self, host: &str, now: Instant) {
-        penalize(entry(&mut self.gates, host), now);
+        let until = now + penalty(entry(&mut self.gates, host));
+        self.last_gates.insert(host.into(), until);
     }
 
     /// Records a reply from a gate.
     pub fn gate_good(&mut self, host: &str) {
         if let Some(g) = self.gates.get_mut(host) {
             g.failures = 0;
-            g.penalty_until = None;
+            self.last_gates.remove(host);
         }
     }
 
     /// Whether a server is to be asked after the others.
     pub fn is_failing(&self, server: &str, now: Instant) -> bool {
-        self.servers.get(server).is_some_and(|s| penalized(s, now))
+        self.last_servers.get(server).is_some_and(|t| now < *t)
     }
 
     /// Whether a gate is to be asked after the others.
     pub fn is_gate_failing(&self, host: &str, now: Instant) -> bool {
-        self.gates.get(host).is_some_and(|g| penalized(g, now))
+        self.last_gates.get(host).is_some_and(|t| now < *t)
+    }
+
+    /// Servers that are to be asked after the others.
+    pub fn failing(&mut self, now: Instant) -> impl Iterator<Item = &str> {
+        self.last_servers.retain(|_, until| now < *until);
+        self.last_servers.keys().map(|n| &**n)
+    }
+
+    /// Gates that are to be asked after the others.
+    pub fn failing_gates(&mut self, now: Instant) -> impl Iterator<Item = &str> {
+        self.last_gates.retain(|_, until| now < *until);
+        self.last_gates.keys().map(|n| &**n)
     }
 
     /// Expected wait at a server, relative to others, with `more` sub-requests
@@ -135,7 +147,7 @@
         let open = seen.map_or(0, |s| s.open);
         // A server that has not replied yet counts as typical, or it would be
         // avoided for ever.
-        let latency = seen.and_then(|s| s.latency).unwrap_or(self.typical);
+        let latency = seen.and_then(|s| s.latency).or(self.typical).unwrap_or(FIRST_LATENCY);
         latency * f64::from(open + more + 1) / f64::from(slots.max(1))
     }
 
@@ -145,6 +157,7 @@
         F: Fn(&str) -> bool,
     {
         self.servers.retain(|name, _| keep(name));
+        self.last_servers.retain(|name, _| keep(name));
     }
 }
 
@@ -155,12 +168,9 @@
     map.entry(name.into()).or_default()
 }
 
-fn penalize(seen: &mut Seen, now: Instant) {
+/// How long a server or gate is asked last after one more failure.
+fn penalty(seen: &mut Seen) -> Duration {
     let penalty = FIRST_PENALTY * 2u32.pow(seen.failures.min(5));
     seen.failures += 1;
-    seen.penalty_until = Some(now + penalty.min(MAX_PENALTY));
-}
-
-fn penalized(seen: &Seen, now: Instant) -> bool {
-    seen.penalty_until.is_some_and(|t| now < t)
+    penalty.min(MAX_PENALTY)
 }
--- a/crates/plan/tests/support/sim.rs
+++ b/crates/plan/tests/support/sim.rs
@@ -250,7 +250,7 @@
             }
             Some(FaultKind::Failed) => result = AskResult::Failed,
             Some(FaultKind::GateLost) => {
-                self.at(wait, Due::Event(Event::BatchLost { batch }));
+                self.at(wait, Due::Event(Event::BatchLost { batch, sent: true }));
                 return true;
             }
             Some(kind) => result = bent(kind, result),
