--- a/crates/config/src/head.rs
+++ b/crates/config/src/head.rs
@@ -4,6 +4,8 @@
 use chervil_base::message;
 use chervil_rpc::agent::ConfigRecord;
 use chervil_sheet::time::ExportTime;
+use snafu::OptionExt as _;
+use snafu::Snafu;
 
 /// Key of the head in the store.
 pub const HEAD_KEY: &str = "config/head";
@@ -16,17 +18,16 @@
 pub(crate) const KEPT_OPERATIONS: usize = 8;
 
 message! {
-    /// Reference to a record.
+    /// Reference to a record; its text form is `NAME:REVISION:DIGEST`. There are
+    /// several hundred in a head, which each change sends to all hosts.
     #[derive(Eq)]
+    #[serde(try_from = "Box<str>", into = "Box<str>")]
     pub struct RecordRef {
         /// Name of the record.
-        #[serde(rename = "n")]
         pub name: Box<str>,
         /// Revision that wrote it.
-        #[serde(rename = "r")]
         pub revision: u64,
         /// Digest of its body.
-        #[serde(rename = "d")]
         pub digest: u64,
     }
 
@@ -84,6 +85,34 @@
     }
 }
 
+/// The text is not a reference to a record.
+#[derive(Debug, Snafu)]
+#[snafu(display("{text:?} is not a reference to a record; write NAME:REVISION:DIGEST"))]
+pub struct RecordRefError {
+    text: Box<str>,
+}
+
+impl TryFrom<Box<str>> for RecordRef {
+    type Error = RecordRefError;
+
+    fn try_from(text: Box<str>) -> Result<RecordRef, RecordRefError> {
+        parse(&text).context(RecordRefSnafu { text })
+    }
+}
+
+fn parse(text: &str) -> Option<RecordRef> {
+    let (rest, digest) = text.rsplit_once(':')?;
+    let (name, revision) = rest.rsplit_once(':')?;
+    let digest = u64::from_str_radix(digest, 16).ok()?;
+    Some(RecordRef { name: name.into(), revision: revision.parse().ok()?, digest })
+}
+
+impl From<RecordRef> for Box<str> {
+    fn from(r: RecordRef) -> Box<str> {
+        format!("{}:{}:{:x}", r.name, r.revision, r.digest).into()
+    }
+}
+
 impl RecordRef {
     /// Reference to `record`.
     pub fn new(record: &ConfigRecord) -> RecordRef {
