--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -37,7 +37,7 @@
 use crate::state::Source;
 use crate::state::State;
 use crate::store::BoundedStore;
-use crate::watch as head;
+use crate::watch::Watcher;
 
 /// Limit of a connection attempt to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -217,8 +217,13 @@
         let tunables = &self.settings.tunables;
         tasks.spawn(beat::run(core.clone(), self.peers.clone(), self.clock.clone()));
         tasks.spawn(pull::run(core.clone(), self.peers.clone(), pulls_due));
-        let (store, clock) = (self.store.clone(), self.clock.clone());
-        tasks.spawn(head::run(core.clone(), store, clock, tunables.watch()));
+        let watcher = Watcher {
+            core: core.clone(),
+            store: self.store.clone(),
+            clock: self.clock.clone(),
+            wait: tunables.watch(),
+        };
+        tasks.spawn(watcher.run());
         let keeper = Keeper {
             core: core.clone(),
             store: self.store.clone(),
--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -5,9 +5,12 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
+use async_trait::async_trait;
 use chervil_agent::Agent;
 use chervil_agent::Settings;
 use chervil_base::clock::SystemClock;
@@ -15,7 +18,10 @@
 use chervil_config::Head;
 use chervil_fakes::FakeHosts;
 use chervil_fakes::FakeStore;
-use chervil_platform::Store as _;
+use chervil_platform::Revision;
+use chervil_platform::Store;
+use chervil_platform::StoreError;
+use chervil_platform::Versioned;
 use chervil_rpc::agent::AgentRpcClient as _;
 use chervil_rpc::agent::HostStatus;
 use chervil_rpc::agent::QuorumLease;
@@ -24,6 +30,7 @@
 use chervil_rpc::client::connect;
 use jsonrpsee::ws_client::WsClient;
 use tokio::runtime::Runtime;
+use tokio::task::JoinHandle;
 use tokio::time;
 
 /// Generous limit of a wait; a test that reaches it fails.
@@ -64,30 +71,62 @@
 /// An agent with a gate that asks for its lease.
 pub struct Host {
     pub name: Box<str>,
-    pub agent: Option<Agent>,
+    agent: Option<Agent>,
     pub address: SocketAddr,
     client: Arc<WsClient>,
-    gate: tokio::task::JoinHandle<()>,
+    gate: Gate,
+}
+
+/// A simulated gate, which ends when it is dropped.
+struct Gate(JoinHandle<()>);
+
+impl Drop for Gate {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
 }
 
 impl Host {
-    pub async fn start(name: &str, store: Arc<FakeStore>, peers: &[SocketAddr]) -> Host {
+    pub async fn start(name: &str, store: Arc<dyn Store>, peers: &[SocketAddr]) -> Host {
         Host::start_at(name, free_address(), store, peers).await
     }
 
     pub async fn start_at(
         name: &str,
         address: SocketAddr,
-        store: Arc<FakeStore>,
+        store: Arc<dyn Store>,
         peers: &[SocketAddr],
     ) -> Host {
-        let settings = settings(name, address, peers);
-        let secret = settings.secret.clone();
+        Host::run(settings(name, address, peers), store).await
+    }
+
+    pub async fn start_with<F>(
+        name: &str,
+        store: Arc<dyn Store>,
+        peers: &[SocketAddr],
+        change: F,
+    ) -> Host
+    where
+        F: FnOnce(&mut Settings),
+    {
+        let mut settings = settings(name, free_address(), peers);
+        change(&mut settings);
+        Host::run(settings, store).await
+    }
+
+    async fn run(settings: Settings, store: Arc<dyn Store>) -> Host {
+        let (name, address) = (settings.node.host.clone(), settings.listen);
         let hosts = Arc::new(FakeHosts::default());
         let agent = Agent::start(settings, store, hosts, Arc::new(SystemClock)).await.unwrap();
+        Host { agent: Some(agent), ..Host::observe(&name, address).await }
+    }
+
+    /// Acts as the gate of an agent that another object owns.
+    pub async fn observe(name: &str, address: SocketAddr) -> Host {
+        let secret = settings(name, address, &[]).secret;
         let client = Arc::new(connect(address, &secret, LIMIT).await.unwrap());
         let gate = tokio::spawn(ask_for_lease(client.clone()));
-        Host { name: name.into(), agent: Some(agent), address, client, gate }
+        Host { name: name.into(), agent: None, address, client, gate: Gate(gate) }
     }
 
     pub async fn lease(&self) -> QuorumLease {
@@ -107,24 +146,29 @@
         &self.client
     }
 
+    /// Replaces the simulated gate's calls by a release.
+    pub async fn release(&self) {
+        self.gate.0.abort();
+        self.client.release().await.unwrap();
+    }
+
+    /// Begins a planned shutdown.
+    pub fn shutdown(&mut self) -> JoinHandle<()> {
+        tokio::spawn(self.agent.take().unwrap().shutdown())
+    }
+
     /// Ends the gate without a release.
     pub fn kill_gate(&self) {
-        self.gate.abort();
+        self.gate.0.abort();
     }
 
     /// Ends agent and gate at once, without notice.
     pub fn kill(&mut self) {
-        self.gate.abort();
+        self.gate.0.abort();
         self.agent = None;
     }
 }
 
-impl Drop for Host {
-    fn drop(&mut self) {
-        self.gate.abort();
-    }
-}
-
 async fn ask_for_lease(client: Arc<WsClient>) {
     loop {
         // Fails when the agent is dead; then there is nothing to keep alive.
@@ -186,7 +230,7 @@
 }
 
 impl PausableHost {
-    pub fn start(name: &str, store: Arc<FakeStore>, peers: &[SocketAddr]) -> PausableHost {
+    pub async fn start(name: &str, store: Arc<dyn Store>, peers: &[SocketAddr]) -> PausableHost {
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(1)
             .enable_all()
@@ -196,7 +240,7 @@
         let settings = settings(name, address, peers);
         let hosts = Arc::new(FakeHosts::default());
         let start = Agent::start(settings, store, hosts, Arc::new(SystemClock));
-        let agent = runtime.block_on(start).unwrap();
+        let agent = runtime.spawn(start).await.unwrap().unwrap();
         PausableHost { runtime, address, agent: Some(agent) }
     }
 
@@ -210,3 +254,62 @@
         self.runtime.shutdown_background();
     }
 }
+
+/// One host's link to a shared store, which a test can cut.
+#[derive(Default)]
+pub struct Link {
+    store: Arc<FakeStore>,
+    cut: AtomicBool,
+}
+
+impl Link {
+    pub fn new(store: &Arc<FakeStore>) -> Arc<Link> {
+        Arc::new(Link { store: store.clone(), cut: false.into() })
+    }
+
+    pub fn cut(&self) {
+        self.cut.store(true, Ordering::SeqCst);
+    }
+
+    fn check(&self) -> Result<(), StoreError> {
+        if self.cut.load(Ordering::SeqCst) { Err(StoreError::Unavailable) } else { Ok(()) }
+    }
+}
+
+#[async_trait]
+impl Store for Link {
+    async fn get(&self, key: &str) -> Result<Option<Versioned>, StoreError> {
+        self.check()?;
+        self.store.get(key).await
+    }
+
+    async fn put_if(
+        &self,
+        key: &str,
+        expected: Revision,
+        value: &str,
+    ) -> Result<Revision, StoreError> {
+        self.check()?;
+        self.store.put_if(key, expected, value).await
+    }
+
+    async fn delete_if(&self, key: &str, expected: Revision) -> Result<(), StoreError> {
+        self.check()?;
+        self.store.delete_if(key, expected).await
+    }
+
+    async fn watch(
+        &self,
+        key: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Option<Versioned>, StoreError> {
+        self.check()?;
+        self.store.watch(key, after, wait).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<(Box<str>, Revision)>, StoreError> {
+        self.check()?;
+        self.store.list(prefix).await
+    }
+}
--- /dev/null
+++ b/crates/agent/tests/faults.rs
@@ -0,0 +1,249 @@
+//! Agents under faults of the store, of peers and of their own host.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervil_fakes::FakeStore;
+use chervil_fakes::Faults;
+use tokio::time;
+
+mod common;
+
+use common::Host;
+use common::Link;
+use common::PausableHost;
+use common::all_settled;
+use common::cluster;
+use common::until;
+use common::write_revision;
+
+fn down() -> Faults {
+    Faults { down: true, ..Faults::default() }
+}
+
+fn addresses(hosts: &[Host]) -> Vec<SocketAddr> {
+    hosts.iter().map(|h| h.address).collect()
+}
+
+/// A cluster that has adopted revision 3.
+async fn configured(size: usize, store: &Arc<FakeStore>) -> Vec<Host> {
+    let hosts = cluster(size, store).await;
+    write_revision(store, 3).await;
+    for host in &hosts {
+        until(async || host.status().await.ready).await;
+    }
+    hosts
+}
+
+/// Guards against a host that cannot start, or votes too early or never, while
+/// the store is down.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_restarted_while_the_store_is_down_learns_from_peers() {
+    let store = Arc::new(FakeStore::new());
+    let mut hosts = configured(3, &store).await;
+    store.set_faults(down());
+    let (name, address) = (hosts[2].name.clone(), hosts[2].address);
+    hosts[2].kill();
+    until(async || hosts[0].lease().await.down.len() == 1).await;
+
+    let peers = addresses(&hosts[..2]);
+    hosts[2] = Host::start_at(&name, address, store.clone(), &peers).await;
+
+    until(async || hosts[2].status().await.ready).await;
+    let status = hosts[2].status().await;
+    assert_eq!((status.revision, status.store_up), (3, false));
+    until(async || hosts[0].lease().await.down.is_empty()).await;
+    all_settled(&hosts, 3).await;
+}
+
+/// Guards against a host that has no configuration and says that it is ready.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_without_store_and_peers_is_not_ready() {
+    let store = Arc::new(FakeStore::new());
+    store.set_faults(down());
+
+    let host = Host::start("h0", store.clone(), &[]).await;
+    time::sleep(Duration::from_secs(2)).await;
+
+    assert!(!host.status().await.ready);
+    assert_eq!(host.lease().await.remaining_ms, 0);
+    // Attempts after 250 ms, 500 ms, ... for the list, and for the head.
+    assert!(host.status().await.store_calls < 20, "{:?}", host.status().await);
+}
+
+/// Guards against a host that depends on its own link to the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_cut_off_from_the_store_follows_its_peers() {
+    let store = Arc::new(FakeStore::new());
+    let link = Link::new(&store);
+    let first = Host::start("h0", link.clone(), &[]).await;
+    let peers = [first.address];
+    let second = Host::start("h1", store.clone(), &peers).await;
+    let third = Host::start("h2", store.clone(), &peers).await;
+    let hosts = [first, second, third];
+    all_settled(&hosts, 3).await;
+    link.cut();
+
+    write_revision(&store, 5).await;
+
+    until(async || hosts[0].status().await.revision == 5).await;
+    time::sleep(Duration::from_secs(4)).await;
+    let status = hosts[0].status().await;
+    assert!(status.ready && !status.store_up, "{status:?}");
+    assert!(status.fresh_ms.is_some_and(|age| age < 3_000), "{status:?}");
+}
+
+/// Guards against a host that serves an old configuration while it is cut off
+/// from the store and all peers.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_cut_off_from_all_is_not_ready() {
+    let store = Arc::new(FakeStore::new());
+    let mut hosts = configured(3, &store).await;
+
+    store.set_faults(down());
+    hosts[1].kill();
+    hosts[2].kill();
+
+    until(async || !hosts[0].status().await.ready).await;
+    let status = hosts[0].status().await;
+    assert!(status.fresh_ms.is_some_and(|age| age > 3_000), "{status:?}");
+    assert_eq!(hosts[0].lease().await.remaining_ms, 0);
+}
+
+/// Guards against hosts that stop when only the store is down.
+#[tokio::test(flavor = "multi_thread")]
+async fn hosts_stay_ready_and_take_over_while_the_store_is_down() {
+    let store = Arc::new(FakeStore::new());
+    let mut hosts = configured(3, &store).await;
+    store.set_faults(down());
+    time::sleep(Duration::from_secs(4)).await;
+    assert!(hosts[0].status().await.ready && hosts[1].status().await.ready);
+
+    hosts[2].kill();
+
+    let dead = hosts[2].name.clone();
+    for host in &hosts[..2] {
+        until(async || host.lease().await.down == [dead.clone()]).await;
+        let lease = host.lease().await;
+        assert!(lease.remaining_ms > 0 && lease.settled, "{lease:?}");
+    }
+}
+
+/// Guards against a configuration or member list that reverts when the store
+/// comes back with older data.
+#[tokio::test(flavor = "multi_thread")]
+async fn older_data_of_the_store_is_ignored_and_the_list_is_repaired() {
+    let store = Arc::new(FakeStore::new());
+    let empty = store.dump();
+    let hosts = configured(3, &store).await;
+    let epoch = hosts[0].status().await.epoch;
+
+    store.restore(empty);
+    time::sleep(Duration::from_secs(2)).await;
+
+    for host in &hosts {
+        let status = host.status().await;
+        assert_eq!((status.revision, status.epoch), (3, epoch));
+    }
+    until(async || store.dump().iter().any(|v| &*v.key == "members")).await;
+}
+
+/// Guards against watches that report nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_arrives_although_watches_are_silent() {
+    let store = Arc::new(FakeStore::new());
+    let hosts = configured(3, &store).await;
+    store.set_faults(Faults { silent_watches: true, ..Faults::default() });
+
+    write_revision(&store, 9).await;
+
+    for host in &hosts {
+        until(async || host.status().await.revision == 9).await;
+    }
+}
+
+/// Guards against a paused agent that grants a lease from before its pause.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_paused_agent_has_lost_its_lease() {
+    let store = Arc::new(FakeStore::new());
+    let mut hosts = vec![Host::start("h0", store.clone(), &[]).await];
+    hosts.push(Host::start("h1", store.clone(), &[hosts[0].address]).await);
+    let paused = PausableHost::start("h2", store.clone(), &[hosts[0].address]).await;
+    let observer = Host::observe("h2", paused.address).await;
+    until(async || {
+        let lease = observer.lease().await;
+        lease.settled && lease.remaining_ms > 0 && hosts[0].lease().await.settled
+    })
+    .await;
+
+    paused.pause(Duration::from_secs(4));
+    until(async || hosts[0].lease().await.down == [observer.name.clone()]).await;
+    drop(observer);
+    // Connects at the end of the pause.
+    let observer = Host::observe("h2", paused.address).await;
+    let lease = observer.lease().await;
+
+    assert_eq!(lease.remaining_ms, 0, "{lease:?}");
+    until(async || observer.lease().await.remaining_ms > 0).await;
+    drop(observer);
+    paused.stop();
+}
+
+/// Guards against groups that stay with a host whose gate is dead.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_with_a_dead_gate_is_taken_over() {
+    let store = Arc::new(FakeStore::new());
+    let hosts = cluster(3, &store).await;
+
+    hosts[1].kill_gate();
+
+    until(async || hosts[0].lease().await.down == [hosts[1].name.clone()]).await;
+    let view = hosts[0].view(0, Duration::ZERO).await;
+    assert!(view.hosts.iter().any(|m| m.host.host == hosts[1].name && !m.up));
+}
+
+/// Guards against a planned shutdown that ends before the gate's work, or whose
+/// groups wait for the lease time.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_shutdown_waits_for_the_gate_and_hands_over() {
+    let store = Arc::new(FakeStore::new());
+    let mut hosts = configured(3, &store).await;
+    let name = hosts[2].name.clone();
+
+    let ended = hosts[2].shutdown();
+    let leaves = async || {
+        let view = hosts[0].view(0, Duration::ZERO).await;
+        view.hosts.iter().any(|m| m.host.host == name && m.leaving && m.up)
+    };
+    until(leaves).await;
+    assert!(!hosts[2].status().await.ready);
+    time::sleep(Duration::from_millis(500)).await;
+    assert!(!ended.is_finished(), "the gate has not released yet");
+    assert!(hosts[0].lease().await.down.is_empty());
+
+    hosts[2].release().await;
+    until(async || hosts[0].lease().await.down == [name.clone()]).await;
+    ended.await.unwrap();
+}
+
+/// Guards against dead hosts that stay in the list and raise its majority.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_that_is_down_for_long_leaves_the_list() {
+    let store = Arc::new(FakeStore::new());
+    let mut hosts = Vec::new();
+    for i in 0..4 {
+        hosts.push(
+            Host::start_with(&format!("h{i}"), store.clone(), &addresses(&hosts), |s| {
+                s.tunables.remove_ms = 1_500;
+            })
+            .await,
+        );
+    }
+    all_settled(&hosts, 4).await;
+
+    hosts[3].kill();
+
+    all_settled(&hosts[..3], 3).await;
+    assert!(hosts[0].lease().await.down.is_empty());
+}
