--- a/bench/cluster.sh
+++ b/bench/cluster.sh
@@ -80,6 +80,7 @@
 admin = "$ip:$(admin_port "$1" "$2")"
 log_level = "${LOG_LEVEL:-info}"
 EOF
+    [ -z "${STATSD:-}" ] || echo "statsd = \"$STATSD\""
 }
 
 write_agent_settings() { # host
