--- a/crates/backend/src/http.rs
+++ b/crates/backend/src/http.rs
@@ -109,6 +109,7 @@
             Ok(status) => Ok(Opened { connection: Box::new(connection), status }),
             Err(LinkError::TimedOut) => Err(LinkError::TimedOut),
             // No work was sent, so that the other failures mean "not started".
+            Err(e @ LinkError::NotConnected { .. }) => Err(e),
             Err(e) => Err(LinkError::NotConnected { cause: e.to_string().into() }),
         }
     }
--- a/crates/backend/tests/http.rs
+++ b/crates/backend/tests/http.rs
@@ -8,8 +8,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use chervil_backend::http::HttpLink;
-use chervil_backend::http::HttpSettings;
+use chervil_backend::http::*;
 use chervil_backend::link::*;
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -34,11 +34,13 @@
 use tracing::Span;
 use xtra::WeakAddress;
 
+use self::health::HealthLog;
 use self::held::Held;
 use crate::rights::Rights;
 
 mod calls;
 mod events;
+mod health;
 mod held;
 mod hints;
 mod view;
@@ -78,6 +80,7 @@
     view: Option<View>,
     lease: Option<QuorumLease>,
     index: HashMap<Box<str>, Held>,
+    health: HealthLog,
     jobs: SecondaryMap<WorkKey, Job>,
     conns: SecondaryMap<ConnKey, Line>,
     resend_at: Option<Instant>,
@@ -158,6 +161,7 @@
             view: None,
             lease: None,
             index: HashMap::default(),
+            health: HealthLog::default(),
             jobs: SecondaryMap::new(),
             conns: SecondaryMap::new(),
             resend_at: None,
--- a/crates/gate/src/state/calls.rs
+++ b/crates/gate/src/state/calls.rs
@@ -4,7 +4,6 @@
 use std::time::Instant;
 
 use chervil_backend::link::Connection;
-use chervil_backend::link::LinkError;
 use chervil_node::trace;
 use chervil_slots::types::ConnKey;
 use chervil_slots::types::WorkKey;
@@ -149,8 +148,3 @@
         }
     }
 }
-
-/// Text of a failed call for the log.
-pub(super) fn text(error: &LinkError) -> String {
-    error.to_string()
-}
--- a/crates/gate/src/state/events.rs
+++ b/crates/gate/src/state/events.rs
@@ -25,7 +25,6 @@
 
 use super::GateState;
 use super::Kind;
-use super::calls::text;
 
 /// Interval at which gauges are sent.
 const REPORT: Duration = Duration::from_secs(1);
@@ -80,7 +79,7 @@
 
     async fn handle(&mut self, ended: OpenEnded, _: &mut Context<Self>) {
         let now = self.now();
-        let server: Option<Box<str>> = self.slots.server_of(ended.conn).map(Into::into);
+        let server = self.slots.server_of(ended.conn).unwrap_or_default().to_owned();
         match ended.result {
             Ok(opened) => {
                 let report = self.learn(ended.conn, opened.status, ended.sent);
@@ -88,13 +87,13 @@
                 self.slots.opened(ended.conn, &report, now);
             }
             Err(LinkError::TimedOut) => {
+                self.health.silent(&server);
                 self.parts.metrics.count("status_silent", 1);
                 self.conns.remove(ended.conn);
                 self.slots.silent(ended.conn, now);
             }
             Err(e) => {
-                let server = server.unwrap_or_default();
-                spdlog::warn!("cannot open a connection", kv: { server = &*server, cause = text(&e).as_str() });
+                self.health.unreachable(&server, &e.to_string());
                 self.parts.metrics.count("open_failed", 1);
                 self.conns.remove(ended.conn);
                 self.slots.open_failed(ended.conn, now);
@@ -184,6 +183,7 @@
     /// Takes what a status reply says of the index; returns the rest.
     fn learn(&mut self, conn: ConnKey, status: ServerStatus, sent: Instant) -> StatusReport {
         if let Some(server) = self.slots.server_of(conn) {
+            self.health.status(server, status.draining);
             let known = self.index.entry(server.into()).or_default();
             known.status(status.versions, sent);
         }
--- a/crates/gate/src/state/hints.rs
+++ b/crates/gate/src/state/hints.rs
@@ -59,7 +59,7 @@
         self.hint_at = now + INTERVAL;
         let mut groups = self.slots.take_changed();
         for level in groups.iter().flat_map(|g| self.slots.levels(g)) {
-            spdlog::debug!("warm-up level", kv: { server = &*level.server, level = level.level });
+            self.health.level(&level);
         }
         if self.resend_at.is_none_or(|at| now >= at) {
             self.resend_at = Some(now + RESEND);
--- a/crates/gate/src/state/view.rs
+++ b/crates/gate/src/state/view.rs
@@ -117,6 +117,7 @@
         let names: HashSet<Box<str>> =
             names.map(|s| self.catalog.servers[*s].name.clone()).collect();
         self.index.retain(|name, _| names.contains(name));
+        self.health.retain(|name| names.contains(name));
         self.parts.rights.set_servers(names);
         self.slots.configure(&self.catalog, &owned, now);
         spdlog::info!("ownership applied", kv: {
--- a/crates/gate/src/state/work.rs
+++ b/crates/gate/src/state/work.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use chervil_backend::link::AskCall;
 use chervil_backend::link::RunCall;
@@ -10,8 +11,10 @@
 use chervil_rpc::gate::AskBatch;
 use chervil_rpc::gate::AskItem;
 use chervil_rpc::gate::AskReply;
+use chervil_rpc::gate::Refusal;
 use chervil_rpc::gate::RunReply;
 use chervil_rpc::gate::RunRequest;
+use chervil_slots::types::Refused;
 use chervil_slots::types::Work;
 use chervil_slots::types::WorkKey;
 use tokio::sync::mpsc;
@@ -65,7 +68,7 @@
                 fresh: item.fresh,
                 deadline: job.deadline,
             };
-            self.submit(&work, job)
+            self.submit(&batch.service, &work, job)
         });
         accepted.collect()
     }
@@ -89,8 +92,9 @@
             fresh: false,
             deadline: accepted + Duration::from_millis(request.timeout_ms.into()),
         };
+        let service = request.service;
         let call = RunCall {
-            service: request.service,
+            service: service.clone(),
             key: request.key,
             timeout: Duration::ZERO,
             body: request.body.into(),
@@ -98,7 +102,7 @@
         };
         let kind = Kind::Run { call: Arc::new(call), reply };
         let job = Job { server: request.server, accepted, deadline: work.deadline, span, kind };
-        self.submit(&work, job);
+        self.submit(&service, &work, job);
     }
 }
 
@@ -134,9 +138,9 @@
 }
 
 impl GateState {
-    fn submit(&mut self, work: &Work, job: Job) -> Option<WorkKey> {
+    fn submit(&mut self, service: &str, work: &Work, job: Job) -> Option<WorkKey> {
         let now = self.now();
-        let accepted = match self.slots.submit(work, now) {
+        let accepted = match self.admit(service, work, now) {
             Ok(key) => {
                 self.jobs.insert(key, job);
                 Some(key)
@@ -151,6 +155,16 @@
         accepted
     }
 
+    /// Refuses work for a server that belongs to another service; the request
+    /// would reach a server that cannot know it.
+    fn admit(&mut self, service: &str, work: &Work, now: Instant) -> Result<WorkKey, Refused> {
+        let server = self.catalog.server(&work.server).map(|k| &self.catalog.servers[k]);
+        if server.is_some_and(|s| &*self.catalog.services[s.service].name != service) {
+            return Err(Refused { reason: Refusal::UnknownServer, retry: None });
+        }
+        self.slots.submit(work, now)
+    }
+
     fn ask_job(
         &self,
         batch: &AskBatch,
--- a/crates/gate/tests/ask.rs
+++ b/crates/gate/tests/ask.rs
@@ -2,10 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
-use chervil_rpc::gate::AskResult;
-use chervil_rpc::gate::GateRpcClient as _;
-use chervil_rpc::gate::Refusal;
-use chervil_rpc::gate::RunReply;
+use chervil_rpc::gate::*;
 
 mod fixture;
 
--- a/crates/gate/tests/lifecycle.rs
+++ b/crates/gate/tests/lifecycle.rs
@@ -6,11 +6,7 @@
 
 use chervil_gate::app;
 use chervil_rpc::client;
-use chervil_rpc::gate::AskResult;
-use chervil_rpc::gate::GateRpcClient as _;
-use chervil_rpc::gate::Refusal;
-use chervil_rpc::gate::RunReply;
-use chervil_rpc::gate::WarmupLevel;
+use chervil_rpc::gate::*;
 use chervil_rpc::secret::Secret;
 use fixture::agent;
 use jsonrpsee::ws_client::WsClient;
--- a/crates/gate/tests/standin.rs
+++ b/crates/gate/tests/standin.rs
@@ -6,9 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use chervil_rpc::gate::AskItem;
-use chervil_rpc::gate::AskResult;
-use chervil_rpc::gate::GateRpcClient as _;
+use chervil_rpc::gate::*;
 use chervil_standin::stats::ServerStats;
 use fixture::System;
 use futures::future::join_all;
--- a/crates/slots/tests/connections.rs
+++ b/crates/slots/tests/connections.rs
@@ -4,14 +4,9 @@
 
 use std::time::Duration;
 
-use chervil_slots::types::End;
-use chervil_slots::types::Fate;
-use chervil_slots::types::Work;
-use fixture::HOUR;
-use fixture::MS;
-use fixture::Rig;
-use fixture::SERVER;
+use chervil_slots::types::*;
 use fixture::sim::Sim;
+use fixture::*;
 use proptest::prelude::*;
 
 mod fixture;
--- a/crates/slots/tests/machine.rs
+++ b/crates/slots/tests/machine.rs
@@ -5,13 +5,8 @@
 use std::time::Duration;
 
 use chervil_rpc::gate::Refusal;
-use chervil_slots::types::End;
-use chervil_slots::types::Fate;
-use chervil_slots::types::StatusReport;
-use fixture::HOUR;
-use fixture::MS;
-use fixture::Rig;
-use fixture::SERVER;
+use chervil_slots::types::*;
+use fixture::*;
 
 mod fixture;
 
--- a/crates/slots/tests/ownership.rs
+++ b/crates/slots/tests/ownership.rs
@@ -3,9 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 use chervil_base::catalog::Catalog;
-use chervil_rpc::agent::MemberHost;
-use chervil_rpc::agent::MemberList;
-use chervil_rpc::agent::QuorumLease;
+use chervil_rpc::agent::*;
 use chervil_slots::ownership;
 use chervil_slots::ownership::OwnedGroup;
 use proptest::prelude::*;
--- a/crates/slots/tests/queue.rs
+++ b/crates/slots/tests/queue.rs
@@ -2,9 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
-use chervil_slots::queue::FairQueue;
-use chervil_slots::queue::Lane;
-use chervil_slots::queue::Pushed;
+use chervil_slots::queue::*;
 use chervil_slots::types::WorkKey;
 use proptest::prelude::*;
 use slotmap::SlotMap;
--- a/crates/slots/tests/random.rs
+++ b/crates/slots/tests/random.rs
@@ -2,12 +2,8 @@
 
 use chervil_base::catalog::Catalog;
 use chervil_rpc::gate::Refusal;
-use chervil_slots::types::End;
-use chervil_slots::types::Work;
-use fixture::HOUR;
-use fixture::MS;
-use fixture::Rig;
-use fixture::SERVER;
+use chervil_slots::types::*;
+use fixture::*;
 use proptest::prelude::*;
 
 mod fixture;
--- a/crates/slots/tests/takeover.rs
+++ b/crates/slots/tests/takeover.rs
@@ -4,9 +4,8 @@
 
 use std::time::Duration;
 
-use fixture::MS;
-use fixture::Rig;
 use fixture::sim::Sim;
+use fixture::*;
 
 mod fixture;
 
