--- a/crates/slots/tests/connections.rs
+++ b/crates/slots/tests/connections.rs
@@ -193,7 +193,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(fixture::seeded(64))]
 
     /// Guards against more connections, including those being opened, or more
     /// requests than the server allows, under load, cancels and reconnects.
--- a/crates/slots/tests/ownership.rs
+++ b/crates/slots/tests/ownership.rs
@@ -98,6 +98,8 @@
 }
 
 proptest! {
+    #![proptest_config(fixture::seeded(256))]
+
     /// Guards against groups with two owners, or with none while a host is up.
     #[test]
     fn every_group_has_one_owner(
--- a/crates/slots/tests/queue.rs
+++ b/crates/slots/tests/queue.rs
@@ -7,6 +7,8 @@
 use proptest::prelude::*;
 use slotmap::SlotMap;
 
+mod fixture;
+
 fn keys(count: usize) -> Vec<WorkKey> {
     let mut map: SlotMap<WorkKey, ()> = SlotMap::default();
     (0..count).map(|_| map.insert(())).collect()
@@ -45,6 +47,8 @@
 }
 
 proptest! {
+    #![proptest_config(fixture::seeded(256))]
+
     /// Guards against lost or repeated items and a wrong length under any
     /// order of calls.
     #[test]
