--- a/crates/slots/src/machine/dispatch.rs
+++ b/crates/slots/src/machine/dispatch.rs
@@ -7,7 +7,6 @@
 use chervil_rpc::gate::Refusal;
 use rand::RngExt as _;
 
-use super::Item;
 use super::Slots;
 use super::Stage;
 use crate::pool::ConnState;
@@ -186,11 +185,8 @@
         let Some(stalled) = self.stalled(key, work).first().map(|r| r.work) else {
             return false;
         };
-        if let Some(Item { stage: Stage::Running(conn), .. }) = self.items.remove(stalled) {
-            self.close(conn, now);
-        }
         self.servers[key].give_up(stalled, now);
-        self.actions.push(Action::Abandon { work: stalled });
+        self.abandon(stalled, now);
         self.urge(key, now);
         true
     }
--- a/crates/slots/src/machine/stall.rs
+++ b/crates/slots/src/machine/stall.rs
@@ -15,11 +15,15 @@
 use crate::types::Action;
 use crate::types::Report;
 use crate::types::ServerKey;
+use crate::types::WorkKey;
 
 /// Time between the two reports that prove an item dead. A single one may have
 /// been made while the reply was on its way.
 const PROOF_GAP: Duration = Duration::from_millis(5);
 
+/// Time after its deadline in which the end of an item must come.
+const OVERDUE: Duration = Duration::from_secs(1);
+
 impl Slots {
     /// Gives up stalled items that two reports in a row did not count.
     pub(super) fn drop_dead(&mut self, key: ServerKey, report: &Report, now: Instant) {
@@ -34,10 +38,27 @@
                 continue;
             }
             running.retain(|r| r.work != dead.work);
-            if let Some(Item { stage: Stage::Running(conn), .. }) = self.items.remove(dead.work) {
-                self.close(conn, now);
-            }
-            self.actions.push(Action::Abandon { work: dead.work });
+            self.abandon(dead.work, now);
+        }
+    }
+
+    /// Closes the connection of an item and reports it as timed out.
+    pub(super) fn abandon(&mut self, work: WorkKey, now: Instant) {
+        if let Some(Item { stage: Stage::Running(conn), .. }) = self.items.remove(work) {
+            self.close(conn, now);
+        }
+        self.actions.push(Action::Abandon { work });
+    }
+
+    /// Gives up items whose end did not come although their deadline is long
+    /// past, so that no fault of a caller of this crate can hold a slot.
+    pub(super) fn drop_overdue(&mut self, key: ServerKey, now: Instant) {
+        let running = self.servers[key].running.iter();
+        let overdue = running.filter(|r| self.items[r.work].deadline + OVERDUE < now);
+        let overdue: Vec<Running> = overdue.copied().collect();
+        for r in overdue {
+            self.servers[key].give_up(r.work, now);
+            self.abandon(r.work, now);
         }
     }
 
--- a/crates/slots/src/machine/tick.rs
+++ b/crates/slots/src/machine/tick.rs
@@ -16,6 +16,7 @@
         let keys: Vec<ServerKey> = self.servers.keys().collect();
         for key in keys {
             self.expire(key, now);
+            self.drop_overdue(key, now);
             self.servers[key].tick(now);
             if !lease {
                 self.refuse_queue(key, Refusal::NotOwner);
@@ -25,6 +26,7 @@
             if lease {
                 self.dispatch(key, now);
             }
+            self.forget(key);
         }
     }
 
--- a/crates/slots/tests/machine.rs
+++ b/crates/slots/tests/machine.rs
@@ -226,6 +226,19 @@
     assert_eq!(rig.slots.load(SERVER).unwrap().queued, 0);
 }
 
+/// Guards against an item whose end is never told holding its slot for good.
+#[test]
+fn an_item_without_an_end_is_given_up() {
+    let mut rig = Rig::warm(1);
+    let lost = rig.submit_work(&fixture::work(1, 1, rig.now + SECOND)).unwrap();
+
+    rig.advance(3 * SECOND);
+    rig.tick();
+
+    assert_eq!(rig.abandoned, [lost]);
+    assert_eq!(rig.slots.load(SERVER).unwrap().running, 0);
+}
+
 /// Guards against a stop that accepts new work or drops accepted work.
 #[test]
 fn a_stop_refuses_new_work_and_runs_accepted_work() {
