--- a/crates/slots/src/machine/configure.rs
+++ b/crates/slots/src/machine/configure.rs
@@ -35,6 +35,8 @@
                 let usable = catalog.is_usable(*key);
                 if usable && !self.servers[server].usable {
                     self.servers[server].drain = Drain::default();
+                    // A zone that returns may be cold everywhere at once.
+                    self.servers[server].warmup.reset();
                 }
                 self.servers[server].usable = usable;
             }
