Split a sheet once for each change, and look up repeated operations

A repeated operation is also looked for in the history: after 16 later changes the head no longer lists it, and it would have been made again.

--- a/crates/config/src/draft.rs
+++ b/crates/config/src/draft.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use chervil_base::catalog::CatalogSpec;
-use chervil_base::digest::stable_hash;
 use chervil_base::value;
 use chervil_rpc::agent::ConfigRecord;
 use chervil_sheet::diff::Diff;
@@ -18,11 +17,9 @@
 use crate::head::Override;
 use crate::head::RecordRef;
 use crate::head::Target;
-use crate::records::BASE_RECORD;
 use crate::records::RecordBody;
-use crate::records::may_hold;
+use crate::records::Split;
 use crate::records::record_key;
-use crate::records::split;
 use crate::result::ChangeResult;
 
 /// Most overrides; with more, the head would grow beyond what hosts should
@@ -36,23 +33,6 @@
 pub(crate) const SWEEP_INTERVAL: Duration = Duration::from_secs(600);
 
 value! {
-    /// Change that an operator asks for.
-    pub enum Change {
-        /// Replace the sheet in force.
-        Sheet {
-            /// New sheet.
-            sheet: Sheet,
-            /// Number of removed servers that the operator confirmed.
-            confirmed: Option<usize>,
-        },
-        /// Take a zone or a server out of service until it is brought back.
-        Out(Target),
-        /// End that.
-        In(Target),
-        /// Write back what a host holds, after the store came back older.
-        Recover(Adopted),
-    }
-
     /// Who makes a change, and when.
     pub(crate) struct Author {
         /// Operation id.
@@ -63,6 +43,16 @@
         pub(crate) now_ms: u64,
     }
 
+    /// What a draft is based on.
+    pub(crate) struct Step<'a> {
+        /// Head before the change.
+        pub(crate) head: &'a Head,
+        /// Who makes it.
+        pub(crate) author: &'a Author,
+        /// Revision of the new head and records.
+        pub(crate) revision: u64,
+    }
+
     /// State that a change leads to.
     pub(crate) struct Draft {
         /// New head.
@@ -77,84 +67,18 @@
     }
 }
 
-impl Change {
-    /// Id under which the head lists this change. It depends on the content,
-    /// so that an id given twice by mistake does not hide another change.
-    pub(crate) fn operation_id(&self, given: &str) -> Box<str> {
-        format!("{given}.{:08x}", stable_hash(&format!("{self:?}")) as u32).into()
-    }
-
-    /// Whether another change touched what this one is about. A change that
-    /// lost a race to an unrelated one is repeated on top of it.
-    pub(crate) fn conflicts(&self, before: &Head, after: &Head) -> bool {
-        match self {
-            Change::Sheet { .. } => {
-                before.exported != after.exported || before.records != after.records
-            }
-            Change::Out(target) | Change::In(target) => {
-                before.override_of(target) != after.override_of(target)
-            }
-            Change::Recover(_) => before.revision != after.revision,
-        }
-    }
-
-    /// Revision that the change must exceed.
-    pub(crate) fn floor(&self, head: &Head) -> u64 {
-        match self {
-            Change::Recover(adopted) => head.revision.max(adopted.revision()),
-            _ => head.revision,
-        }
-    }
-
-    /// Records of the head that are needed to decide.
-    pub(crate) fn needs(&self, head: &Head) -> Result<Vec<RecordRef>, ChangeResult> {
-        let records = head.records.iter();
-        Ok(match self {
-            Change::Sheet { sheet, .. } => {
-                let new = split_sheet(sheet, 0)?;
-                records.filter(|r| same(&new, r).is_none()).cloned().collect()
-            }
-            Change::Out(Target::Zone(_)) | Change::In(Target::Zone(_)) => {
-                records.filter(|r| &*r.name == BASE_RECORD).cloned().collect()
-            }
-            Change::Out(Target::Server(name)) | Change::In(Target::Server(name)) => {
-                records.filter(|r| may_hold(&r.name, name)).cloned().collect()
-            }
-            Change::Recover(_) => Vec::new(),
-        })
-    }
-
-    /// State that the change leads to at `revision`; `found` are the records
-    /// that [`Change::needs`] named.
-    pub(crate) fn draft(
-        &self,
-        head: &Head,
-        found: &[ConfigRecord],
-        author: &Author,
-        revision: u64,
-    ) -> Result<Draft, ChangeResult> {
-        match self {
-            Change::Sheet { sheet, confirmed } => {
-                sheet_draft(sheet, *confirmed, head, found, author, revision)
-            }
-            Change::Out(target) => override_draft(target, true, head, found, author, revision),
-            Change::In(target) => override_draft(target, false, head, found, author, revision),
-            Change::Recover(adopted) => recovery_draft(adopted, head, author, revision),
-        }
-    }
-}
-
-fn sheet_draft(
+/// State after the sheet replaces the one in force; `split` are its records,
+/// and `found` those of the head that differ from them.
+pub(crate) fn sheet_draft(
     sheet: &Sheet,
     confirmed: Option<usize>,
-    head: &Head,
+    split: &Split,
     found: &[ConfigRecord],
-    author: &Author,
-    revision: u64,
+    base: &Step<'_>,
 ) -> Result<Draft, ChangeResult> {
-    check_export(sheet.exported, head.exported, author.now_ms)?;
-    let split = split_sheet(sheet, revision)?;
-    let old = old_catalog(&split, head, found)?;
+    let head = base.head;
+    check_export(sheet.exported, head.exported, base.author.now_ms)?;
+    let old = old_catalog(split, head, found)?;
     let diff = Diff::new(&old, &sheet.catalog);
     if diff.is_empty() && head.exported == Some(sheet.exported) {
         return Err(ChangeResult::Unchanged { revision: head.revision });
@@ -164,17 +88,19 @@
     next.exported = Some(sheet.exported);
     next.records = Vec::new();
     let mut records = Vec::new();
-    for record in split {
-        match head.records.iter().find(|r| is_same(&record, r)) {
+    for (record, reference) in split.iter() {
+        let same = |r: &&RecordRef| r.name == reference.name && r.digest == reference.digest;
+        match head.records.iter().find(same) {
             Some(kept) => next.records.push(kept.clone()),
             None => {
-                next.records.push(RecordRef::new(&record));
-                records.push(record);
+                let revision = base.revision;
+                next.records.push(RecordRef { revision, ..reference.clone() });
+                records.push(ConfigRecord { revision, ..record.clone() });
             }
         }
     }
     let summary = format!("sheet of {}: {}", sheet.exported, diff.summary());
-    Ok(finish(next, records, author, revision, &summary))
+    Ok(finish(next, records, base, &summary))
 }
 
 fn check_export(
@@ -203,11 +129,11 @@
 /// Catalog before the change: records that the new sheet leaves as they are
 /// need not be read.
 fn old_catalog(
-    new: &[ConfigRecord],
+    split: &Split,
     head: &Head,
     found: &[ConfigRecord],
 ) -> Result<CatalogSpec, ChangeResult> {
-    let kept = head.records.iter().filter_map(|r| same(new, r));
+    let kept = head.records.iter().filter_map(|r| split.same(r));
     let mut catalog = CatalogSpec::default();
     for record in kept.chain(found) {
         let body = parse(record)?;
@@ -218,14 +144,15 @@
     Ok(catalog)
 }
 
-fn override_draft(
+/// State after an operator decided about `target`; `found` are the records
+/// that may declare it.
+pub(crate) fn override_draft(
     target: &Target,
     out: bool,
-    head: &Head,
     found: &[ConfigRecord],
-    author: &Author,
-    revision: u64,
+    base: &Step<'_>,
 ) -> Result<Draft, ChangeResult> {
+    let head = base.head;
     let is_set = head.override_of(target).is_some();
     if !is_set && !is_declared(target, found)? {
         return Err(ChangeResult::NotDeclared { target: target.clone() });
@@ -239,7 +166,7 @@
         if count >= MAX_OVERRIDES {
             return Err(ChangeResult::TooManyOverrides { count });
         }
-        next.overrides.push(Override { target: target.clone(), revision });
+        next.overrides.push(Override { target: target.clone(), revision: base.revision });
         next.overrides.sort_by(|a, b| a.target.cmp(&b.target));
     } else {
         next.overrides.retain(|o| o.target != *target);
@@ -251,18 +178,14 @@
         (Target::Server(_), false) => "undrained",
     };
     let summary = format!("{} {} {action}", target.kind(), target.name());
-    Ok(finish(next, Vec::new(), author, revision, &summary))
+    Ok(finish(next, Vec::new(), base, &summary))
 }
 
 /// Keeps the content that hosts hold, under a revision that is new to both
 /// sides. Records get new keys: those of the hosts may hold something else in
 /// the store.
-fn recovery_draft(
-    adopted: &Adopted,
-    head: &Head,
-    author: &Author,
-    revision: u64,
-) -> Result<Draft, ChangeResult> {
+pub(crate) fn recovery_draft(adopted: &Adopted, base: &Step<'_>) -> Result<Draft, ChangeResult> {
+    let (head, revision) = (base.head, base.revision);
     let held = adopted.head().filter(|h| h.revision > head.revision);
     let held = held.ok_or(ChangeResult::Unchanged { revision: head.revision })?;
     let rekeyed = adopted.records().map(|r| ConfigRecord { revision, ..r.clone() });
@@ -270,7 +193,7 @@
     let refs = records.iter().map(RecordRef::new).collect();
     let next = Head { records: refs, ..held.clone() };
     let summary = format!("revision {} written back from a host", held.revision);
-    let mut draft = finish(next, records, author, revision, &summary);
+    let mut draft = finish(next, records, base, &summary);
     draft.archive = held.operations.clone();
     Ok(draft)
 }
@@ -289,13 +212,8 @@
     Ok(false)
 }
 
-fn finish(
-    mut head: Head,
-    records: Vec<ConfigRecord>,
-    author: &Author,
-    revision: u64,
-    summary: &str,
-) -> Draft {
+fn finish(mut head: Head, records: Vec<ConfigRecord>, base: &Step<'_>, summary: &str) -> Draft {
+    let (author, revision) = (base.author, base.revision);
     head.revision = revision;
     let mut archive = Vec::new();
     if head.operations.len() >= MAX_OPERATIONS {
@@ -317,19 +235,6 @@
     Draft { head, records, archive, sweeps }
 }
 
-/// The new record that has the name and content of an old one.
-fn same<'a>(new: &'a [ConfigRecord], old: &RecordRef) -> Option<&'a ConfigRecord> {
-    new.iter().find(|n| is_same(n, old))
-}
-
-fn is_same(new: &ConfigRecord, old: &RecordRef) -> bool {
-    new.name == old.name && RecordRef::new(new).digest == old.digest
-}
-
-fn split_sheet(sheet: &Sheet, revision: u64) -> Result<Vec<ConfigRecord>, ChangeResult> {
-    split(&sheet.catalog, revision).map_err(|e| damaged("sheet", &e))
-}
-
 fn parse(record: &ConfigRecord) -> Result<RecordBody, ChangeResult> {
     let key = record_key(&record.name, record.revision);
     serde_json::from_str(&record.body).map_err(|e| damaged(&key, &e))
--- a/crates/config/src/editor.rs
+++ b/crates/config/src/editor.rs
@@ -12,9 +12,11 @@
 use chervil_rpc::agent::PullReply;
 use tokio::time;
 
+use crate::change::Change;
+use crate::change::Prepared;
 use crate::draft::Author;
-use crate::draft::Change;
 use crate::draft::Draft;
+use crate::draft::Step;
 use crate::draft::damaged;
 use crate::fetch::fetch_records;
 use crate::head::HEAD_KEY;
@@ -59,6 +61,7 @@
     operator: Box<str>,
     settings: EditorSettings,
     hosts_at: u64,
+    repeats: bool,
 }
 
 /// A head as the store holds it.
@@ -92,7 +95,7 @@
         operator: &str,
         settings: EditorSettings,
     ) -> Editor<'a> {
-        Editor { store, clock, operator: operator.into(), settings, hosts_at: 0 }
+        Editor { store, clock, operator: operator.into(), settings, hosts_at: 0, repeats: false }
     }
 
     /// Refuses changes when the store's revision is lower than `revision`, the
@@ -102,23 +105,34 @@
         Editor { hosts_at: revision, ..self }
     }
 
+    /// Looks into the history for an earlier run with the same operation id,
+    /// which the head may no longer list.
+    pub fn repeats(self, repeats: bool) -> Editor<'a> {
+        Editor { repeats, ..self }
+    }
+
     /// Makes a change. `operation` identifies it; repeating a change with the
     /// same id has no further effect.
     pub async fn change(&self, change: &Change, operation: &str) -> ChangeResult {
-        let id = change.operation_id(operation);
-        let result = self.run(change, &id).await.unwrap_or_else(|refused| refused);
+        let result = self.run(change, operation).await.unwrap_or_else(|refused| refused);
         match result {
             ChangeResult::Unknown { .. } => ChangeResult::Unknown { operation: operation.into() },
             known => known,
         }
     }
 
-    async fn run(&self, change: &Change, id: &str) -> Result<ChangeResult, ChangeResult> {
+    async fn run(&self, change: &Change, given: &str) -> Result<ChangeResult, ChangeResult> {
+        let change = &change.prepare()?;
+        let author = &self.author(&change.operation_id(given));
+        let id = &author.id;
         let mut base = self.read_head().await?;
         if base.head.revision < self.hosts_at {
             let store = base.head.revision;
             return Err(ChangeResult::StoreOlder { store, hosts: self.hosts_at });
         }
+        if let Some(done) = self.find_earlier(id).await? {
+            return Ok(accepted(done, PullReply::default()));
+        }
         let mut offset = 1;
         for _ in 0..MAX_DRAFTS {
             if let Some(done) = base.head.operation(id) {
@@ -129,7 +143,8 @@
                 continue;
             };
             let revision = change.floor(&base.head) + offset;
-            let draft = match change.draft(&base.head, &found, &self.author(id), revision) {
+            let step = Step { head: &base.head, author, revision };
+            let draft = match change.draft(&found, &step) {
                 Ok(draft) => draft,
                 Err(ChangeResult::Unchanged { revision }) => {
                     match self.confirm(&base).await? {
@@ -159,12 +174,20 @@
     async fn fetch(
         &self,
         base: &Base,
-        change: &Change,
+        change: &Prepared<'_>,
     ) -> Result<Option<Vec<ConfigRecord>>, ChangeResult> {
-        let needs = change.needs(&base.head)?;
+        let needs = change.needs(&base.head);
         fetch_records(self.store, needs).await.map_err(|_| ChangeResult::StoreDown)
     }
 
+    async fn find_earlier(&self, id: &str) -> Result<Option<Operation>, ChangeResult> {
+        if !self.repeats {
+            return Ok(None);
+        }
+        let history = history::read_history(self.store).await?;
+        Ok(history.into_iter().find(|o| &*o.id == id))
+    }
+
     fn author(&self, id: &str) -> Author {
         let now = self.clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
         let now_ms = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
@@ -185,7 +208,7 @@
     }
 
     /// Continues on top of another head, unless that touched the same part.
-    fn rebase(&self, old: Base, new: Base, change: &Change) -> Result<Base, ChangeResult> {
+    fn rebase(&self, old: Base, new: Base, change: &Prepared<'_>) -> Result<Base, ChangeResult> {
         if !change.conflicts(&old.head, &new.head) {
             return Ok(new);
         }
@@ -196,7 +219,7 @@
 
     /// Reads again after a record of `old` was missing: the head or the record
     /// was a stale read.
-    async fn reread(&self, old: Base, change: &Change) -> Result<Base, ChangeResult> {
+    async fn reread(&self, old: Base, change: &Prepared<'_>) -> Result<Base, ChangeResult> {
         self.settings.pause(0).await;
         let new = self.read_head().await?;
         self.rebase(old, new, change)
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -2,6 +2,7 @@
 //! operators change it, and how hosts adopt it.
 
 mod adopted;
+mod change;
 mod draft;
 mod editor;
 mod error;
@@ -13,7 +14,7 @@
 mod sweep;
 
 pub use adopted::Adopted;
-pub use draft::Change;
+pub use change::Change;
 pub use editor::Editor;
 pub use editor::EditorSettings;
 pub use error::ConfigError;
--- a/crates/config/src/records.rs
+++ b/crates/config/src/records.rs
@@ -8,6 +8,8 @@
 use chervil_base::message;
 use chervil_rpc::agent::ConfigRecord;
 
+use crate::head::RecordRef;
+
 /// Most servers in one record.
 pub const RECORD_SERVERS: usize = 64;
 
@@ -40,6 +42,32 @@
     }
 }
 
+/// Records of a sheet, at revision 0, with a reference to each.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct Split {
+    records: Vec<ConfigRecord>,
+    references: Vec<RecordRef>,
+}
+
+impl Split {
+    pub(crate) fn new(catalog: &CatalogSpec) -> Result<Split, serde_json::Error> {
+        let records = split(catalog, 0)?;
+        let references = records.iter().map(RecordRef::new).collect();
+        Ok(Split { records, references })
+    }
+
+    /// Records and their references, sorted by name.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&ConfigRecord, &RecordRef)> {
+        self.records.iter().zip(&self.references)
+    }
+
+    /// The record that has the name and content of another one.
+    pub(crate) fn same(&self, other: &RecordRef) -> Option<&ConfigRecord> {
+        let found = self.references.binary_search_by(|r| r.name.cmp(&other.name)).ok()?;
+        (self.references[found].digest == other.digest).then(|| &self.records[found])
+    }
+}
+
 /// Key of a record in the store. A key is written once.
 pub fn record_key(name: &str, revision: u64) -> Box<str> {
     format!("{RECORD_PREFIX}{name}/{revision}").into()
--- a/crates/config/tests/races.rs
+++ b/crates/config/tests/races.rs
@@ -116,7 +116,17 @@
     let repeated = edit(&store, &Change::Out(zone("z1")), "same").await;
     let other = edit(&store, &Change::Out(zone("z2")), "same").await;
     let history = read_history(&store).await;
+    for i in 0..20 {
+        let target = zone("z2");
+        let next = if i % 2 == 0 { Change::In(target) } else { Change::Out(target) };
+        change(&store, &next, &format!("{i}")).await;
+    }
+    edit(&store, &Change::In(zone("z1")), "in").await;
+    let clock = common::clock();
+    let late = Editor::new(&store, &clock, "bob", common::settings()).repeats(true);
+    let late = late.change(&Change::Out(zone("z1")), "same").await;
 
+    assert_eq!(revision(&late), 2, "the head no longer lists it");
     assert_eq!((revision(&first), revision(&repeated), revision(&other)), (2, 2, 3));
     assert_eq!(history.map(|h| h.len()), Ok(3));
 }
--- a/crates/ctl/src/session.rs
+++ b/crates/ctl/src/session.rs
@@ -47,7 +47,9 @@
     pub(crate) agents: Agents,
     pub(crate) settings: CtlSettings,
     /// Id of this run's change.
-    pub(crate) operation: Box<str>,
+    operation: Box<str>,
+    /// Whether an earlier run had the same id.
+    repeats: bool,
 }
 
 impl Session {
@@ -57,6 +59,7 @@
     ) -> Result<Session, CtlError> {
         let mut http = HttpSettings::new(&settings.store);
         http.timeout = Duration::from_millis(settings.timeout_ms);
+        let repeats = operation.is_some();
         let operation =
             operation.unwrap_or_else(|| format!("{:016x}", rand::random::<u64>()).into());
         Ok(Session {
@@ -65,6 +68,7 @@
             agents: Agents::new(settings.secret.clone()),
             settings,
             operation,
+            repeats,
         })
     }
 
@@ -108,7 +112,7 @@
         let attempts = self.settings.resolve_attempts;
         let settings = EditorSettings { attempts, ..EditorSettings::default() };
         let editor = Editor::new(&self.store, &clock, operator, settings);
-        editor.hosts_at(highest).change(change, &self.operation).await
+        editor.hosts_at(highest).repeats(self.repeats).change(change, &self.operation).await
     }
 }
 
