--- /dev/null
+++ b/crates/agent/examples/heartbeat_cost.rs
@@ -0,0 +1,125 @@
+//! Measures heartbeat bytes and CPU time per host, with all agents in one
+//! process over loopback. Each agent's gate asks for its lease every 200 ms.
+//!
+//! Usage: `cargo run -p chervil-agent --example heartbeat_cost -- 3 6 12`
+#![allow(clippy::unwrap_used, reason = "a measurement that fails should end")]
+
+use std::fs;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use chervil_agent::Agent;
+use chervil_agent::Settings;
+use chervil_base::clock::SystemClock;
+use chervil_fakes::FakeHosts;
+use chervil_fakes::FakeStore;
+use chervil_rpc::agent::AgentRpcClient as _;
+use chervil_rpc::client::connect;
+use jsonrpsee::ws_client::WsClient;
+use tokio::task::JoinSet;
+use tokio::time;
+
+/// Time measured for each size.
+const SPAN: Duration = Duration::from_secs(8);
+
+/// Interval at which a gate asks for its lease.
+const GATE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Unit of CPU times in `/proc/self/stat`.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+#[tokio::main]
+async fn main() {
+    let _ = chervil_node::logs::init("error");
+    println!("hosts  sent bytes/s per host  CPU ms/s per host  store calls/s in all");
+    let sizes = std::env::args().skip(1).map(|a| a.parse::<usize>().unwrap());
+    for size in sizes {
+        measure(size).await;
+    }
+}
+
+async fn measure(size: usize) {
+    let store = Arc::new(FakeStore::new());
+    let addresses: Vec<SocketAddr> = (0..size).map(|_| free_address()).collect();
+    let mut agents = Vec::new();
+    let mut clients: Vec<Arc<WsClient>> = Vec::new();
+    let mut gates = JoinSet::new();
+    for (i, address) in addresses.iter().enumerate() {
+        let settings = settings(i, *address, addresses[0]);
+        let secret = settings.secret.clone();
+        let hosts = Arc::new(FakeHosts::default());
+        let agent = Agent::start(settings, store.clone(), hosts, Arc::new(SystemClock));
+        agents.push(agent.await.unwrap());
+        let client = Arc::new(connect(*address, &secret, Duration::from_secs(5)).await.unwrap());
+        gates.spawn(ask_for_lease(client.clone()));
+        clients.push(client);
+    }
+    settled(&clients, size).await;
+    let bytes = || agents.iter().map(Agent::heartbeat_bytes).sum::<u64>();
+    let (bytes_before, cpu_before, calls_before) = (bytes(), cpu_seconds(), store.reads());
+    let start = Instant::now();
+    time::sleep(SPAN).await;
+    let span = start.elapsed().as_secs_f64();
+    let per_host = |total: f64| total / span / size as f64;
+    println!(
+        "{size:5}  {:21.0}  {:17.2}  {:20.1}",
+        per_host((bytes() - bytes_before) as f64),
+        per_host((cpu_seconds() - cpu_before) * 1_000.0),
+        (store.reads() - calls_before) as f64 / span,
+    );
+}
+
+async fn settled(clients: &[Arc<WsClient>], size: usize) {
+    for client in clients {
+        loop {
+            let request = chervil_rpc::agent::ViewRequest { after: 0, revision: 0, wait_ms: 0 };
+            let members = client.view(request).await.unwrap().members;
+            let lease = client.lease().await.unwrap();
+            if members.hosts.len() == size && members.previous == members.hosts && lease.settled {
+                break;
+            }
+            time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+}
+
+async fn ask_for_lease(client: Arc<WsClient>) {
+    loop {
+        // Ends with the process.
+        let _ = client.lease().await;
+        time::sleep(GATE_INTERVAL).await;
+    }
+}
+
+fn settings(host: usize, listen: SocketAddr, peer: SocketAddr) -> Settings {
+    let text = format!(
+        r#"
+        listen = "{listen}"
+        gate = "127.0.0.1:1"
+        secret = "a-secret-for-measurements"
+        platform = "http://127.0.0.1:1"
+        peers = ["{peer}"]
+        [node]
+        host = "host-{host:04}"
+        zone = "z{}"
+        admin = "127.0.0.1:0"
+        "#,
+        host % 4
+    );
+    toml::from_str(&text).unwrap()
+}
+
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+/// User and system time of this process.
+fn cpu_seconds() -> f64 {
+    let stat = fs::read_to_string("/proc/self/stat").unwrap();
+    let fields = stat.rsplit(')').next().unwrap().split_whitespace();
+    let times = fields.skip(11).take(2).map(|f| f.parse::<f64>().unwrap());
+    times.sum::<f64>() / TICKS_PER_SECOND
+}
--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -37,6 +37,7 @@
 use crate::state::Source;
 use crate::state::State;
 use crate::store::BoundedStore;
+use crate::traffic::Traffic;
 use crate::watch::Watcher;
 
 /// Limit of a connection attempt to a peer.
@@ -77,6 +78,7 @@
     core: CoreAddress,
     serving: Serving,
     lifecycle: Lifecycle,
+    traffic: Arc<Traffic>,
     drain: Duration,
     _tasks: JoinSet<()>,
 }
@@ -103,6 +105,7 @@
             store: Arc::new(store),
             hosts,
             clock,
+            traffic: Arc::new(Traffic::new(metrics.clone())),
             metrics,
             settings,
         };
@@ -114,6 +117,12 @@
         self.serving.address
     }
 
+    /// Bytes that this agent has sent in heartbeats and answers to them, without
+    /// the headers of TCP and IP.
+    pub fn heartbeat_bytes(&self) -> u64 {
+        self.traffic.sent()
+    }
+
     /// State that the admin endpoints report.
     pub fn lifecycle(&self) -> &Lifecycle {
         &self.lifecycle
@@ -148,6 +157,7 @@
     store: Arc<BoundedStore>,
     hosts: Arc<dyn HostList>,
     clock: Arc<dyn Clock>,
+    traffic: Arc<Traffic>,
     metrics: Metrics,
 }
 
@@ -176,6 +186,7 @@
             core,
             serving,
             lifecycle: self.lifecycle,
+            traffic: self.traffic,
             drain: self.settings.tunables.drain(),
         })
     }
@@ -203,6 +214,7 @@
             outlook,
             forward,
             store: self.store.clone(),
+            traffic: self.traffic.clone(),
             metrics: self.metrics.clone(),
         }
     }
@@ -215,7 +227,8 @@
     ) -> JoinSet<()> {
         let mut tasks = JoinSet::new();
         let tunables = &self.settings.tunables;
-        tasks.spawn(beat::run(core.clone(), self.peers.clone(), self.clock.clone()));
+        let (peers, clock) = (self.peers.clone(), self.clock.clone());
+        tasks.spawn(beat::run(core.clone(), peers, clock, self.traffic.clone()));
         tasks.spawn(pull::run(core.clone(), self.peers.clone(), pulls_due));
         let watcher = Watcher {
             core: core.clone(),
--- a/crates/agent/src/beat.rs
+++ b/crates/agent/src/beat.rs
@@ -20,13 +20,19 @@
 use crate::core::Answered;
 use crate::core::CoreAddress;
 use crate::core::Tick;
+use crate::traffic::Traffic;
 
 /// A heartbeat without an answer for this long is given up, and its connection
 /// with it: an open connection may have become unresponsive for good.
 const TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Sends heartbeats until the actor ends.
-pub(crate) async fn run(core: CoreAddress, peers: Arc<Peers>, clock: Arc<dyn Clock>) {
+pub(crate) async fn run(
+    core: CoreAddress,
+    peers: Arc<Peers>,
+    clock: Arc<dyn Clock>,
+    traffic: Arc<Traffic>,
+) {
     let mut ticks = time::interval(HEARTBEAT_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
     let mut running = FuturesUnordered::new();
@@ -35,10 +41,11 @@
         tokio::select! {
             _ = ticks.tick() => {
                 let Ok(round) = core.send(Tick).await else { return };
-                for address in round.targets {
-                    if busy.insert(address) {
+                let idle: Vec<SocketAddr> =
+                    round.targets.into_iter().filter(|address| busy.insert(*address)).collect();
+                traffic.requests(&round.heartbeat, idle.len() as u64);
+                for address in idle {
                         running.push(send(&peers, &*clock, address, round.heartbeat.clone()));
-                    }
                 }
             }
             Some((address, answer)) = running.next() => {
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod settings;
 mod state;
 mod store;
+mod traffic;
 mod watch;
 
 pub use crate::agent::Agent;
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -36,6 +36,7 @@
 use crate::outlook::Outlook;
 use crate::state::State;
 use crate::store::BoundedStore;
+use crate::traffic::Traffic;
 
 /// Longest wait for a change of the view.
 const MAX_WAIT: Duration = Duration::from_secs(30);
@@ -52,6 +53,7 @@
     pub(crate) outlook: watch::Receiver<Arc<Outlook>>,
     pub(crate) forward: Forward,
     pub(crate) store: Arc<BoundedStore>,
+    pub(crate) traffic: Arc<Traffic>,
     pub(crate) metrics: Metrics,
 }
 
@@ -88,7 +90,9 @@
     }
 
     async fn heartbeat(&self, heartbeat: Heartbeat) -> RpcResult<HeartbeatReply> {
-        self.core.send(Heard(heartbeat)).await.map_err(stopping)
+        let reply = self.core.send(Heard(heartbeat)).await.map_err(stopping)?;
+        self.traffic.answer(&reply);
+        Ok(reply)
     }
 
     async fn pull(&self, request: PullRequest) -> RpcResult<PullReply> {
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -8,10 +8,10 @@
 pub mod change;
 pub mod membership;
 pub mod owner;
-pub mod quorum;
+mod quorum;
 pub mod rank;
 mod replies;
-pub mod stance;
+mod stance;
 
 /// Interval of heartbeats to each host of the member list.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -9,21 +9,21 @@
 use chervil_rpc::agent::Denial;
 use chervil_rpc::agent::Heartbeat;
 use chervil_rpc::agent::HeartbeatReply;
-use chervil_rpc::agent::MemberHost;
 use chervil_rpc::agent::MemberList;
-use chervil_rpc::agent::QuorumLease;
 use chervil_rpc::agent::Vote;
 use slotmap::SlotMap;
 
 use crate::DOWN_AFTER;
-use crate::MIN_LEASE;
 use crate::QUORUM_LEASE;
+use crate::quorum::Count;
 use crate::quorum::HostKey;
-use crate::quorum::Quorum;
+use crate::quorum::Seat;
 use crate::replies::Answer;
 use crate::replies::Replies;
 use crate::stance::Stance;
 
+mod rights;
+
 value! {
     /// Answer of the voter to a heartbeat.
     pub struct Ballot {
@@ -37,9 +37,12 @@
 #[derive(Debug)]
 struct Host {
     name: Box<str>,
+    seat: Seat,
     stance: Stance,
     replies: Replies,
     denied_since: Option<Instant>,
+    /// Voters whose last answers deny the host; at least their number.
+    deniers: u32,
 }
 
 /// State of the member list, the votes and the quorum lease on one host.
@@ -54,7 +57,9 @@
     released: bool,
     settled: bool,
     list: MemberList,
-    quorum: Quorum,
+    quorum: Count,
+    /// Hosts that this voter denies, and some that it denied recently.
+    denied: Vec<HostKey>,
     hosts: SlotMap<HostKey, Host>,
     names: HashMap<Box<str>, HostKey>,
 }
@@ -76,7 +81,8 @@
             released: false,
             settled: false,
             list: MemberList::default(),
-            quorum: Quorum::default(),
+            quorum: Count::default(),
+            denied: Vec::new(),
             hosts,
             names,
         }
@@ -105,7 +111,7 @@
 
     /// Whether this host is in the list in force.
     pub fn is_member(&self) -> bool {
-        self.quorum.current.contains(&self.me)
+        self.hosts[self.me].seat.current
     }
 
     /// Adopts a list of a later epoch; returns whether it did.
@@ -113,9 +119,7 @@
         if list.epoch <= self.list.epoch {
             return false;
         }
-        let current = self.keys(&list.hosts, now);
-        let previous = self.keys(&list.previous, now);
-        self.quorum = Quorum { current, previous };
+        self.seat(list, now);
         self.list = list.clone();
         self.settled = false;
         self.adopted = now;
@@ -144,6 +148,7 @@
         self.incarnation = incarnation;
         self.released = false;
         self.hosts.values_mut().for_each(|h| h.replies.withdraw(now));
+        self.hosts.values_mut().for_each(|h| h.deniers = 0);
     }
 
     /// Updates stands; to be called at least every [`HEARTBEAT_INTERVAL`](crate::HEARTBEAT_INTERVAL).
@@ -159,6 +164,8 @@
                 host.stance.tick(now);
             }
         }
+        let denied = self.hosts.iter().filter(|(_, h)| !h.stance.is_up());
+        self.denied = denied.map(|(key, _)| key).collect();
         self.track_denied(now);
     }
 
@@ -187,63 +194,17 @@
             epoch: reply.state.epoch,
             denials,
         };
+        self.count_deniers(key, |deniers| deniers.saturating_sub(1));
         self.hosts[key].replies.record(answer);
+        self.count_deniers(key, |deniers| deniers + 1);
         self.learn_from_peers();
     }
 
-    /// Right of this host to send work.
-    ///
-    /// Denials by this host itself count as reported, so that its vote stays
-    /// bound for as long as the result may be used.
-    pub fn lease(&mut self, now: Instant) -> QuorumLease {
-        self.settle(now);
-        let none = QuorumLease {
-            remaining_ms: 0,
-            epoch: self.list.epoch,
-            settled: self.settled,
-            down: Vec::new(),
-        };
-        if self.released || !self.is_member() {
-            return none;
-        }
-        let Some(mut until) = self.lease_end(now) else { return none };
-        let least = MIN_LEASE.min(until - now);
-        let mut down = Vec::new();
-        for host in self.deniable() {
-            let Some(end) = self.denied_until(host, now) else { continue };
-            if end >= now + least {
-                until = until.min(end);
-                down.push(self.hosts[host].name.clone());
-            }
-        }
-        let remaining_ms = (until - now).as_millis() as u64;
-        QuorumLease { remaining_ms, down, ..none }
-    }
-
-    /// Whether this host holds a quorum lease.
-    pub fn holds_lease(&self, now: Instant) -> bool {
-        !self.released && self.is_member() && self.lease_end(now).is_some()
-    }
-
-    /// Whether a majority has held this epoch for the lease time.
-    pub fn is_settled(&mut self, now: Instant) -> bool {
-        self.settle(now);
-        self.settled
-    }
-
     /// Whether this host takes a listed host for live.
     pub fn is_up(&self, host: &str) -> bool {
         self.names.get(host).is_some_and(|k| *k == self.me || self.hosts[*k].stance.is_up())
     }
 
-    /// Hosts of the list that a majority has denied without a break for `time`,
-    /// as far as this host has seen.
-    pub fn denied_for(&self, time: Duration, now: Instant) -> Vec<Box<str>> {
-        let long = |k: &&HostKey| self.hosts[**k].denied_since.is_some_and(|s| now >= s + time);
-        let denied = self.quorum.current.iter().filter(long);
-        denied.map(|k| self.hosts[*k].name.clone()).collect()
-    }
-
     /// Hosts known, listed or not.
     pub fn known_hosts(&self) -> usize {
         self.hosts.len()
@@ -252,10 +213,14 @@
     fn vote(&mut self, heartbeat: &Heartbeat, now: Instant) -> Vote {
         let votes = self.can_vote(now);
         let key = self.names.get(&heartbeat.host).copied();
-        let Some(key) = key.filter(|k| self.quorum.contains(*k)) else { return Vote::Abstain };
+        let listed = key.filter(|k| self.hosts[*k].seat.is_taken());
+        let Some(key) = listed else { return Vote::Abstain };
         let stance = &mut self.hosts[key].stance;
         if heartbeat.released {
             stance.release(heartbeat.incarnation, now);
+            if !self.denied.contains(&key) {
+                self.denied.push(key);
+            }
             return Vote::Down;
         }
         if !heartbeat.serving {
@@ -269,9 +234,9 @@
     }
 
     fn report(&mut self, now: Instant) -> Vec<Denial> {
-        let quorum = &self.quorum;
-        let listed = self.hosts.iter_mut().filter(|(key, _)| quorum.contains(*key));
-        let denials = listed.filter_map(|(_, host)| {
+        let hosts = &mut self.hosts;
+        let denials = self.denied.iter().filter_map(|key| {
+            let host = hosts.get_mut(*key).filter(|h| h.seat.is_taken())?;
             let age_ms = host.stance.report(now)?.as_millis() as u64;
             Some(Denial { host: host.name.clone(), age_ms })
         });
@@ -284,76 +249,30 @@
         self.learned && now >= self.started + QUORUM_LEASE
     }
 
-    fn learn_from_peers(&mut self) {
-        if self.learned || self.list.epoch == 0 {
-            return;
-        }
-        let epoch = self.list.epoch;
-        let known = |k: HostKey| {
-            let replies = &self.hosts[k].replies;
-            (1..=epoch).contains(&replies.epoch())
-        };
-        self.learned = self.quorum.meets_without(self.me, known);
-    }
-
-    fn lease_end(&self, now: Instant) -> Option<Instant> {
-        let own = self.can_vote(now).then_some(now);
-        let support = |k: HostKey| if k == self.me { own } else { self.hosts[k].replies.support() };
-        let end = self.quorum.newest(support)? + QUORUM_LEASE;
-        (end > now).then_some(end)
-    }
-
-    fn denied_until(&mut self, host: HostKey, now: Instant) -> Option<Instant> {
-        let own = self.own_denial(host, now);
-        let denial =
-            |k: HostKey| if k == self.me { own } else { self.hosts[k].replies.denies(host, now) };
-        self.quorum.newest(denial)
-    }
-
-    fn own_denial(&mut self, host: HostKey, now: Instant) -> Option<Instant> {
-        if host == self.me || !self.can_vote(now) {
-            return None;
+    /// Updates the number of deniers of each host that a voter denies.
+    fn count_deniers(&mut self, voter: HostKey, update: fn(u32) -> u32) {
+        let denied: Vec<HostKey> = self.hosts[voter].replies.denied().collect();
+        for key in denied {
+            // The host may have left the list.
+            if let Some(host) = self.hosts.get_mut(key) {
+                host.deniers = update(host.deniers);
+            }
         }
-        let age = self.hosts[host].stance.report(now)?;
-        (age >= QUORUM_LEASE).then(|| now + QUORUM_LEASE)
     }
 
-    /// Listed hosts that any voter denies.
-    fn deniable(&self) -> Vec<HostKey> {
-        let own = self.hosts.iter().filter(|(_, h)| !h.stance.is_up()).map(|(k, _)| k);
-        let others = self.hosts.values().flat_map(|h| h.replies.denied());
-        let mut denied: Vec<HostKey> = own.chain(others).collect();
-        denied.sort_unstable();
-        denied.dedup();
-        denied.retain(|k| *k != self.me && self.quorum.contains(*k));
-        denied
-    }
-
-    fn settle(&mut self, now: Instant) {
-        let epoch = self.list.epoch;
-        let own = self.can_vote(now) && now >= self.adopted + QUORUM_LEASE;
-        let held = |k: HostKey| {
-            if k == self.me { own } else { self.hosts[k].replies.has_held(epoch, now) }
-        };
-        self.settled |= self.quorum.meets(held);
-    }
-
-    fn track_denied(&mut self, now: Instant) {
-        let denied = self.deniable();
-        for (key, host) in &mut self.hosts {
-            if denied.binary_search(&key).is_err() {
-                host.denied_since = None;
-            }
+    /// Seats the hosts of both lists.
+    fn seat(&mut self, list: &MemberList, now: Instant) {
+        self.hosts.values_mut().for_each(|h| h.seat = Seat::default());
+        for host in &list.hosts {
+            let key = self.key(&host.host, now);
+            self.hosts[key].seat.current = true;
         }
-        for key in denied {
-            let majority = self.denied_until(key, now).is_some();
-            let since = &mut self.hosts[key].denied_since;
-            *since = if majority { since.or(Some(now)) } else { None };
+        for host in &list.previous {
+            let key = self.key(&host.host, now);
+            self.hosts[key].seat.previous = true;
         }
-    }
-
-    fn keys(&mut self, hosts: &[MemberHost], now: Instant) -> Vec<HostKey> {
-        hosts.iter().map(|h| self.key(&h.host, now)).collect()
+        self.quorum = Count::default();
+        self.hosts.values().for_each(|h| self.quorum.add(h.seat));
     }
 
     fn key(&mut self, name: &str, now: Instant) -> HostKey {
@@ -366,9 +285,9 @@
     }
 
     fn forget_strangers(&mut self, now: Instant) {
-        let Membership { hosts, names, quorum, me, .. } = self;
+        let Membership { hosts, names, me, .. } = self;
         hosts.retain(|key, host| {
-            let keep = key == *me || quorum.contains(key) || host.stance.binds(now);
+            let keep = key == *me || host.seat.is_taken() || host.stance.binds(now);
             if !keep {
                 names.remove(&host.name);
             }
@@ -381,9 +300,11 @@
     fn new(name: &str, now: Instant) -> Host {
         Host {
             name: name.into(),
+            seat: Seat::default(),
             stance: Stance::new(now),
             replies: Replies::default(),
             denied_since: None,
+            deniers: 0,
         }
     }
 }
--- a/crates/members/src/replies.rs
+++ b/crates/members/src/replies.rs
@@ -27,6 +27,7 @@
     incarnation: u64,
     epoch: u64,
     epoch_since: Option<Instant>,
+    /// Sorted by host.
     denials: Box<[Denial]>,
 }
 
@@ -62,12 +63,16 @@
             mature: received + QUORUM_LEASE.saturating_sub(age),
             until: sent + QUORUM_LEASE,
         });
-        let new: Vec<Denial> = new.collect();
+        let mut new: Vec<Denial> = new.collect();
+        new.sort_unstable_by_key(|d| d.host);
         // A denial that is no longer reported still binds its voter, so that
         // the groups of a host that returns keep their owner meanwhile.
         let bound = self.denials.iter().filter(|d| d.until > received && d.mature < d.until);
-        let bound = bound.filter(|d| !new.iter().any(|n| n.host == d.host));
-        self.denials = bound.chain(&new).copied().collect();
+        let bound = bound.filter(|d| new.binary_search_by_key(&d.host, |n| n.host).is_err());
+        let bound: Vec<Denial> = bound.copied().collect();
+        new.extend(bound);
+        new.sort_unstable_by_key(|d| d.host);
+        self.denials = new.into();
     }
 
     /// Send time of the newest heartbeat that the voter supported.
@@ -95,11 +100,11 @@
         self.denials.iter().map(|d| d.host)
     }
 
-    /// Until when the voter certainly denies `host`, if it has done so for
-    /// [`QUORUM_LEASE`].
-    pub(crate) fn denies(&self, host: HostKey, now: Instant) -> Option<Instant> {
-        let denial = self.denials.iter().find(|d| d.host == host)?;
-        (denial.mature <= now && now < denial.until).then_some(denial.until)
+    /// Hosts that the voter has denied for [`QUORUM_LEASE`], sorted, with the
+    /// time until which it certainly denies them.
+    pub(crate) fn denials(&self, now: Instant) -> impl Iterator<Item = (HostKey, Instant)> {
+        let valid = self.denials.iter().filter(move |d| d.mature <= now && now < d.until);
+        valid.map(|d| (d.host, d.until))
     }
 
     /// Forgets all support, given to a right that was released since, and
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -62,5 +62,27 @@
     T: DeserializeOwned,
 {
     let text = fs::read_to_string(path).context(ReadSnafu { path })?;
-    toml::from_str(&text).context(ParseSnafu { path })
+    let parsed = toml::from_str(&text).map_err(|mut error: toml::de::Error| {
+        error.set_input(Some(&redacted(&text)));
+        error
+    });
+    parsed.context(ParseSnafu { path })
+}
+
+/// Text of the same layout without the secret: messages of the parser show the
+/// line that they are about.
+fn redacted(text: &str) -> String {
+    let mut result = String::with_capacity(text.len());
+    for line in text.split_inclusive('\n') {
+        match line.split_once('=') {
+            Some((key, value)) if key.trim() == "secret" => {
+                result.push_str(key);
+                result.push('=');
+                let hidden = |b: u8| if b.is_ascii_whitespace() { char::from(b) } else { '*' };
+                result.extend(value.bytes().map(hidden));
+            }
+            _ => result.push_str(line),
+        }
+    }
+    result
 }
--- a/crates/rpc/src/agent.rs
+++ b/crates/rpc/src/agent.rs
@@ -70,14 +70,18 @@
         /// anyone, as far as the sender knows, in milliseconds.
         pub fresh_ms: Option<u64>,
         /// The sender is stopping and gives up its ownership.
+        #[serde(default, skip_serializing_if = "is_false")]
         pub leaving: bool,
         /// The sender's gate has no work left and will start none.
+        #[serde(default, skip_serializing_if = "is_false")]
         pub released: bool,
         /// The sender's gate asks for its lease, so that the sender wants the
         /// voters' support.
+        #[serde(default, skip_serializing_if = "is_false")]
         pub serving: bool,
         /// Entry that the sender wants in the member list, when it is not
         /// there or has other addresses.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
         pub join: Option<MemberHost>,
     }
 
@@ -89,6 +93,7 @@
         /// The voter's own state.
         pub state: Heartbeat,
         /// Hosts that the voter denies.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
         pub denials: Vec<Denial>,
     }
 
@@ -319,6 +324,12 @@
     }
 }
 
+/// Leaves usual values out of heartbeats, of which each host sends four a
+/// second to each other.
+fn is_false(flag: &bool) -> bool {
+    !flag
+}
+
 /// Methods of an agent.
 #[rpc(server, client, namespace = "agent")]
 pub trait AgentRpc {
