Confirm the member list before voting on it and copy losses to the next host

Cause: a restarted host that got a stale read could vote on a list older than one that it acknowledged, and suspects were forgotten with their home host. Change: a host relies on a list read from the store only after a refused write has confirmed its revision; the home of a digest reports losses to the next host in rendezvous order.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -249,11 +249,15 @@
     }
 }
 
-/// Deletes old claims while this host is the first in the order of "sweep".
+/// Forgets old suspects, and deletes old claims while this host is the first
+/// in the order of "sweep".
 async fn sweep(core: CoreAddress, claims: Arc<Claims>) {
     loop {
         time::sleep(SWEEP_INTERVAL).await;
-        let ask = Ask(|state: &mut State, now| state.home("sweep", now).is_none());
+        let ask = Ask(|state: &mut State, now| {
+            state.suspects.sweep(now);
+            state.home("sweep", now).is_none()
+        });
         let Ok(sweeps) = core.send(ask).await else { return };
         if sweeps && let Err(e) = claims.sweep().await {
             spdlog::warn!("old claims not deleted; the next sweep retries",
--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -62,8 +62,12 @@
 /// The configuration's head was read by a call that began at this time.
 pub(crate) struct HeadRead(pub(crate) Instant);
 
-/// The member list was read from the store; absent when there is none.
-pub(crate) struct ListRead(pub(crate) Option<MemberList>);
+/// The member list was read from the store, or written to it.
+pub(crate) struct ListRead {
+    pub(crate) list: MemberList,
+    /// Whether the store certainly had no later list.
+    pub(crate) confirmed: bool,
+}
 
 /// Asks for a result computed from the state.
 pub(crate) struct Ask<F>(pub(crate) F);
@@ -165,11 +169,11 @@
 
     async fn handle(&mut self, read: ListRead, _: &mut Context<Self>) {
         let now = self.clock.now();
-        let Some(list) = read.0 else { return };
+        let ListRead { list, confirmed } = read;
         if self.state.adopt_list(&list, now) {
             spdlog::info!("member list adopted", kv: { epoch = list.epoch, hosts = list.hosts.len() });
         }
-        if list.epoch >= self.state.membership.list().epoch {
+        if confirmed && list.epoch >= self.state.membership.list().epoch {
             self.state.membership.set_learned();
         }
         self.publish(now);
--- a/crates/agent/src/forward.rs
+++ b/crates/agent/src/forward.rs
@@ -13,6 +13,7 @@
 use chervil_rpc::agent::CanaryReply;
 use chervil_rpc::agent::CanaryReport;
 use chervil_rpc::agent::CanaryRequest;
+use chervil_rpc::agent::CanaryResult;
 use chervil_rpc::agent::ClaimReply;
 use chervil_rpc::agent::ClaimRequest;
 use chervil_rpc::agent::SettleRequest;
@@ -93,9 +94,19 @@
                 return;
             }
         }
-        let ask = Ask(move |s: &mut State, now| s.suspects.report(&report, now));
-        // The actor ends only with the process.
-        let _ = self.core.send(ask).await;
+        let local = report.clone();
+        let ask = Ask(move |state: &mut State, now| {
+            state.suspects.report(&local, now);
+            state.heir(&item, now)
+        });
+        let heir = self.core.send(ask).await.ok().flatten();
+        // Only losses are copied: a copy that gets lost must not look like a
+        // probe that was lost with its backend server.
+        if let Some(heir) = heir.filter(|_| report.result == CanaryResult::Lost) {
+            let copy = CanaryReport { forwarded: true, ..report };
+            let call = |c: Arc<WsClient>| async move { c.canary_report(copy).await };
+            self.pass(heir, self.limit, call).await;
+        }
     }
 
     /// Host to pass a request on to; `None` when it is to be served here.
--- a/crates/agent/src/list.rs
+++ b/crates/agent/src/list.rs
@@ -26,6 +26,9 @@
 /// Key of the member list in the store.
 const LIST_KEY: &str = "members";
 
+/// Revision that no key ever has.
+const NO_REVISION: Revision = i64::MAX as Revision;
+
 /// Interval at which the need for a change is examined.
 const INTERVAL: Duration = Duration::from_millis(250);
 
@@ -104,10 +107,13 @@
             None => None,
         };
         let epoch = stored.as_ref().map_or(0, |l| l.epoch);
+        if let Some(list) = stored {
+            let confirmed = !upkeep.learned && self.is_current(revision).await?;
+            self.adopt(list, confirmed).await?;
+        }
         if epoch > upkeep.list.epoch {
-            return self.adopt(stored).await.map(|()| true);
+            return Ok(true);
         }
-        self.adopt(stored).await?;
         if epoch == 0 && upkeep.list.epoch == 0 {
             if upkeep.uptime < CREATE_PATIENCE {
                 return Ok(true);
@@ -150,15 +156,28 @@
     async fn write(&self, revision: Revision, list: MemberList) -> Result<bool, ListError> {
         let text = serde_json::to_string(&list).context(MalformedSnafu)?;
         match self.store.put_if(LIST_KEY, revision, &text).await {
-            Ok(_) => self.adopt(Some(list)).await.map(|()| false),
+            Ok(_) => self.adopt(list, true).await.map(|()| false),
             // Another host changed it first, or the effect is not known.
             Err(StoreError::Conflict { .. }) => Ok(true),
             Err(e) => Err(e).context(CallSnafu),
         }
     }
 
-    async fn adopt(&self, list: Option<MemberList>) -> Result<(), ListError> {
-        self.core.send(ListRead(list)).await.ok().ok_or(ListError::Stopping)
+    /// Whether a read was not stale.
+    ///
+    /// A write under a revision that no key has writes nothing, and its refusal
+    /// names the current revision, which a read need not return.
+    async fn is_current(&self, revision: Revision) -> Result<bool, ListError> {
+        match self.store.put_if(LIST_KEY, NO_REVISION, "").await {
+            Err(StoreError::Conflict { current }) => Ok(current == revision),
+            Err(e) => Err(e).context(CallSnafu),
+            Ok(_) => Ok(false),
+        }
+    }
+
+    async fn adopt(&self, list: MemberList, confirmed: bool) -> Result<(), ListError> {
+        let read = ListRead { list, confirmed };
+        self.core.send(read).await.ok().ok_or(ListError::Stopping)
     }
 }
 
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -277,6 +277,15 @@
         home.filter(|h| h.host != self.me.host).map(|h| h.agent)
     }
 
+    /// Host that becomes the home of `item` when this one, its home, dies.
+    pub(crate) fn heir(&self, item: &str, now: Instant) -> Option<SocketAddr> {
+        if self.home(item, now).is_some() {
+            return None;
+        }
+        let live = |h: &MemberHost| h.host != self.me.host && self.is_live(h, now);
+        first(&self.members.hosts, item, None, live).map(|h| h.agent)
+    }
+
     /// Whether a host answers heartbeats and is not leaving.
     fn is_live(&self, host: &MemberHost, now: Instant) -> bool {
         if host.host == self.me.host {
--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -23,7 +23,10 @@
 use chervil_platform::StoreError;
 use chervil_platform::Versioned;
 use chervil_rpc::agent::AgentRpcClient as _;
+use chervil_rpc::agent::Heartbeat;
 use chervil_rpc::agent::HostStatus;
+use chervil_rpc::agent::MemberHost;
+use chervil_rpc::agent::MemberList;
 use chervil_rpc::agent::QuorumLease;
 use chervil_rpc::agent::View;
 use chervil_rpc::agent::ViewRequest;
@@ -137,6 +140,22 @@
         self.client.status().await.unwrap()
     }
 
+    /// Epoch that the agent tells its peers.
+    pub async fn voting_epoch(&self) -> u64 {
+        let heartbeat = Heartbeat {
+            host: "stranger".into(),
+            incarnation: 1,
+            epoch: 0,
+            revision: 0,
+            fresh_ms: None,
+            leaving: false,
+            released: false,
+            serving: false,
+            join: None,
+        };
+        self.client.heartbeat(heartbeat).await.unwrap().state.epoch
+    }
+
     pub async fn view(&self, after: u64, wait: Duration) -> View {
         let wait_ms = wait.as_millis() as u32;
         self.client.view(ViewRequest { after, revision: 0, wait_ms }).await.unwrap()
@@ -222,6 +241,20 @@
     store.put_if(HEAD_KEY, current, &text).await.unwrap();
 }
 
+/// Writes a member list of hosts that do not run.
+pub async fn write_list(store: &FakeStore, epoch: u64) {
+    let host = |i: u16| {
+        let address = ([127, 0, 0, 1], i).into();
+        let host = format!("absent{i}").into();
+        MemberHost { host, zone: "z1".into(), agent: address, gate: address }
+    };
+    let hosts = (1..4).map(host).collect();
+    let list = MemberList { epoch, hosts, previous: Vec::new() };
+    let text = serde_json::to_string(&list).unwrap();
+    let current = store.get("members").await.unwrap().map_or(0, |v| v.revision);
+    store.put_if("members", current, &text).await.unwrap();
+}
+
 /// Runs an agent on a thread of its own, so that a test can pause it.
 pub struct PausableHost {
     runtime: Runtime,
--- a/crates/agent/tests/faults.rs
+++ b/crates/agent/tests/faults.rs
@@ -16,6 +16,7 @@
 use common::all_settled;
 use common::cluster;
 use common::until;
+use common::write_list;
 use common::write_revision;
 
 fn down() -> Faults {
@@ -149,6 +150,25 @@
     until(async || store.dump().iter().any(|v| &*v.key == "members")).await;
 }
 
+/// Guards against a restarted host that votes on a list older than one that it
+/// acknowledged before, because the store's reads are stale.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_does_not_rely_on_a_stale_read_of_the_list() {
+    let store = Arc::new(FakeStore::new());
+    for epoch in [1, 2] {
+        write_list(&store, epoch).await;
+    }
+    store.set_faults(Faults { stale_reads: 1_000, ..Faults::default() });
+
+    let host = Host::start("h0", store.clone(), &[]).await;
+    until(async || host.status().await.epoch == 1).await;
+    time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(host.voting_epoch().await, 0);
+
+    store.set_faults(Faults::default());
+    until(async || host.voting_epoch().await == 2).await;
+}
+
 /// Guards against watches that report nothing.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_change_arrives_although_watches_are_silent() {
--- a/crates/agent/tests/forward.rs
+++ b/crates/agent/tests/forward.rs
@@ -65,6 +65,26 @@
     }
 }
 
+/// Guards against a suspect that is forgotten with its home host.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_suspect_outlives_its_home() {
+    let mut hosts = cluster(3, &Arc::new(FakeStore::new())).await;
+    for digest in 0..MANY {
+        for nonce in [1, 2] {
+            assert_eq!(ask(&hosts[0], digest, nonce).await, CanaryReply::Probe);
+            report(&hosts[0], digest, nonce, CanaryResult::Lost).await;
+        }
+    }
+
+    hosts[2].kill();
+    let dead = hosts[2].name.clone();
+    until(async || hosts[0].lease().await.down == [dead.clone()]).await;
+
+    for digest in 0..MANY {
+        assert_eq!(ask(&hosts[1], digest, 3).await, CanaryReply::Suspect, "digest {digest}");
+    }
+}
+
 /// Guards against a claim that two hosts grant, and against an outcome that
 /// only one host knows.
 #[tokio::test(flavor = "multi_thread")]
