--- /dev/null
+++ b/crates/plan/tests/policy.rs
@@ -0,0 +1,175 @@
+//! Shared policy: budget, limiter, latency, recent digests and replicas.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use chervil_plan::budget::Budget;
+use chervil_plan::latency::Latency;
+use chervil_plan::limiter::Limiter;
+use chervil_plan::recent::Recent;
+use chervil_plan::replica::Replicas;
+
+fn millis(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn drained() -> Budget {
+    let mut budget = Budget::new(0.05, 0.10);
+    while budget.take_retry() {}
+    budget
+}
+
+#[test]
+fn hedges_stay_within_the_steady_share() {
+    // Guards against hedges that add load when every reply is slow.
+    let (mut budget, now) = (drained(), Instant::now());
+    let mut granted = 0;
+
+    for _ in 0..1000 {
+        budget.deposit(100);
+        granted += (0..100).filter(|_| budget.take_hedge(now)).count();
+    }
+
+    assert!((4900..=5000).contains(&granted), "{granted} of 100000");
+}
+
+#[test]
+fn retries_and_hedges_under_faults_stay_within_a_tenth() {
+    // Guards against a retry storm during an outage.
+    let (mut budget, now) = (drained(), Instant::now());
+    let mut granted = 0;
+
+    for _ in 0..1000 {
+        budget.deposit(100);
+        budget.fault(now);
+        granted += (0..50).filter(|_| budget.take_hedge(now)).count();
+        granted += (0..50).filter(|_| budget.take_retry()).count();
+    }
+
+    assert!((9900..=10_000).contains(&granted), "{granted} of 100000");
+}
+
+#[test]
+fn the_limit_falls_once_for_one_overload_and_recovers() {
+    // Guards against a limit that collapses on one burst, or never comes back.
+    let (mut limiter, now) = (Limiter::new(100, 200), Instant::now());
+    for _ in 0..100 {
+        limiter.enter().unwrap();
+    }
+    assert!(limiter.enter().is_err(), "the limit does not hold");
+
+    for _ in 0..50 {
+        limiter.leave(millis(10), true, now);
+    }
+    let low = limiter.limit();
+    for _ in 0..20_000 {
+        while limiter.enter().is_ok() {}
+        limiter.leave(millis(10), false, now);
+    }
+
+    assert_eq!(low, 85);
+    assert!(limiter.limit() > 150, "{}", limiter.limit());
+}
+
+#[test]
+fn a_refused_request_gets_a_bounded_retry_hint() {
+    // Guards against hints of zero, which callers would turn into a loop.
+    let (mut limiter, now) = (Limiter::new(2, 2), Instant::now());
+    limiter.enter().unwrap();
+    limiter.enter().unwrap();
+
+    let fast = limiter.enter().unwrap_err();
+    for _ in 0..100 {
+        limiter.leave(Duration::from_secs(60), false, now);
+        limiter.enter().unwrap();
+    }
+    let slow = limiter.enter().unwrap_err();
+
+    assert!(fast.retry_ms >= 20);
+    assert_eq!(slow.retry_ms, 2000);
+}
+
+#[test]
+fn the_hedge_quantile_follows_recent_latency_only() {
+    // Guards against a hedge delay that stays high after a slow phase.
+    let (mut latency, start) = (Latency::new(), Instant::now());
+    for _ in 0..1000 {
+        latency.record(millis(400), start);
+    }
+    let before = latency.quantile(0.98, start);
+
+    for step in 1..=12 {
+        let now = start + Duration::from_secs(step);
+        (0..500).for_each(|_| latency.record(millis(10), now));
+    }
+    let after = latency.quantile(0.98, start + Duration::from_secs(12));
+
+    assert!(before.unwrap() >= millis(390));
+    assert!(after.unwrap() <= millis(11));
+}
+
+#[test]
+fn few_samples_give_no_quantile() {
+    // Guards against hedging on the first replies of a process.
+    let (mut latency, now) = (Latency::new(), Instant::now());
+    (0..199).for_each(|_| latency.record(millis(1), now));
+
+    assert_eq!(latency.quantile(0.98, now), None);
+}
+
+#[test]
+fn digests_are_forgotten_after_a_while_and_on_a_loss() {
+    // Guards against a request that once was harmless and is trusted for ever.
+    let (mut recent, now) = (Recent::new(millis(100)), Instant::now());
+    recent.insert(1, now);
+    recent.insert(2, now);
+
+    recent.remove(2);
+
+    assert!(recent.contains(1, now + millis(99)));
+    assert!(!recent.contains(2, now));
+    assert!(!recent.contains(1, now + millis(250)));
+}
+
+#[test]
+fn a_failing_server_is_asked_last_for_longer_each_time() {
+    // Guards against asking a dead server first after each short pause.
+    let (mut replicas, now) = (Replicas::default(), Instant::now());
+
+    replicas.failed("a", now);
+    let once = replicas.is_failing("a", now + millis(300));
+    replicas.failed("a", now);
+    let twice = replicas.is_failing("a", now + millis(300));
+    replicas.good("a");
+
+    assert!(!once && twice);
+    assert!(!replicas.is_failing("a", now));
+}
+
+#[test]
+fn a_server_that_only_ever_loses_to_hedges_counts_as_failing() {
+    // Guards against a hanging server that costs each query a hedge delay.
+    let (mut replicas, now) = (Replicas::default(), Instant::now());
+
+    (0..2).for_each(|_| replicas.slow("a", millis(50), now));
+    let few = replicas.is_failing("a", now);
+    replicas.slow("a", millis(50), now);
+
+    assert!(!few);
+    assert!(replicas.is_failing("a", now));
+}
+
+#[test]
+fn cost_follows_load_latency_and_slots() {
+    // Guards against a choice that ignores what real requests have shown.
+    let mut replicas = Replicas::default();
+    replicas.latency("fast", millis(10));
+    (0..50).for_each(|_| replicas.latency("slow", millis(100)));
+    replicas.sent("fast");
+    let loaded = replicas.cost("fast", 2, 0);
+    replicas.ended("fast");
+
+    assert!(loaded > replicas.cost("fast", 2, 0));
+    assert!(replicas.cost("slow", 2, 0) > 3.0 * replicas.cost("fast", 2, 0));
+    assert!(replicas.cost("fast", 6, 0) < replicas.cost("fast", 2, 0));
+}
