Restart on a vanished version at scale and stop after a second loss

When a version disappeared for more shards than the retry budget can ask again, no shard ran out of replicas and the query never restarted. The query now compares what the newest layout can still give with the newer version. After a lost connection a single shard is asked again before the others, so that a request that ends its servers ends one more and not one for each shard. The directory gathers what servers tell before it rebuilds a layout.

--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -20,6 +20,7 @@
 use chervil_rpc::agent::View;
 use tokio::sync::Notify;
 use tokio::sync::watch;
+use tokio::time;
 use xtra::Actor;
 use xtra::Context;
 use xtra::Handler;
@@ -31,6 +32,10 @@
 /// any more.
 const IDLE: Duration = Duration::from_secs(60);
 
+/// Time in which what servers told is gathered before a layout is rebuilt. When
+/// a version disappears, each server of a large service tells so at once.
+const REBUILD_DELAY: Duration = Duration::from_millis(5);
+
 /// What a request needs of its service.
 #[derive(Clone, Debug)]
 pub struct ServiceHandle {
@@ -77,6 +82,8 @@
     held: HashMap<Box<str>, Vec<HeldVersion>>,
     used: Instant,
     refreshing: bool,
+    /// Whether a rebuild of the layout is due.
+    stale: bool,
 }
 
 /// Starts the refresh of a service's index.
@@ -114,6 +121,7 @@
     fn rebuild(&mut self, service: &str) {
         let Some(catalog) = &self.catalog else { return };
         let Some(known) = self.services.get_mut(service) else { return };
+        known.stale = false;
         let parts = build::parts(catalog, &self.hosts, service, &self.zone);
         known.held.retain(|name, _| catalog.server(name).is_some());
         known.policy.lock().replicas.retain(|name| catalog.server(name).is_some());
@@ -140,6 +148,7 @@
             held: HashMap::default(),
             used: Instant::now(),
             refreshing: false,
+            stale: false,
         })
     }
 }
@@ -210,7 +219,7 @@
 impl Handler<Told> for Directory {
     type Return = ();
 
-    async fn handle(&mut self, told: Told, _: &mut Context<Self>) {
+    async fn handle(&mut self, told: Told, context: &mut Context<Self>) {
         let Some(known) = self.services.get_mut(&told.service) else { return };
         let mut changed = false;
         for index in told.told {
@@ -219,9 +228,32 @@
                 changed = true;
             }
         }
-        if changed {
-            self.rebuild(&told.service);
+        if !changed || known.stale {
+            return;
+        }
+        if known.layouts.borrow().pinned().is_none() {
+            return self.rebuild(&told.service);
         }
+        known.stale = true;
+        let (address, service) = (context.mailbox().address(), told.service);
+        tokio::spawn(async move {
+            time::sleep(REBUILD_DELAY).await;
+            // Without a directory the process is stopping.
+            let _ = address.send(Rebuild { service }).await;
+        });
+    }
+}
+
+/// Builds the layout of a service anew after its servers told what they hold.
+struct Rebuild {
+    service: Box<str>,
+}
+
+impl Handler<Rebuild> for Directory {
+    type Return = ();
+
+    async fn handle(&mut self, rebuild: Rebuild, _: &mut Context<Self>) {
+        self.rebuild(&rebuild.service);
     }
 }
 
--- a/crates/entry/src/query.rs
+++ b/crates/entry/src/query.rs
@@ -6,6 +6,7 @@
 
 use chervil_base::HashMap;
 use chervil_base::digest::Digest;
+use chervil_base::index::ServerIndex;
 use chervil_plan::layout::Gate;
 use chervil_plan::query::Action;
 use chervil_plan::query::Ending;
@@ -162,6 +163,7 @@
 
     fn perform(&mut self, actions: Vec<Action>) -> Option<Ending> {
         let mut ending = None;
+        let mut news = Vec::new();
         for action in actions {
             match action {
                 Action::Ask { batch, gate, layout, ask } => {
@@ -174,10 +176,13 @@
                 }
                 Action::AskCanary(request) => self.canary(Canary::Ask(request)),
                 Action::ReportCanary(report) => self.canary(Canary::Report(report)),
-                Action::Refresh { told } => self.refresh(told),
+                Action::Refresh { told } => news.extend(told),
                 Action::Finish(end) => ending = Some(end),
             }
         }
+        if !news.is_empty() {
+            self.refresh(news);
+        }
         ending
     }
 
@@ -201,7 +206,7 @@
         let _ = canaries.send(canary);
     }
 
-    fn refresh(&self, told: Vec<chervil_base::index::ServerIndex>) {
+    fn refresh(&self, told: Vec<ServerIndex>) {
         let (directory, service) = (self.entry.directory.clone(), self.name.clone());
         self.service.refresh.notify_one();
         tokio::spawn(async move {
--- a/crates/plan/src/layout.rs
+++ b/crates/plan/src/layout.rs
@@ -133,6 +133,13 @@
         &self.parts
     }
 
+    /// Whether each shard of a version has a usable holder.
+    pub fn holds(&self, version: u64) -> Option<Vec<bool>> {
+        let map = self.maps.iter().find(|m| m.version == version)?;
+        let held = |h: &Vec<Box<str>>| h.iter().any(|n| self.names.contains_key(n));
+        Some(map.holders.iter().map(held).collect())
+    }
+
     /// Server at a position.
     pub fn server(&self, at: ServerAt) -> &Server {
         &self.parts.servers[at.0 as usize]
--- a/crates/plan/src/query.rs
+++ b/crates/plan/src/query.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use chervil_base::HashMap;
 use chervil_base::coverage::MissingReason;
-use chervil_base::index::ServerIndex;
+use chervil_base::index::HeldVersion;
 use chervil_base::shards::Shard;
 use chervil_rpc::gate::Refusal;
 use chervil_rpc::gate::Row;
@@ -123,7 +124,14 @@
     failing_gates: Vec<bool>,
     /// Number of gates that disowned a group.
     disowned: Vec<(GroupAt, u32)>,
-    told: Vec<ServerIndex>,
+    /// Newest layout seen; the attempts refer to `layout`.
+    newest: Arc<Layout>,
+    /// What servers that do not hold the pinned version told.
+    told: HashMap<Box<str>, Vec<HeldVersion>>,
+    /// Shard that finds out whether losses come from the request itself.
+    loss_probe: Option<Shard>,
+    /// Whether a shard was answered after a loss.
+    loss_cleared: bool,
     unanswered: u32,
     /// Shards that are stuck.
     stuck: u32,
@@ -179,7 +187,10 @@
             Event::Canary { nonce, reply } => {
                 self.on_permit(nonce, reply, policy, now, &mut actions)
             }
-            Event::Layout(layout) => self.on_layout(layout, policy, now, &mut actions),
+            Event::Layout(layout) => {
+                self.newest = layout;
+                self.on_layout(policy, now, &mut actions)
+            }
             Event::Timer => {}
         }
         self.flush(policy, now, &mut actions);
@@ -221,6 +232,7 @@
         let mut query = Query {
             finish_at: spec.deadline.checked_sub(margin).unwrap_or(now),
             spec,
+            newest: layout.clone(),
             layout,
             pinned,
             phase: Phase::Canary,
@@ -235,7 +247,9 @@
             failing: Vec::new(),
             failing_gates: Vec::new(),
             disowned: Vec::new(),
-            told: Vec::new(),
+            told: HashMap::default(),
+            loss_probe: None,
+            loss_cleared: false,
             unanswered: 0,
             stuck: 0,
             overloads: 0,
@@ -280,7 +294,7 @@
     fn run_all(&mut self, policy: &mut Policy, now: Instant) {
         self.phase = Phase::Running;
         policy.budget.deposit(self.pinned.holders.len() as u32);
-        for shard in self.shards.iter_mut().filter(|s| !s.answered && s.open == 0) {
+        for shard in self.shards.iter_mut().filter(|s| !s.answered && !s.stuck && s.open == 0) {
             shard.due = Some(now);
         }
         self.wake(now);
--- a/crates/plan/src/query/ask.rs
+++ b/crates/plan/src/query/ask.rs
@@ -20,6 +20,10 @@
 /// Time after which an attempt that the budget denied is considered again.
 const BUDGET_WAIT: Duration = Duration::from_millis(5);
 
+/// Time after which a shard that waits for the end of another's attempt is
+/// considered again.
+const LOSS_WAIT: Duration = Duration::from_millis(2);
+
 /// Time kept back from a gate's part for its replies to travel.
 const WAY_BACK: Duration = Duration::from_millis(2);
 
@@ -62,6 +66,10 @@
             }
             return None;
         }
+        if self.must_wait(shard) {
+            self.schedule(shard, now + LOSS_WAIT);
+            return None;
+        }
         let Some(choice) = self.choose(shard, policy) else {
             self.nothing_to_ask(shard, now);
             return None;
@@ -75,12 +83,28 @@
             self.schedule(shard, now + BUDGET_WAIT);
             return None;
         }
-        self.account(shard, hedge, policy, now);
+        self.account(&choice, hedge, policy, now);
         Some(choice)
     }
 
-    fn account(&mut self, shard: Shard, hedge: bool, policy: &Policy, now: Instant) {
+    /// Whether a shard that lost a server must wait. Until one shard has been
+    /// answered after a loss, a single one at a time is asked again, so that a
+    /// request that ends its servers ends no more than that one.
+    fn must_wait(&self, shard: Shard) -> bool {
+        if self.shards[shard as usize].losses == 0 || self.loss_cleared {
+            return false;
+        }
+        self.loss_probe.is_some_and(|p| self.shards[p as usize].open > 0)
+    }
+
+    pub(super) fn account(&mut self, c: &Choice, hedge: bool, policy: &Policy, now: Instant) {
+        let shard = c.shard;
+        self.assigned[c.server.0 as usize] += 1;
+        self.opened[c.gate.0 as usize] = true;
         let state = &mut self.shards[shard as usize];
+        if state.losses > 0 && !self.loss_cleared {
+            self.loss_probe = Some(shard);
+        }
         state.attempts += 1;
         state.open += 1;
         state.hedges += u8::from(hedge);
--- a/crates/plan/src/query/canary.rs
+++ b/crates/plan/src/query/canary.rs
@@ -92,6 +92,7 @@
         now: Instant,
         actions: &mut Vec<Action>,
     ) {
+        self.adopt(policy, now);
         for at in 0..self.canary.probes.len() {
             if self.canary.probes[at].attempt.is_none() {
                 self.send_probe(at, policy, now, actions);
@@ -122,8 +123,8 @@
         let probe = &mut self.canary.probes[at];
         probe.attempt = Some(self.attempts.len() as u32);
         probe.shard = choice.shard;
-        self.shards[choice.shard as usize].attempts += 1;
-        self.shards[choice.shard as usize].open += 1;
+        self.account(&choice, false, policy, now);
+        self.shards[choice.shard as usize].due = None;
         self.send(vec![choice], policy, now, actions);
         // A slow probe is hedged like any other attempt, with its own permit.
         if self.canary.probes.len() <= usize::from(policy.tunables.hedges) {
--- a/crates/plan/src/query/choose.rs
+++ b/crates/plan/src/query/choose.rs
@@ -34,7 +34,7 @@
     /// random other on cost. The first choice follows an order of gates that
     /// is random for each query and the same for all of its shards, so that
     /// the shards meet at few gates.
-    pub(super) fn choose(&mut self, shard: Shard, policy: &Policy) -> Option<Choice> {
+    pub(super) fn choose(&self, shard: Shard, policy: &Policy) -> Option<Choice> {
         let pinned = self.pinned.clone();
         let mut pool = Pool::default();
         for &server in &pinned.holders[shard as usize] {
@@ -45,8 +45,6 @@
         let server = self.pick(shard, &pool, policy)?;
         let fresh = self.chain(shard).any(|(s, e)| s == server && e.is_none_or(End::may_stall));
         let gate = self.gate_of(self.layout.server(server).group);
-        self.assigned[server.0 as usize] += 1;
-        self.opened[gate.0 as usize] = true;
         Some(Choice { shard, server, gate, fresh })
     }
 
--- a/crates/plan/src/query/reply.rs
+++ b/crates/plan/src/query/reply.rs
@@ -141,6 +141,7 @@
         let state = &mut self.shards[shard as usize];
         (state.answered, state.due, state.rows) = (true, None, rows);
         self.unanswered -= 1;
+        self.loss_cleared |= self.shards[shard as usize].losses > 0;
         self.drop_rest(shard, policy, now, actions);
         self.probe_good(at, policy, now, actions);
     }
@@ -176,10 +177,11 @@
         actions: &mut Vec<Action>,
     ) {
         let server = self.layout.server(self.attempts[at as usize].server).name.clone();
-        self.told.retain(|t| t.server != server);
-        let told = ServerIndex { server, versions: held };
-        self.told.push(told.clone());
-        actions.push(Action::Refresh { told: vec![told] });
+        let first = self.told.insert(server.clone(), held.clone()).is_none();
+        if first {
+            let told = vec![ServerIndex { server, versions: held }];
+            actions.push(Action::Refresh { told });
+        }
         self.ended(at, End::Gone, policy, now, actions);
     }
 
@@ -230,9 +232,10 @@
         self.close(at, end, policy, actions);
         let state = &mut self.shards[shard as usize];
         state.reason = end.reason();
-        state.losses += u8::from(end == End::Lost);
         if end == End::Lost {
+            state.losses += 1;
             policy.recent.remove(self.spec.digest);
+            self.lost(shard);
         }
         if self.probe_ended(at, end, now, actions) || self.shards[shard as usize].open > 0 {
             return;
@@ -244,6 +247,9 @@
         if self.shards[shard as usize].losses >= MAX_LOSSES {
             return self.set_stuck(shard);
         }
+        if self.shards[shard as usize].stuck {
+            return;
+        }
         let tries = match end {
             End::Refused(Refusal::NotOwner | Refusal::Stopping) => self.gates_of(shard),
             End::Refused(_) => self.pinned.holders[shard as usize].len(),
@@ -256,6 +262,19 @@
         self.schedule(shard, now + wait);
     }
 
+    /// Gives up the shards that lost a server when the request has ended a
+    /// second one: it may end every server that runs it.
+    fn lost(&mut self, shard: Shard) {
+        if self.loss_probe == Some(shard) && !self.loss_cleared {
+            for shard in 0..self.shards.len() as Shard {
+                let state = &self.shards[shard as usize];
+                if state.losses > 0 && !state.answered {
+                    self.set_stuck(shard);
+                }
+            }
+        }
+    }
+
     /// Number of gates that may own a replica of the shard.
     fn gates_of(&self, shard: Shard) -> usize {
         let holders = &self.pinned.holders[shard as usize];
--- a/crates/plan/src/query/restart.rs
+++ b/crates/plan/src/query/restart.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use chervil_base::index::ServerIndex;
+
 use super::Action;
 use super::Phase;
 use super::Query;
@@ -18,34 +20,27 @@
 const MIN_LEFT: Duration = Duration::from_millis(5);
 
 impl Query {
-    /// Takes in a new layout; the query uses it only when it has to restart,
-    /// because its attempts refer to the old one.
+    /// Considers the newest layout; the query uses it only when it has to
+    /// restart, because its attempts refer to the old one.
     pub(super) fn on_layout(
         &mut self,
-        layout: Arc<Layout>,
         policy: &mut Policy,
         now: Instant,
         actions: &mut Vec<Action>,
     ) {
         if self.phase == Phase::Canary {
-            return self.adopt(layout, policy, now);
+            return self.adopt(policy, now);
         }
-        if self.gone_since.is_none() {
-            return;
-        }
-        // What servers told this query is newer than what the layout says.
-        let layout = if self.told.is_empty() {
-            layout
-        } else {
-            Arc::new(layout.with(self.told.iter().cloned()))
-        };
-        let reachable = 1.0 - f64::from(self.stuck) / self.shards.len().max(1) as f64;
         let in_time = self.finish_at.saturating_duration_since(now) >= MIN_LEFT;
-        if self.restarts >= MAX_RESTARTS || !in_time {
+        if self.told.is_empty() || self.restarts >= MAX_RESTARTS || !in_time {
             return;
         }
+        // What servers told this query is newer than what the layout says.
+        let told = self.told.iter();
+        let told = told.map(|(s, v)| ServerIndex { server: s.clone(), versions: v.clone() });
+        let layout = Arc::new(self.newest.with(told));
         match layout.newer_than(self.pinned.version) {
-            Some(newer) if newer.ratio() > reachable => {
+            Some(newer) if newer.ratio() > self.attainable(&layout) => {
                 self.restart(layout, newer, policy, now, actions)
             }
             _ => {}
@@ -61,19 +56,32 @@
     ) {
         if self.told.len() > self.considered {
             self.considered = self.told.len();
-            self.on_layout(self.layout.clone(), policy, now, actions);
+            self.on_layout(policy, now, actions);
             if self.timer <= now {
                 self.flush(policy, now, actions);
             }
         }
     }
 
-    /// Uses a new layout from the start, while no attempt is open.
-    fn adopt(&mut self, layout: Arc<Layout>, policy: &mut Policy, now: Instant) {
+    /// Share of the shards that are answered or can be, according to `layout`.
+    fn attainable(&self, layout: &Layout) -> f64 {
+        let held = layout.holds(self.pinned.version);
+        let can = |shard: usize| held.as_ref().is_some_and(|h| h.get(shard) == Some(&true));
+        let shards = self.shards.iter().enumerate();
+        let count = shards.filter(|(i, s)| s.answered || (!s.stuck && can(*i))).count();
+        count as f64 / self.shards.len().max(1) as f64
+    }
+
+    /// Uses the newest layout from the start, while no attempt is open.
+    pub(super) fn adopt(&mut self, policy: &mut Policy, now: Instant) {
         let idle = self.batches.iter().all(|b| b.open == 0);
-        if let Some(pinned) = layout.pinned().filter(|p| idle && p.ratio() > 0.0) {
+        let newest = self.newest.clone();
+        if !idle || Arc::ptr_eq(&newest, &self.layout) {
+            return;
+        }
+        if let Some(pinned) = newest.pinned().filter(|p| p.ratio() > 0.0) {
             self.pinned = pinned.clone();
-            self.layout = layout;
+            self.layout = newest;
             self.begin_round(policy, now);
         }
     }
--- a/crates/plan/tests/differential.rs
+++ b/crates/plan/tests/differential.rs
@@ -53,6 +53,7 @@
     max_ms: u64,
     max_extra: u64,
     max_lost: Option<usize>,
+    max_losses: Option<u64>,
 }
 
 fn check(path: &Path) -> datatest_stable::Result<()> {
@@ -73,6 +74,10 @@
         let lost: usize = reports.iter().map(|r| r.lost.len()).sum();
         assert!(lost <= max, "{lost} servers were lost");
     }
+    if let Some(max) = case.expect.max_losses {
+        let losses: u64 = reports.iter().map(|r| r.losses).sum();
+        assert!(losses <= max, "{losses} attempts were lost");
+    }
     match &report.ending {
         Ending::Answer { coverage, rows } => {
             let missing: ShardSet = coverage.missing.iter().map(|m| m.shard).collect();
--- a/crates/plan/tests/support/sim.rs
+++ b/crates/plan/tests/support/sim.rs
@@ -46,6 +46,8 @@
     pub sent: u64,
     /// Servers whose connection was lost.
     pub lost: HashSet<Box<str>>,
+    /// Attempts whose connection was lost.
+    pub losses: u64,
     /// Messages to gates.
     pub batches: u64,
 }
@@ -128,6 +130,7 @@
     queue: BinaryHeap<Reverse<Item>>,
     sequence: u64,
     queries: u64,
+    losses: u64,
 }
 
 impl Sim {
@@ -146,6 +149,7 @@
             queue: BinaryHeap::new(),
             sequence: 0,
             queries: 0,
+            losses: 0,
         }
     }
 
@@ -166,11 +170,13 @@
         let began = self.now;
         let layout = self.fixed.clone().unwrap_or_else(|| self.world.layout());
         let (mut query, mut actions) = Query::start(spec, layout, &mut self.policy, self.now);
+        let losses = self.losses;
         let (mut sent, mut batches, mut lost) = (0, 0, HashSet::default());
         loop {
             if let Some(ending) = self.perform(actions, &mut sent, &mut batches, &mut lost) {
                 let took = self.now - began;
-                return Report { ending, took, sent, lost, batches };
+                let losses = self.losses - losses;
+                return Report { ending, took, sent, lost, losses, batches };
             }
             actions = self.step(&mut query);
         }
@@ -246,6 +252,7 @@
             Some(FaultKind::Silent) => return true,
             Some(FaultKind::Lost) => {
                 lost.insert(item.server.clone());
+                self.losses += 1;
                 result = AskResult::Lost;
             }
             Some(FaultKind::Failed) => result = AskResult::Failed,
