--- a/crates/gate/src/state/work.rs
+++ b/crates/gate/src/state/work.rs
@@ -53,8 +53,9 @@
         let span = tracing::info_span!("gate.ask", service = &*batch.service, query = batch.query);
         trace::set_parent(&span, batch.trace.as_deref());
         self.parts.metrics.count("ask", batch.items.len() as i64);
+        let body: Arc<str> = batch.body.clone().into();
         let accepted = batch.items.iter().filter_map(|item| {
-            let job = self.ask_job(&batch, item, &replies, &span);
+            let job = self.ask_job(&batch, &body, item, &replies, &span);
             let work = Work {
                 server: item.server.clone(),
                 source: batch.incarnation,
@@ -77,23 +78,24 @@
         trace::set_parent(&span, request.trace.as_deref());
         self.parts.metrics.count("run", 1);
         self.runs += 1;
+        let accepted = self.now();
         let work = Work {
             server: request.server.clone(),
             source: digest::stable_hash(&request.key),
             query: self.runs,
             shard: 0,
             fresh: false,
-            deadline: self.now() + Duration::from_millis(request.timeout_ms.into()),
+            deadline: accepted + Duration::from_millis(request.timeout_ms.into()),
         };
         let call = RunCall {
             service: request.service,
             key: request.key,
             timeout: Duration::ZERO,
-            body: request.body,
+            body: request.body.into(),
             trace: request.trace,
         };
         let kind = Kind::Run { call: Arc::new(call), reply };
-        let job = Job { server: request.server, deadline: work.deadline, span, kind };
+        let job = Job { server: request.server, accepted, deadline: work.deadline, span, kind };
         self.submit(&work, job);
     }
 }
@@ -150,6 +152,7 @@
     fn ask_job(
         &self,
         batch: &AskBatch,
+        body: &Arc<str>,
         item: &AskItem,
         replies: &mpsc::UnboundedSender<AskReply>,
         span: &tracing::Span,
@@ -161,7 +164,7 @@
             version: batch.version,
             request: request.into(),
             timeout: Duration::ZERO,
-            body: batch.body.clone(),
+            body: body.clone(),
             trace: batch.trace.clone(),
         };
         let to = Recipient {
@@ -171,9 +174,11 @@
             replies: replies.clone(),
         };
         let span = tracing::info_span!(parent: span, "backend.ask", server = &*item.server, shard = item.shard);
+        let accepted = self.now();
         Job {
             server: item.server.clone(),
-            deadline: self.now() + Duration::from_millis(batch.timeout_ms.into()),
+            accepted,
+            deadline: accepted + Duration::from_millis(batch.timeout_ms.into()),
             span,
             kind: Kind::Ask { call: Arc::new(call), to },
         }
