--- a/crates/plan/tests/random.rs
+++ b/crates/plan/tests/random.rs
@@ -115,7 +115,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(600))]
+    #![proptest_config(ProptestConfig { cases: 600, failure_persistence: None, ..ProptestConfig::default() })]
 
     #[test]
     fn answers_equal_the_naive_rows_of_the_covered_shards(
