Probe servers that no shard depends on

The second probe now goes to a server that is not the only sound holder of any shard. A second hedge of a shard counts as a fault, so that hedges may draw on the tokens kept for faults when all connections hang.

--- a/crates/plan/src/query/ask.rs
+++ b/crates/plan/src/query/ask.rs
@@ -74,6 +74,10 @@
             self.nothing_to_ask(shard, now);
             return None;
         };
+        if hedge && state.hedges > 0 {
+            // One slow reply is usual; two for one shard point to a fault.
+            policy.budget.fault(now);
+        }
         let granted = match (hedge, first) {
             (true, _) => policy.budget.take_hedge(now),
             (false, true) => true,
--- a/crates/plan/src/query/canary.rs
+++ b/crates/plan/src/query/canary.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use chervil_base::HashSet;
 use chervil_base::shards::Shard;
 use chervil_rpc::agent::CanaryReply;
 use chervil_rpc::agent::CanaryReport;
@@ -16,6 +17,7 @@
 use super::Phase;
 use super::Query;
 use super::mix;
+use crate::layout::ServerAt;
 use crate::policy::Policy;
 
 /// Wait before the agent is asked again after it could not be asked.
@@ -116,10 +118,16 @@
     ) {
         let count = self.shards.len() as Shard;
         let start = mix(self.spec.seed, self.spec.query) as Shard % count.max(1);
-        let mut order = (0..count).map(|i| (start + i) % count);
-        let Some(choice) = order.find_map(|s| self.choose(s, policy)) else {
-            return;
-        };
+        let sole = self.sole_holders();
+        let order = (0..count).map(|i| (start + i) % count);
+        let mut choices = order.filter_map(|s| self.choose(s, policy));
+        let mut first = None;
+        // The probe may end its server, which no shard must depend on.
+        let spare = choices.find(|c| {
+            first.get_or_insert(*c);
+            !sole.contains(&c.server)
+        });
+        let Some(choice) = spare.or(first) else { return };
         let probe = &mut self.canary.probes[at];
         probe.attempt = Some(self.attempts.len() as u32);
         probe.shard = choice.shard;
@@ -132,6 +140,16 @@
         }
     }
 
+    /// Servers that are the only holder of some shard, apart from failing ones.
+    fn sole_holders(&self) -> HashSet<ServerAt> {
+        let sole = self.pinned.holders.iter().filter_map(|holders| {
+            let mut sound = holders.iter().filter(|s| !self.failing[s.0 as usize]);
+            let only = sound.next()?;
+            sound.next().is_none().then_some(*only)
+        });
+        sole.collect()
+    }
+
     /// Continues with all shards after a probe's good reply.
     pub(super) fn probe_good(
         &mut self,
