Retry for free where a gate had no room

Attempts that a gate sheds reach no backend server, yet each took a token of the retry budget, so that a short shortage of slots used it up. Only gates give a retry hint, which tells their refusals from those of backend servers.

--- a/crates/plan/src/query.rs
+++ b/crates/plan/src/query.rs
@@ -34,7 +34,7 @@
 pub use event::Spec;
 
 /// Most attempts of one shard within one version.
-const MAX_ATTEMPTS: u8 = 12;
+const MAX_ATTEMPTS: u8 = 24;
 
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,6 +46,8 @@
     /// The server does not hold the shard at the pinned version.
     Gone,
     Refused(Refusal),
+    /// The gate had no room for it; only gates give a hint with a refusal.
+    Shed(Refusal),
     Lost,
     Failed,
     TimedOut,
@@ -77,6 +79,8 @@
     attempts: u8,
     hedges: u8,
     losses: u8,
+    /// Attempts that may have reached a server and brought nothing.
+    costly: u8,
     answered: bool,
     /// Nothing more can be tried at the pinned version.
     stuck: bool,
@@ -273,6 +277,7 @@
             attempts: 0,
             hedges: 0,
             losses: 0,
+            costly: 0,
             answered: false,
             stuck: false,
             due: None,
--- a/crates/plan/src/query/reply.rs
+++ b/crates/plan/src/query/reply.rs
@@ -22,12 +22,15 @@
 /// ends the servers.
 const MAX_LOSSES: u8 = 2;
 
+/// Attempts of one shard that may reach a server and bring nothing.
+const MAX_COSTLY: u8 = 12;
+
 /// First wait before a refused shard is asked again where every replica
 /// refused; it doubles each time.
 const REFUSED_WAIT: Duration = Duration::from_millis(5);
 
 /// Longest such wait.
-const MAX_REFUSED_WAIT: Duration = Duration::from_millis(200);
+const MAX_REFUSED_WAIT: Duration = Duration::from_millis(100);
 
 /// How long a server that refused without a hint is asked last.
 const BUSY_WAIT: Duration = Duration::from_millis(50);
@@ -36,11 +39,14 @@
     /// Whether the attempt ended before any backend server heard of it.
     pub(super) fn is_before_server(self) -> bool {
         use Refusal::*;
-        matches!(
-            self,
-            End::NoGate
-                | End::Refused(NotOwner | OutOfService | UnknownServer | Stopping | Expired)
-        )
+        match self {
+            End::NoGate | End::Shed(_) => true,
+            End::Refused(reason) => matches!(
+                reason,
+                NotOwner | OutOfService | UnknownServer | Stopping | Expired | Unreachable
+            ),
+            _ => false,
+        }
     }
 
     /// Whether the attempt may have left a stalled connection behind.
@@ -50,13 +56,13 @@
 
     /// Whether it is proven that no backend server started the attempt.
     pub(super) fn is_not_run(self) -> bool {
-        matches!(self, End::Refused(_) | End::NoGate)
+        matches!(self, End::Refused(_) | End::Shed(_) | End::NoGate)
     }
 
     fn reason(self) -> MissingReason {
         match self {
             End::Gone => MissingReason::VersionGone,
-            End::Refused(_) => MissingReason::Refused,
+            End::Refused(_) | End::Shed(_) => MissingReason::Refused,
             End::Lost | End::Failed | End::GateLost | End::NoGate => MissingReason::Lost,
             End::Partial => MissingReason::PartialReply,
             End::Good | End::TimedOut | End::Dropped => MissingReason::Timeout,
@@ -210,7 +216,8 @@
         if !matches!(reason, Refusal::NotOwner | Refusal::Stopping) {
             self.failing[position.0 as usize] = true;
         }
-        self.ended(at, End::Refused(reason), policy, now, actions);
+        let end = if retry_ms.is_some() { End::Shed(reason) } else { End::Refused(reason) };
+        self.ended(at, end, policy, now, actions);
     }
 
     /// Ends an attempt that brought nothing and schedules what comes next.
@@ -232,6 +239,7 @@
         self.close(at, end, policy, actions);
         let state = &mut self.shards[shard as usize];
         state.reason = end.reason();
+        state.costly += u8::from(!end.is_before_server());
         if end == End::Lost {
             state.losses += 1;
             policy.recent.remove(self.spec.digest);
@@ -244,7 +252,11 @@
     }
 
     fn retry(&mut self, shard: Shard, end: End, now: Instant) {
-        if self.shards[shard as usize].losses >= MAX_LOSSES {
+        let state = &self.shards[shard as usize];
+        let holders = self.pinned.holders[shard as usize].len();
+        // A server that replied in part will not do better at once.
+        let partial = end == End::Partial && usize::from(state.costly) >= holders;
+        if partial || state.losses >= MAX_LOSSES || state.costly >= MAX_COSTLY {
             return self.set_stuck(shard);
         }
         if self.shards[shard as usize].stuck {
@@ -252,7 +264,7 @@
         }
         let tries = match end {
             End::Refused(Refusal::NotOwner | Refusal::Stopping) => self.gates_of(shard),
-            End::Refused(_) => self.pinned.holders[shard as usize].len(),
+            End::Refused(_) | End::Shed(_) => self.pinned.holders[shard as usize].len(),
             _ => usize::from(MAX_ATTEMPTS),
         };
         let wait = match usize::from(self.shards[shard as usize].attempts).checked_sub(tries) {
--- a/crates/plan/tests/random.rs
+++ b/crates/plan/tests/random.rs
@@ -22,7 +22,8 @@
 use support::world::SimServer;
 use support::world::World;
 
-const KINDS: [FaultKind; 11] = [
+const KINDS: [FaultKind; 12] = [
+    FaultKind::Shed,
     FaultKind::Slow,
     FaultKind::Lost,
     FaultKind::Busy,
--- a/crates/plan/tests/support/sim.rs
+++ b/crates/plan/tests/support/sim.rs
@@ -263,7 +263,7 @@
             Some(kind) => result = bent(kind, result),
             None => {}
         }
-        let reached = !matches!(kind, Some(FaultKind::NotOwner));
+        let reached = !matches!(kind, Some(FaultKind::NotOwner | FaultKind::Shed));
         let reply = AskReply {
             incarnation: ask.incarnation,
             query: ask.query,
@@ -323,7 +323,10 @@
             AskResult::Rows { version, rows, partial: true }
         }
         (kind, result) => match world::refusal(kind) {
-            Some(reason) => AskResult::Refused { reason, retry_ms: None },
+            Some(reason) => {
+                let retry_ms = (kind == FaultKind::Shed).then_some(10);
+                AskResult::Refused { reason, retry_ms }
+            }
             None => result,
         },
     }
--- a/crates/plan/tests/support/world.rs
+++ b/crates/plan/tests/support/world.rs
@@ -55,6 +55,8 @@
     Lost,
     /// The server sheds the request.
     Busy,
+    /// The gate has no room and gives a hint.
+    Shed,
     /// The gate does not own the server.
     NotOwner,
     /// The server fails.
@@ -178,7 +180,7 @@
 /// Reason that a server gives with a refusal of this kind.
 pub fn refusal(kind: FaultKind) -> Option<Refusal> {
     match kind {
-        FaultKind::Busy => Some(Refusal::Busy),
+        FaultKind::Busy | FaultKind::Shed => Some(Refusal::Busy),
         FaultKind::NotOwner => Some(Refusal::NotOwner),
         _ => None,
     }
