Bound the hedge delay by the median

Sub-requests that lost to a hedge count with the time they had run. When many connections hang, the 98th percentile then grew with the delay that it sets. The delay is now at most four medians.

cargo test -p chervil-plan passes.

--- a/crates/plan/src/latency.rs
+++ b/crates/plan/src/latency.rs
@@ -14,6 +14,11 @@
 /// How long a computed quantile is used.
 const CACHE: Duration = Duration::from_millis(100);
 
+/// Most medians that a hedge waits. Sub-requests that were given up count with
+/// the time they had run; when many hang, the quantile would grow with the
+/// hedge delay that it sets.
+const MAX_MEDIANS: u64 = 4;
+
 /// Largest latency that is told apart, in microseconds.
 const MAX_MICROS: u64 = 60_000_000;
 
@@ -47,8 +52,9 @@
         }
     }
 
-    /// Latency at `quantile`, once there are enough samples.
-    pub fn quantile(&mut self, quantile: f64, now: Instant) -> Option<Duration> {
+    /// Time after which a reply is late: the latency at `quantile`, but not
+    /// over 4 medians. `None` until there are enough samples.
+    pub fn late_after(&mut self, quantile: f64, now: Instant) -> Option<Duration> {
         if let Some((at, value)) = self.cached
             && now.saturating_duration_since(at) < CACHE
         {
@@ -62,7 +68,8 @@
         if all.len() < MIN_SAMPLES {
             return None;
         }
-        let value = Duration::from_micros(all.value_at_quantile(quantile));
+        let most = all.value_at_quantile(0.5) * MAX_MEDIANS;
+        let value = Duration::from_micros(all.value_at_quantile(quantile).min(most));
         self.cached = Some((now, value));
         Some(value)
     }
--- a/crates/plan/src/policy.rs
+++ b/crates/plan/src/policy.rs
@@ -42,7 +42,7 @@
 
     /// Time after which a sub-request without a reply is hedged.
     pub fn hedge_delay(&mut self, now: Instant) -> Duration {
-        let seen = self.latency.quantile(self.tunables.quantile, now);
+        let seen = self.latency.late_after(self.tunables.quantile, now);
         seen.unwrap_or(self.tunables.first_hedge()).max(self.tunables.min_hedge())
     }
 }
--- a/crates/plan/tests/policy.rs
+++ b/crates/plan/tests/policy.rs
@@ -90,31 +90,43 @@
 }
 
 #[test]
-fn the_hedge_quantile_follows_recent_latency_only() {
+fn the_hedge_delay_follows_recent_latency_only() {
     // Guards against a hedge delay that stays high after a slow phase.
     let (mut latency, start) = (Latency::new(), Instant::now());
     for _ in 0..1000 {
         latency.record(millis(400), start);
     }
-    let before = latency.quantile(0.98, start);
+    let before = latency.late_after(0.98, start);
 
     for step in 1..=12 {
         let now = start + Duration::from_secs(step);
         (0..500).for_each(|_| latency.record(millis(10), now));
     }
-    let after = latency.quantile(0.98, start + Duration::from_secs(12));
+    let after = latency.late_after(0.98, start + Duration::from_secs(12));
 
     assert!(before.unwrap() >= millis(390));
     assert!(after.unwrap() <= millis(11));
 }
 
 #[test]
-fn few_samples_give_no_quantile() {
+fn few_samples_give_no_hedge_delay() {
     // Guards against hedging on the first replies of a process.
     let (mut latency, now) = (Latency::new(), Instant::now());
     (0..199).for_each(|_| latency.record(millis(1), now));
 
-    assert_eq!(latency.quantile(0.98, now), None);
+    assert_eq!(latency.late_after(0.98, now), None);
+}
+
+#[test]
+fn hanging_sub_requests_do_not_stretch_the_hedge_delay() {
+    // Guards against a delay that grows with each hedge when connections hang.
+    let (mut latency, now) = (Latency::new(), Instant::now());
+    (0..900).for_each(|_| latency.record(millis(10), now));
+    (0..100).for_each(|_| latency.record(millis(900), now));
+
+    let delay = latency.late_after(0.98, now).unwrap();
+
+    assert!(delay <= millis(41), "{delay:?}");
 }
 
 #[test]
