Lower the limit of concurrent queries from what runs

A limit far above the running queries took seconds to have an effect during an overload, and cold servers that shed work did not lower it.

cargo test -p chervil-plan -p chervil-entry passes.

--- a/crates/entry/tests/query.rs
+++ b/crates/entry/tests/query.rs
@@ -39,6 +39,20 @@
     assert!(rows.iter().all(|r| r["value"]["version"] == 7));
 }
 
+#[tokio::test]
+async fn the_callers_trace_reaches_the_gates() {
+    // Guards against spans of later hops that belong to no trace.
+    let system = System::start().await;
+    let trace = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+
+    system.post("/query/lookup", &[("traceparent", trace)], "q").await;
+
+    let traces: Vec<_> = system.gates.iter().flat_map(|g| g.state().traces.clone()).collect();
+    assert!(!traces.is_empty());
+    let id = &trace[..35];
+    assert!(traces.iter().all(|t| t.as_deref().is_some_and(|t| t.starts_with(id))), "{traces:?}");
+}
+
 #[tokio::test]
 async fn a_lost_server_costs_no_shard() {
     // Guards against a partial answer although replicas are left.
--- a/crates/plan/src/limiter.rs
+++ b/crates/plan/src/limiter.rs
@@ -60,11 +60,12 @@
     /// Records that an admitted query ended.
     pub fn leave(&mut self, took: Duration, overloaded: bool, now: Instant) {
         // The limit grows only while it is being used.
-        let used = f64::from(self.running) * 2.0 >= self.limit;
+        let running = f64::from(self.running);
+        let used = running * 2.0 >= self.limit;
         self.running = self.running.saturating_sub(1);
         self.typical = (self.typical * 7 + took) / 8;
         if overloaded {
-            self.decrease(now);
+            self.decrease(running, now);
         } else if used {
             self.limit = (self.limit + 1.0 / self.limit).min(self.max);
         }
@@ -85,10 +86,11 @@
         self.running
     }
 
-    fn decrease(&mut self, now: Instant) {
+    fn decrease(&mut self, running: f64, now: Instant) {
         let recent = |t: Instant| now.saturating_duration_since(t) < DECREASE_INTERVAL;
         if !self.decreased.is_some_and(recent) {
-            self.limit = (self.limit * DECREASE).max(MIN_LIMIT);
+            // A limit far above what runs would take long to have an effect.
+            self.limit = (self.limit.min(running * 2.0) * DECREASE).max(MIN_LIMIT);
             self.decreased = Some(now);
         }
     }
--- a/crates/plan/src/query/reply.rs
+++ b/crates/plan/src/query/reply.rs
@@ -204,9 +204,11 @@
         let (server, gate) = (self.layout.server(attempt.server), attempt.gate);
         let wait = retry_ms.map_or(BUSY_WAIT, |ms| Duration::from_millis(ms.into()));
         let position = attempt.server;
-        match reason {
-            Refusal::Busy | Refusal::Expired => self.overloads += 1,
-            _ => policy.budget.fault(now),
+        let shed = retry_ms.is_some() && reason != Refusal::Unreachable;
+        if shed || matches!(reason, Refusal::Busy | Refusal::Expired) {
+            self.overloads += 1;
+        } else {
+            policy.budget.fault(now);
         }
         match reason {
             Refusal::Unreachable => policy.replicas.failed(&server.name, now),
--- a/crates/plan/tests/policy.rs
+++ b/crates/plan/tests/policy.rs
@@ -71,6 +71,18 @@
     assert!(limiter.limit() > 150, "{}", limiter.limit());
 }
 
+#[test]
+fn an_overload_lowers_a_limit_that_is_not_in_use() {
+    // Guards against an overload that goes on until a high limit has come down.
+    let (mut limiter, now) = (Limiter::new(1000, 1000), Instant::now());
+    for step in 0..10 {
+        let admitted = (0..5).filter(|_| limiter.enter().is_ok()).count();
+        (0..admitted).for_each(|_| limiter.leave(millis(10), true, now + millis(200 * step)));
+    }
+
+    assert!(limiter.limit() <= 5, "{}", limiter.limit());
+}
+
 #[test]
 fn a_refused_request_gets_a_bounded_retry_hint() {
     // Guards against hints of zero, which callers would turn into a loop.
