--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -26,6 +26,8 @@
         pub falls: u64,
         /// Servers crashed by a request.
         pub crashes: u64,
+        /// Requests to a server after it was marked as out.
+        pub out: u64,
         /// Requests to a marked server more than 3 s after the mark.
         pub out_late: u64,
         /// Latest request to a marked server, in milliseconds after the mark.
@@ -76,6 +78,7 @@
             effort.over_connections += s.over_connections;
             effort.falls += s.falls;
             effort.crashes += s.crashes;
+            effort.out += s.after_out;
             effort.out_late += s.after_out_late;
             effort.out_last_ms = effort.out_last_ms.max(s.last_after_out_ms);
             effort.refused += s.busy + s.cold + s.draining;
@@ -147,6 +150,14 @@
         for (reason, count) in &callers.refusals {
             write!(f, "\n{:<10}   refused: {reason}: {count}", "")?;
         }
+        if effort.out > 0 {
+            let Effort { out, out_last_ms, .. } = effort;
+            write!(
+                f,
+                "\n{:<10}   work for the zone that is out: {out}, last after {out_last_ms} ms",
+                ""
+            )?;
+        }
         if runs.keys > 0 {
             write!(f, "\n{:<10}   runs: {} keys, {} ran", "", runs.keys, effort.run_keys)?;
             for (status, count) in &runs.statuses {
