--- a/crates/gate/tests/lifecycle.rs
+++ b/crates/gate/tests/lifecycle.rs
@@ -6,11 +6,7 @@
 
 use chervil_gate::app;
 use chervil_rpc::client;
-use chervil_rpc::gate::AskResult;
-use chervil_rpc::gate::GateRpcClient as _;
-use chervil_rpc::gate::Refusal;
-use chervil_rpc::gate::RunReply;
-use chervil_rpc::gate::WarmupLevel;
+use chervil_rpc::gate::*;
 use chervil_rpc::secret::Secret;
 use fixture::agent;
 use jsonrpsee::ws_client::WsClient;
@@ -103,8 +99,6 @@
     });
     let items = (0..40).map(|a| fixture::item(a, false)).collect();
     fixture::ask(&system.client, fixture::batch(1, items)).await;
-    tokio::time::sleep(Duration::from_millis(500)).await;
-
     agent.change(|a| a.lease.down = vec!["h1".into()]);
     fixture::warm(&next, 1).await;
     system.faults(|f| f.base_ms = 20.0);
--- a/crates/slots/src/machine.rs
+++ b/crates/slots/src/machine.rs
@@ -27,6 +27,7 @@
 mod configure;
 mod dispatch;
 mod events;
+mod stall;
 mod tick;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,6 +41,7 @@
     server: ServerKey,
     lane: Lane,
     shard: u32,
+    idempotent: bool,
     fresh: bool,
     deadline: Instant,
     stage: Stage,
@@ -97,6 +99,7 @@
             server,
             lane,
             shard: work.shard,
+            idempotent: work.idempotent,
             fresh: work.fresh,
             deadline: work.deadline,
             stage: Stage::Queued,
@@ -192,6 +195,12 @@
         servers.map(|s| WarmupLevel { server: s.name.clone(), level: s.warmup.level() }).collect()
     }
 
+    /// Level that is remembered of a server that is not owned any more.
+    pub fn remembered(&self, server: &str) -> Option<WarmupLevel> {
+        let (level, _) = self.hints.get(server)?;
+        Some(WarmupLevel { server: server.into(), level: *level })
+    }
+
     /// Names of the groups that are owned now.
     pub fn groups(&self) -> Vec<Box<str>> {
         let groups = self.servers.values().filter(|s| s.owned).map(|s| s.group.clone());
