--- a/crates/slots/src/machine/dispatch.rs
+++ b/crates/slots/src/machine/dispatch.rs
@@ -198,12 +198,14 @@
         if let Some(conn) = server.pool.newest(&self.conns, after) {
             return Choice::Use(conn);
         }
-        if server.pool.keys().len() < server.connections as usize {
-            return Choice::Dial;
-        }
-        match server.pool.oldest(&self.conns) {
-            Some(conn) => Choice::Replace(conn),
-            None => Choice::Dial,
+        let full = server.pool.keys().len() >= server.connections as usize;
+        let oldest = server.pool.oldest(&self.conns);
+        // A doubtful connection is better than none.
+        let doubtful = server.pool.newest(&self.conns, None).filter(|_| replaced.is_none());
+        match (doubtful, oldest) {
+            (Some(conn), _) if full || now < server.retry_at => Choice::Use(conn),
+            (None, Some(conn)) if full => Choice::Replace(conn),
+            _ => Choice::Dial,
         }
     }
 
--- a/crates/slots/tests/connections.rs
+++ b/crates/slots/tests/connections.rs
@@ -122,6 +122,25 @@
     assert!(stall(false, 0).abandoned.is_empty());
 }
 
+/// Guards against a server whose new connections fail being unused although the
+/// old ones work: while an item stalls, a doubtful one is better than none.
+#[test]
+fn doubtful_connections_are_used_when_no_other_opens() {
+    let mut rig = Rig::warm(2);
+    let [_stalled, ended] = [1, 2].map(|query| rig.submit(query).unwrap());
+    rig.open_all();
+    rig.finish(ended, &End::Replied { report: None });
+    rig.advance(100 * MS);
+    rig.submit(3).unwrap();
+    assert_eq!(rig.started.len(), 1);
+
+    let conn = rig.opens.pop_front().unwrap();
+    rig.slots.open_failed(conn, rig.now);
+    rig.tick();
+
+    assert_eq!(rig.started.len(), 2);
+}
+
 /// Guards against pooled connections that went silent while idle.
 #[test]
 fn a_failed_status_request_closes_older_idle_connections() {
