Keep a stopping gate answering until entries know that it leaves

Cause: a stopped gate closed its port within 65 ms, before the next heartbeat told entries; batches that were sent to it were lost, and the retry budget did not cover four shards at once. Ruled out: replies cut off at the stop (the gate waits for them). Change: the gate refuses with "stopping" for 1 s after the release.

--- a/crates/gate/src/app.rs
+++ b/crates/gate/src/app.rs
@@ -51,6 +51,10 @@
 /// Time allowed for connecting to a peer.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 
+/// Time after the release in which new requests are still refused, four times
+/// the interval of heartbeats.
+const LINGER: Duration = Duration::from_secs(1);
+
 /// Time allowed for sending the last replies at a stop.
 const FLUSH_LIMIT: Duration = Duration::from_millis(500);
 
@@ -195,6 +199,9 @@
         if !self.agent.release().await {
             spdlog::warn!("the agent did not take the release; the takeover waits for the lease");
         }
+        // Entries send to this gate until they hear that it is leaving; a
+        // refusal lets them ask elsewhere, a closed connection may cost shards.
+        time::sleep(LINGER).await;
         // Fails only when the server has stopped already.
         let _ = self.serving.handle.stop();
         for task in &self.tasks {
