Measure the time of a takeover and report readiness and lease as metrics

Cause: the takeover time of real agents was unknown. Change: the example heartbeat_cost ends each size with the death of a host; gauges for readiness, lease and age of the store's knowledge; a span per pull.

--- a/crates/agent/examples/heartbeat_cost.rs
+++ b/crates/agent/examples/heartbeat_cost.rs
@@ -1,5 +1,7 @@
 //! Measures heartbeat bytes and CPU time per host, with all agents in one
-//! process over loopback. Each agent's gate asks for its lease every 200 ms.
+//! process over loopback, and the time after the death of one host until the
+//! lease of another lists it as down. Each agent's gate asks for its lease every
+//! 200 ms.
 //!
 //! Usage: `cargo run -p chervil-agent --example heartbeat_cost -- 3 6 12`
 #![allow(clippy::unwrap_used, reason = "a measurement that fails should end")]
@@ -34,7 +36,7 @@
 #[tokio::main]
 async fn main() {
     let _ = chervil_node::logs::init("error");
-    println!("hosts  sent bytes/s per host  CPU ms/s per host  store calls/s in all");
+    println!("hosts  sent bytes/s per host  CPU ms/s per host  store calls/s in all  takeover ms");
     let sizes = std::env::args().skip(1).map(|a| a.parse::<usize>().unwrap());
     for size in sizes {
         measure(size).await;
@@ -58,18 +60,29 @@
         clients.push(client);
     }
     settled(&clients, size).await;
-    let bytes = || agents.iter().map(Agent::heartbeat_bytes).sum::<u64>();
-    let (bytes_before, cpu_before, calls_before) = (bytes(), cpu_seconds(), store.reads());
+    let bytes = |agents: &[Agent]| agents.iter().map(Agent::heartbeat_bytes).sum::<u64>();
+    let before = (bytes(&agents), cpu_seconds(), store.reads());
     let start = Instant::now();
     time::sleep(SPAN).await;
     let span = start.elapsed().as_secs_f64();
     let per_host = |total: f64| total / span / size as f64;
-    println!(
+    print!(
         "{size:5}  {:21.0}  {:17.2}  {:20.1}",
-        per_host((bytes() - bytes_before) as f64),
-        per_host((cpu_seconds() - cpu_before) * 1_000.0),
-        (store.reads() - calls_before) as f64 / span,
+        per_host((bytes(&agents) - before.0) as f64),
+        per_host((cpu_seconds() - before.1) * 1_000.0),
+        (store.reads() - before.2) as f64 / span,
     );
+    agents.pop();
+    println!("  {:11}", takeover(&clients[0]).await.as_millis());
+}
+
+/// Time until the agent of `client` lists a host as down.
+async fn takeover(client: &WsClient) -> Duration {
+    let start = Instant::now();
+    while client.lease().await.unwrap().down.is_empty() {
+        time::sleep(Duration::from_millis(10)).await;
+    }
+    start.elapsed()
 }
 
 async fn settled(clients: &[Arc<WsClient>], size: usize) {
--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -114,6 +114,11 @@
         self.publish(now);
         self.metrics.gauge("revision", self.state.revision());
         self.metrics.gauge("epoch", self.state.membership.list().epoch);
+        self.metrics.gauge("ready", self.state.is_ready(now).into());
+        self.metrics.gauge("lease", self.state.membership.holds_lease(now).into());
+        if let Some(age) = self.state.fresh_age(now) {
+            self.metrics.time("fresh", age);
+        }
         Round { heartbeat: self.state.heartbeat(now), targets: self.state.targets() }
     }
 }
--- a/crates/agent/src/pull.rs
+++ b/crates/agent/src/pull.rs
@@ -9,6 +9,8 @@
 use chervil_rpc::client::Peers;
 use tokio::sync::mpsc;
 use tokio::time;
+use tracing::Instrument as _;
+use tracing::info_span;
 
 use crate::core::Ask;
 use crate::core::CoreAddress;
@@ -27,7 +29,8 @@
             epoch: state.membership.list().epoch,
         });
         let Ok(request) = core.send(ask).await else { return };
-        match time::timeout(TIMEOUT, pull(&peers, source, request)).await {
+        let span = info_span!("pull", revision = request.revision, epoch = request.epoch);
+        match time::timeout(TIMEOUT, pull(&peers, source, request).instrument(span)).await {
             Ok(Some(offer)) => {
                 // The actor has logged why an offer is not adopted.
                 let _ = core.send(Offer(offer)).await;
