--- a/crates/slots/tests/random.rs
+++ b/crates/slots/tests/random.rs
@@ -2,12 +2,8 @@
 
 use chervil_base::catalog::Catalog;
 use chervil_rpc::gate::Refusal;
-use chervil_slots::types::End;
-use chervil_slots::types::Work;
-use fixture::HOUR;
-use fixture::MS;
-use fixture::Rig;
-use fixture::SERVER;
+use chervil_slots::types::*;
+use fixture::*;
 use proptest::prelude::*;
 
 mod fixture;
@@ -92,7 +88,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 500, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(fixture::seeded(500))]
 
     /// Guards against panics, excess and leaks: after any events, the limits
     /// hold, and once all has ended nothing is left.
