Allow for clocks whose rates differ

Cause: a vote bound its voter and served its candidate for exactly the same time, so that any difference in clock rates let two rights overlap. Change: a candidate counts each vote 10 ms shorter than its voter; the simulation gives every host a clock rate of 99.7% to 100.3%.

--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -23,6 +23,10 @@
 /// it answers.
 pub const QUORUM_LEASE: Duration = Duration::from_millis(1200);
 
+/// By how much a candidate counts a vote shorter than its voter does, because
+/// their clocks may run at rates that differ by up to 0.8%.
+const RATE_MARGIN: Duration = Duration::from_millis(10);
+
 /// A host whose denial ends sooner than this is left out of the `down` list,
 /// because the lease of a gate cannot outlast the denials that it rests on.
 const MIN_LEASE: Duration = Duration::from_millis(300);
--- a/crates/members/src/membership/rights.rs
+++ b/crates/members/src/membership/rights.rs
@@ -9,6 +9,7 @@
 use super::Membership;
 use crate::MIN_LEASE;
 use crate::QUORUM_LEASE;
+use crate::RATE_MARGIN;
 use crate::quorum::Count;
 use crate::quorum::HostKey;
 use crate::quorum::Times;
@@ -94,7 +95,7 @@
             let support = if key == self.me { own } else { host.replies.support() };
             support.into_iter().for_each(|at| times.add(host.seat, at));
         }
-        let end = self.quorum.newest(&mut times)? + QUORUM_LEASE;
+        let end = self.quorum.newest(&mut times)? + QUORUM_LEASE - RATE_MARGIN;
         (end > now).then_some(end)
     }
 
@@ -128,7 +129,7 @@
             return None;
         }
         let age = self.hosts[host].stance.report(now)?;
-        (age >= QUORUM_LEASE).then(|| now + QUORUM_LEASE)
+        (age >= QUORUM_LEASE).then(|| now + QUORUM_LEASE - RATE_MARGIN)
     }
 
     /// Listed hosts that any voter denies, sorted.
--- a/crates/members/src/replies.rs
+++ b/crates/members/src/replies.rs
@@ -6,6 +6,7 @@
 use chervil_rpc::agent::Vote;
 
 use crate::QUORUM_LEASE;
+use crate::RATE_MARGIN;
 use crate::quorum::HostKey;
 
 /// A voter's denial of a host.
@@ -61,7 +62,7 @@
         let new = denials.into_iter().map(|(host, age)| Denial {
             host,
             mature: received + QUORUM_LEASE.saturating_sub(age),
-            until: sent + QUORUM_LEASE,
+            until: sent + QUORUM_LEASE - RATE_MARGIN,
         });
         let mut new: Vec<Denial> = new.collect();
         new.sort_unstable_by_key(|d| d.host);
@@ -90,7 +91,7 @@
     /// Only a recent answer counts: a voter that restarted since may have
     /// learned an older list, and votes [`QUORUM_LEASE`] after its restart.
     pub(crate) fn has_held(&self, epoch: u64, now: Instant) -> bool {
-        let recent = self.sent.is_some_and(|sent| now < sent + QUORUM_LEASE);
+        let recent = self.sent.is_some_and(|sent| now < sent + QUORUM_LEASE - RATE_MARGIN);
         let since = self.epoch_since.filter(|_| self.epoch >= epoch && recent);
         since.is_some_and(|since| now >= since + QUORUM_LEASE)
     }
--- a/crates/members/tests/common/mod.rs
+++ b/crates/members/tests/common/mod.rs
@@ -67,7 +67,8 @@
 /// What a gate holds of its last lease.
 #[derive(Clone, Debug)]
 struct Right {
-    until: u64,
+    /// End by the host's clock.
+    until: Instant,
     groups: u32,
 }
 
@@ -77,6 +78,8 @@
     paused: u64,
     serving: bool,
     right: Option<Right>,
+    /// Rate of the host's clock, in thousandths.
+    rate: u64,
 }
 
 /// The simulation.
@@ -114,7 +117,8 @@
         };
         for host in 0..size {
             let (agent, process) = (None, 0);
-            world.hosts.push(Host { agent, process, paused: 0, serving: true, right: None });
+            let rate = 997 + world.below(7);
+            world.hosts.push(Host { agent, process, paused: 0, serving: true, right: None, rate });
             world.start_agent(host);
             let phase = world.below(TICK_MS);
             world.after(phase, Event::Tick(host));
@@ -152,7 +156,8 @@
 
     /// Groups to which `host` may send now.
     pub fn groups(&self, host: usize) -> u32 {
-        let right = self.hosts[host].right.as_ref().filter(|r| self.now < r.until);
+        let right =
+            self.hosts[host].right.as_ref().filter(|r| self.instant(host, self.now) < r.until);
         right.map_or(0, |r| r.groups)
     }
 
@@ -195,7 +200,7 @@
                 self.reply(to, from, process, sent, reply);
             }
             Event::List { to, list } => {
-                let now = self.instant(self.now);
+                let now = self.instant(to, self.now);
                 if let Some(agent) = self.awake(to) {
                     agent.adopt(&list, now);
                 }
@@ -226,7 +231,7 @@
         let Some(_) = self.defer(host, Event::Tick(host)) else { return };
         self.after(TICK_MS, Event::Tick(host));
         self.read_store(host);
-        let now = self.instant(self.now);
+        let now = self.instant(host, self.now);
         let serving = self.hosts[host].serving;
         let Some(agent) = self.awake(host) else { return };
         agent.tick(now);
@@ -239,7 +244,7 @@
 
     /// A host that has no reliable list reads the store.
     fn read_store(&mut self, host: usize) {
-        let now = self.instant(self.now);
+        let now = self.instant(host, self.now);
         let list = self.store.clone().filter(|_| self.store_up);
         let Some(agent) = self.awake(host).filter(|a| !a.is_learned()) else { return };
         if let Some(list) = list {
@@ -251,7 +256,7 @@
     fn beat(&mut self, to: usize, heartbeat: Heartbeat, from: usize, sent: u64) {
         let event = Event::Beat { to, heartbeat, address: from, sent };
         let Some(Event::Beat { heartbeat, .. }) = self.defer(to, event) else { return };
-        let now = self.instant(self.now);
+        let now = self.instant(to, self.now);
         let serving = self.hosts[to].serving;
         let Some(agent) = self.awake(to) else { return };
         let ballot = agent.on_heartbeat(&heartbeat, now);
@@ -272,7 +277,7 @@
         if self.hosts[to].process != process {
             return;
         }
-        let (sent, now) = (self.instant(sent), self.instant(self.now));
+        let (sent, now) = (self.instant(to, sent), self.instant(to, self.now));
         let Some(agent) = self.awake(to) else { return };
         agent.on_reply(sent, &reply, now);
         // A host without a list asks any peer.
@@ -300,7 +305,7 @@
     /// time.
     fn lease(&mut self, host: usize, asked: u64) {
         let Some(_) = self.defer(host, Event::Lease { host, asked }) else { return };
-        let now = self.instant(self.now);
+        let now = self.instant(host, self.now);
         let Some(agent) = self.awake(host) else { return };
         let lease = agent.lease(now);
         let list = agent.list();
@@ -311,7 +316,8 @@
                 groups |= 1 << group;
             }
         }
-        let right = Right { until: asked + lease.remaining_ms, groups };
+        let remaining = Duration::from_millis(lease.remaining_ms);
+        let right = Right { until: self.instant(host, asked) + remaining, groups };
         if self.hosts[host].serving {
             self.hosts[host].right = Some(right);
         }
@@ -330,7 +336,7 @@
 
     fn start_agent(&mut self, host: usize) {
         let process = self.below(1 << 32);
-        let now = self.instant(self.now);
+        let now = self.instant(host, self.now);
         let host_name = name(host);
         let state = &mut self.hosts[host];
         state.process = process;
@@ -381,7 +387,7 @@
     }
 
     fn renew(&mut self, host: usize) {
-        let now = self.instant(self.now);
+        let now = self.instant(host, self.now);
         let Some(agent) = self.awake(host) else { return };
         if agent.is_released() {
             agent.renew(agent.incarnation() + 1, now);
@@ -390,7 +396,7 @@
     }
 
     fn change(&mut self, host: usize, join: usize, leave: usize, ms: u64, lost: bool) {
-        let now = self.instant(self.now);
+        let now = self.instant(host, self.now);
         let Some(stored) = self.store.clone().filter(|_| self.store_up) else { return };
         let process = self.hosts[host].process;
         let Some(agent) = self.awake(host) else { return };
@@ -419,8 +425,9 @@
         self.events.push(Reverse((self.now + delay, self.order, self.payloads.len() - 1)));
     }
 
-    fn instant(&self, ms: u64) -> Instant {
-        self.start + Duration::from_millis(ms)
+    /// Time by the host's clock.
+    fn instant(&self, host: usize, ms: u64) -> Instant {
+        self.start + Duration::from_micros(ms * self.hosts[host].rate)
     }
 
     fn below(&mut self, limit: u64) -> u64 {
--- a/crates/members/tests/votes.rs
+++ b/crates/members/tests/votes.rs
@@ -220,6 +220,7 @@
     // The denial may be 199 ms short of its age, or just have reached it.
     assert!(host.lease(arrived + Duration::from_millis(199)).down.is_empty());
     assert_eq!(host.lease(arrived + Duration::from_millis(200)).down, [member(1).host]);
-    assert!(host.holds_lease(sent + QUORUM_LEASE - Duration::from_millis(1)));
-    assert!(!host.holds_lease(sent + QUORUM_LEASE));
+    // The candidate counts 10 ms less than the voter, for clocks that differ.
+    assert!(host.holds_lease(sent + QUORUM_LEASE - Duration::from_millis(11)));
+    assert!(!host.holds_lease(sent + QUORUM_LEASE - Duration::from_millis(10)));
 }
