Report a restarted host ready only when it votes

Cause: a restarted host abstains from votes for the lease time but reported ready at once. A rolling restart went on to the next host, and of three hosts only one supported leases: all gates refused for up to 2 s. Ruled out: replies cut off by the stopping gate. Change: readiness needs the host to vote; the test waits for /ready of all processes of a host, as operators are told to.

--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -250,9 +250,11 @@
     /// Whether new work may be accepted.
     ///
     /// A host that is not in the member list does not know which gates to ask.
+    /// A host that does not vote yet must not let a rolling restart go on: with
+    /// the next host stopped too, there may be no majority.
     pub(crate) fn is_ready(&self, now: Instant) -> bool {
         let fresh = self.fresh_age(now).is_some_and(|age| age <= FRESH_LIMIT);
-        let informed = self.revision() > 0 && self.membership.is_member();
+        let informed = self.revision() > 0 && self.membership.is_voter(now);
         !self.leaving && informed && (fresh || self.membership.holds_lease(now))
     }
 
--- a/crates/e2e/tests/failures.rs
+++ b/crates/e2e/tests/failures.rs
@@ -141,6 +141,7 @@
         for process in system.hosts[host].processes() {
             process.restart();
         }
+        eventually("the host is ready", async || system.is_ready(host).await).await;
         eventually("the host answers completely again", async || {
             system.query(host, "{}").await.is_some_and(|r| r.is_accurate())
         })
--- a/crates/e2e/tests/support/mod.rs
+++ b/crates/e2e/tests/support/mod.rs
@@ -119,6 +119,15 @@
         reply(request.body("{\"invoice\":1}").send().await.ok()?).await
     }
 
+    /// Whether all processes of a host report ready.
+    pub async fn is_ready(&self, host: usize) -> bool {
+        let h = &self.hosts[host];
+        let admins = [h.agent.admin, h.gate.admin, h.entry.admin];
+        let checks = admins.map(|a| self.http.get(format!("http://{a}/ready")).send());
+        let replies = futures::future::join_all(checks).await;
+        replies.iter().all(|r| r.as_ref().is_ok_and(|r| r.status().is_success()))
+    }
+
     /// Runs the operators' tool.
     pub fn ctl(&self, args: &[&str]) -> Output {
         let settings = self.dir.join("ctl.toml");
--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -200,6 +200,11 @@
         self.learn_from_peers();
     }
 
+    /// Whether this host votes on others, so that majorities may need it.
+    pub fn is_voter(&self, now: Instant) -> bool {
+        self.is_member() && self.can_vote(now)
+    }
+
     /// Whether this host takes a listed host for live.
     pub fn is_up(&self, host: &str) -> bool {
         self.names.get(host).is_some_and(|k| *k == self.me || self.hosts[*k].stance.is_up())
