Report not run only where no canary probe may have run

A request refused as suspect after its own probes had ended two servers said "not run", which was false. It now ends with 504 and an unknown outcome.

cargo test -p chervil-plan -p chervil-entry passes; the random test checks it.

--- a/crates/entry/src/respond.rs
+++ b/crates/entry/src/respond.rs
@@ -40,7 +40,7 @@
 }
 
 #[derive(Serialize)]
-struct NotRunBody<'a> {
+struct RefusalBody<'a> {
     outcome: Outcome,
     reason: &'a str,
     remedy: &'a str,
@@ -69,6 +69,10 @@
 pub fn query(ending: &Ending, min_coverage: f64) -> Reply {
     match ending {
         Ending::Answer { coverage, rows } => answer(coverage, rows, min_coverage),
+        Ending::Probed { reason, retry_ms } => {
+            let (reason, remedy) = explain(*reason);
+            probed(reason, remedy, *retry_ms)
+        }
         Ending::NotRun { reason, retry_ms } => {
             let (reason, remedy) = explain(*reason);
             not_run(reason, remedy, *retry_ms)
@@ -102,7 +106,7 @@
 
 /// Response to a request that was not run.
 pub fn not_run(reason: &str, remedy: &str, retry_ms: u32) -> Reply {
-    let body = NotRunBody { outcome: Outcome::NotRun, reason, remedy, retry_ms };
+    let body = RefusalBody { outcome: Outcome::NotRun, reason, remedy, retry_ms };
     let mut reply = json(StatusCode::SERVICE_UNAVAILABLE, &body);
     // The header counts whole seconds.
     let seconds = retry_ms.div_ceil(1000).max(1);
@@ -110,6 +114,12 @@
     reply
 }
 
+/// Response to a request that was refused after canary probes may have run.
+fn probed(reason: &str, remedy: &str, retry_ms: u32) -> Reply {
+    let body = RefusalBody { outcome: Outcome::Unknown, reason, remedy, retry_ms };
+    json(StatusCode::GATEWAY_TIMEOUT, &body)
+}
+
 /// Response to an invalid request.
 pub fn invalid(error: &CallerError) -> Reply {
     let message = error.to_string().into();
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -141,6 +141,7 @@
     let name = match ending {
         Ending::Answer { coverage, .. } if coverage.is_whole() => "query.whole",
         Ending::Answer { .. } => "query.partial",
+        Ending::Probed { .. } => "query.probed",
         Ending::NotRun { .. } => "query.not_run",
     };
     entry.metrics.count(name, 1);
--- a/crates/entry/tests/query.rs
+++ b/crates/entry/tests/query.rs
@@ -135,6 +135,22 @@
     assert_eq!(system.asked(), 0);
 }
 
+#[tokio::test]
+async fn a_request_whose_probe_was_lost_is_not_reported_as_not_run() {
+    // Guards against a false "not run": the lost server had started the probe.
+    let system = System::start().await;
+    system.agent.state().canary = CanaryReply::Probe;
+    system.gates(|g| {
+        for i in 1..=3 {
+            g.faults.insert(format!("lookup-{i}").into(), AskResult::Lost);
+        }
+    });
+
+    let reply = system.post("/query/lookup", &[("x-timeout-ms", "300")], "q").await;
+
+    assert_eq!((reply.status, &reply.json["outcome"]), (504, &"unknown".into()));
+}
+
 #[tokio::test]
 async fn a_first_request_goes_to_one_server_and_is_reported() {
     // Guards against a fan-out before the canary has succeeded.
--- a/crates/plan/src/query/event.rs
+++ b/crates/plan/src/query/event.rs
@@ -106,6 +106,13 @@
             /// Rows of the covered shards, sorted by key.
             rows: Vec<Row>,
         },
+        /// Refused after canary probes that may have run.
+        Probed {
+            /// Why.
+            reason: NotRun,
+            /// When to try again, in milliseconds.
+            retry_ms: u32,
+        },
         /// No backend server started the query.
         NotRun {
             /// Why.
--- a/crates/plan/src/query/finish.rs
+++ b/crates/plan/src/query/finish.rs
@@ -10,6 +10,7 @@
 use chervil_rpc::gate::Row;
 
 use super::Action;
+use super::End;
 use super::Ending;
 use super::NotRun;
 use super::Phase;
@@ -86,7 +87,7 @@
         actions.push(Action::Finish(Ending::Answer { coverage, rows }));
     }
 
-    /// Ends the query without an answer; true only when nothing was started.
+    /// Ends the query without an answer.
     pub(super) fn not_run(
         &mut self,
         reason: NotRun,
@@ -98,8 +99,14 @@
             NotRun::Suspect | NotRun::NoIndex => LONG_RETRY_MS,
             NotRun::NoPermit | NotRun::Refused | NotRun::NoReplica | NotRun::Late => SHORT_RETRY_MS,
         };
+        let probed = self.attempts.iter().any(|a| a.end.is_none_or(End::may_have_run));
         self.leave(policy, now, actions);
-        actions.push(Action::Finish(Ending::NotRun { reason, retry_ms }));
+        let ending = if probed {
+            Ending::Probed { reason, retry_ms }
+        } else {
+            Ending::NotRun { reason, retry_ms }
+        };
+        actions.push(Action::Finish(ending));
     }
 
     fn leave(&mut self, policy: &mut Policy, now: Instant, actions: &mut Vec<Action>) {
--- a/crates/plan/src/query/reply.rs
+++ b/crates/plan/src/query/reply.rs
@@ -59,6 +59,11 @@
         matches!(self, End::Refused(_) | End::Shed(_) | End::NoGate)
     }
 
+    /// Whether a backend server may have run the attempt.
+    pub(super) fn may_have_run(self) -> bool {
+        !self.is_not_run() && self != End::Gone
+    }
+
     fn reason(self) -> MissingReason {
         match self {
             End::Gone => MissingReason::VersionGone,
--- a/crates/plan/tests/canary.rs
+++ b/crates/plan/tests/canary.rs
@@ -38,7 +38,7 @@
 
         let report = sim.run(Duration::from_secs(1), 1, seed);
 
-        assert!(matches!(report.ending, Ending::NotRun { reason: NotRun::Suspect, .. }));
+        assert!(matches!(report.ending, Ending::Probed { reason: NotRun::Suspect, .. }));
         assert_eq!(report.lost.len(), 2);
         for shard in 0..8 {
             let holders = [shard, (shard + 7) % 8].map(|s: u32| format!("s{s}"));
--- a/crates/plan/tests/differential.rs
+++ b/crates/plan/tests/differential.rs
@@ -93,7 +93,11 @@
             let extra = report.sent.saturating_sub(coverage.total.into());
             assert!(extra <= case.expect.max_extra, "{extra} extra sub-requests");
         }
-        Ending::NotRun { reason, .. } => assert_eq!(Some(*reason), case.expect.not_run),
+        Ending::NotRun { reason, .. } => {
+            assert_eq!(report.losses, 0, "not run, but a server was lost");
+            assert_eq!(Some(*reason), case.expect.not_run);
+        }
+        Ending::Probed { reason, .. } => assert_eq!(Some(*reason), case.expect.not_run),
     }
     Ok(())
 }
--- a/crates/plan/tests/random.rs
+++ b/crates/plan/tests/random.rs
@@ -104,6 +104,9 @@
 
 fn check(report: &Report, timeout: Duration) -> Result<(), TestCaseError> {
     prop_assert!(report.took <= timeout, "took {:?}", report.took);
+    if matches!(report.ending, Ending::NotRun { .. }) {
+        prop_assert_eq!(report.losses, 0, "not run, but a server was lost");
+    }
     let Ending::Answer { coverage, rows } = &report.ending else { return Ok(()) };
     prop_assert!(coverage.version.is_some(), "an answer without a version");
     let version = coverage.version.unwrap_or_default();
