--- a/crates/plan/src/latency.rs
+++ b/crates/plan/src/latency.rs
@@ -19,16 +19,29 @@
 /// hedge delay that it sets.
 const MAX_MEDIANS: u64 = 4;
 
+/// Medians that a canary waits for its hedge. It holds up the whole query, and
+/// one sub-request more is little.
+const PROBE_MEDIANS: f64 = 1.5;
+
 /// Largest latency that is told apart, in microseconds.
 const MAX_MICROS: u64 = 60_000_000;
 
+/// Times after which a reply is late.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Late {
+    /// For any sub-request: the latency at a quantile, but not over 4 medians.
+    pub hedge: Duration,
+    /// For a canary.
+    pub probe: Duration,
+}
+
 /// Decaying histogram of latencies.
 #[derive(Clone, Debug)]
 pub struct Latency {
     current: Option<Histogram<u64>>,
     previous: Option<Histogram<u64>>,
     started: Option<Instant>,
-    cached: Option<(Instant, Duration)>,
+    cached: Option<(Instant, Late)>,
 }
 
 impl Default for Latency {
@@ -52,9 +65,9 @@
         }
     }
 
-    /// Time after which a reply is late: the latency at `quantile`, but not
-    /// over 4 medians. `None` until there are enough samples.
-    pub fn late_after(&mut self, quantile: f64, now: Instant) -> Option<Duration> {
+    /// Times after which a reply is late, with hedges at `quantile`. `None`
+    /// until there are enough samples.
+    pub fn late_after(&mut self, quantile: f64, now: Instant) -> Option<Late> {
         if let Some((at, value)) = self.cached
             && now.saturating_duration_since(at) < CACHE
         {
@@ -68,10 +81,13 @@
         if all.len() < MIN_SAMPLES {
             return None;
         }
-        let most = all.value_at_quantile(0.5) * MAX_MEDIANS;
-        let value = Duration::from_micros(all.value_at_quantile(quantile).min(most));
-        self.cached = Some((now, value));
-        Some(value)
+        let median = all.value_at_quantile(0.5);
+        let most = median * MAX_MEDIANS;
+        let hedge = Duration::from_micros(all.value_at_quantile(quantile).min(most));
+        let probe = Duration::from_micros(median).mul_f64(PROBE_MEDIANS).min(hedge);
+        let late = Late { hedge, probe };
+        self.cached = Some((now, late));
+        Some(late)
     }
 
     fn rotate(&mut self, now: Instant) {
--- a/crates/plan/src/policy.rs
+++ b/crates/plan/src/policy.rs
@@ -1,9 +1,9 @@
 //! What all queries of one service on one entry share.
 
-use std::time::Duration;
 use std::time::Instant;
 
 use crate::budget::Budget;
+use crate::latency::Late;
 use crate::latency::Latency;
 use crate::limiter::Limiter;
 use crate::recent::Recent;
@@ -40,9 +40,12 @@
         }
     }
 
-    /// Time after which a sub-request without a reply is hedged.
-    pub fn hedge_delay(&mut self, now: Instant) -> Duration {
+    /// Times after which a sub-request or canary without a reply is hedged.
+    pub fn late(&mut self, now: Instant) -> Late {
+        let first = self.tunables.first_hedge();
         let seen = self.latency.late_after(self.tunables.quantile, now);
-        seen.unwrap_or(self.tunables.first_hedge()).max(self.tunables.min_hedge())
+        let late = seen.unwrap_or(Late { hedge: first, probe: first });
+        let least = self.tunables.min_hedge();
+        Late { hedge: late.hedge.max(least), probe: late.probe.max(least) }
     }
 }
--- a/crates/plan/src/query.rs
+++ b/crates/plan/src/query.rs
@@ -1,7 +1,6 @@
 //! State machine of one query.
 
 use std::sync::Arc;
-use std::time::Duration;
 use std::time::Instant;
 
 use chervil_base::HashMap;
@@ -11,6 +10,7 @@
 use chervil_rpc::gate::Refusal;
 use chervil_rpc::gate::Row;
 
+use crate::latency::Late;
 use crate::layout::GateAt;
 use crate::layout::GroupAt;
 use crate::layout::Layout;
@@ -140,7 +140,7 @@
     /// Shards that are stuck.
     stuck: u32,
     overloads: u32,
-    hedge_delay: Duration,
+    late: Late,
     started: Instant,
     finish_at: Instant,
     gone_since: Option<Instant>,
@@ -257,7 +257,7 @@
             unanswered: 0,
             stuck: 0,
             overloads: 0,
-            hedge_delay: policy.hedge_delay(now),
+            late: policy.late(now),
             started: now,
             gone_since: None,
             considered: 0,
--- a/crates/plan/src/query/ask.rs
+++ b/crates/plan/src/query/ask.rs
@@ -114,7 +114,7 @@
         state.hedges += u8::from(hedge);
         state.due = None;
         if state.hedges < policy.tunables.hedges {
-            let at = now + self.hedge_delay;
+            let at = now + self.late.hedge;
             self.schedule(shard, at);
         }
     }
--- a/crates/plan/src/query/canary.rs
+++ b/crates/plan/src/query/canary.rs
@@ -136,7 +136,7 @@
         self.send(vec![choice], policy, now, actions);
         // A slow probe is hedged like any other attempt, with its own permit.
         if self.canary.probes.len() <= usize::from(policy.tunables.hedges) {
-            self.ask_later(now + self.hedge_delay);
+            self.ask_later(now + self.late.probe);
         }
     }
 
--- a/crates/plan/tests/policy.rs
+++ b/crates/plan/tests/policy.rs
@@ -116,8 +116,8 @@
     }
     let after = latency.late_after(0.98, start + Duration::from_secs(12));
 
-    assert!(before.unwrap() >= millis(390));
-    assert!(after.unwrap() <= millis(11));
+    assert!(before.unwrap().hedge >= millis(390));
+    assert!(after.unwrap().hedge <= millis(11));
 }
 
 #[test]
@@ -136,7 +136,7 @@
     (0..900).for_each(|_| latency.record(millis(10), now));
     (0..100).for_each(|_| latency.record(millis(900), now));
 
-    let delay = latency.late_after(0.98, now).unwrap();
+    let delay = latency.late_after(0.98, now).unwrap().hedge;
 
     assert!(delay <= millis(41), "{delay:?}");
 }
