Find peers in the platform's host list while the store is down

Cause: a new host without `peers` in its settings could not learn the configuration during an outage of the store. Change: a host that is no member also asks up to 16 agents of the platform's host list; the choice of watchers and homes has its own module.

--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -76,6 +76,7 @@
 pub(crate) struct Upkeep {
     pub(crate) me: MemberHost,
     pub(crate) list: Arc<MemberList>,
+    pub(crate) member: bool,
     pub(crate) learned: bool,
     pub(crate) settled: bool,
     pub(crate) coordinator: bool,
--- a/crates/agent/src/list.rs
+++ b/crates/agent/src/list.rs
@@ -1,5 +1,6 @@
 //! Keeps the member list in the store.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -74,6 +75,9 @@
                 time::sleep(INTERVAL).await;
                 continue;
             }
+            if !upkeep.member {
+                self.find_peers().await;
+            }
             match self.look(upkeep).await {
                 Ok(again) => {
                     backoff.reset();
@@ -89,6 +93,17 @@
         }
     }
 
+    /// Learns agents to ask from the platform's host list, which may be
+    /// reachable while the store is not.
+    async fn find_peers(&self) {
+        let listed = time::timeout(self.tunables.store_timeout(), self.hosts.hosts()).await;
+        let Ok(Ok(listed)) = listed else { return };
+        let live = listed.into_iter().filter(|h| !h.leaving);
+        let agents: Vec<SocketAddr> = live.map(|h| h.agent).collect();
+        // Fails only at the end of the process.
+        let _ = self.core.send(Ask(move |state: &mut State, _| state.set_listed(agents))).await;
+    }
+
     async fn upkeep(&self) -> Result<Upkeep, ListError> {
         let (remove, delisted) = (self.tunables.remove(), self.tunables.delisted());
         let ask = Ask(move |state: &mut State, now| state.upkeep(remove, delisted, now));
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -9,10 +9,7 @@
 use chervil_base::catalog::CatalogSpec;
 use chervil_canary::Suspects;
 use chervil_config::Adopted;
-use chervil_members::DOWN_AFTER;
 use chervil_members::membership::Membership;
-use chervil_members::rank::first;
-use chervil_members::rank::rank;
 use chervil_rpc::agent::Heartbeat;
 use chervil_rpc::agent::HeartbeatReply;
 use chervil_rpc::agent::HostStatus;
@@ -22,9 +19,10 @@
 use chervil_rpc::agent::PullReply;
 use chervil_rpc::agent::QuorumLease;
 
-use crate::core::Upkeep;
 use crate::outlook::Outlook;
 
+mod homes;
+
 /// Oldest knowledge of the store with which a host that has no quorum lease
 /// accepts new work.
 const FRESH_LIMIT: Duration = Duration::from_secs(3);
@@ -35,15 +33,8 @@
 /// A gate that asks for its lease this long after a release is a new process.
 const RENEW_AFTER: Duration = Duration::from_secs(2);
 
-/// Hosts that watch the configuration's head in the store.
-const WATCHERS: usize = 3;
-
-/// Each time that the knowledge of the store has aged by this much, twice as
-/// many hosts watch: the first ones may be cut off from the store.
-const WATCHERS_STEP: Duration = Duration::from_secs(2);
-
-/// Hosts that watch at most, so that a store that comes back is not flooded.
-const MAX_WATCHERS: usize = 12;
+/// Agents of the platform's host list that a host asks which is no member.
+const MAX_LISTED: usize = 16;
 
 /// What the agent knows of a peer besides its votes.
 #[derive(Clone, Debug)]
@@ -63,6 +54,8 @@
 pub(crate) struct State {
     me: MemberHost,
     bootstrap: Vec<SocketAddr>,
+    /// Agents on the platform's host list, as long as this host is no member.
+    platform: Vec<SocketAddr>,
     pub(crate) membership: Membership,
     pub(crate) suspects: Suspects,
     config: Adopted,
@@ -91,6 +84,7 @@
             suspects: Suspects::new(chervil_canary::CAPACITY),
             me,
             bootstrap,
+            platform: Vec::new(),
             config: Adopted::new(),
             catalog: Arc::default(),
             members: Arc::default(),
@@ -137,14 +131,24 @@
         let listed = listed.filter(|h| h.host != self.me.host).map(|h| h.agent);
         let mut targets: Vec<SocketAddr> = listed.collect();
         if !self.membership.is_member() {
-            let others = self.bootstrap.iter().filter(|a| **a != self.me.agent);
-            targets.extend(others);
+            let others = self.bootstrap.iter().chain(&self.platform);
+            targets.extend(others.filter(|a| **a != self.me.agent));
         }
         targets.sort_unstable();
         targets.dedup();
         targets
     }
 
+    /// Takes agents from the platform's host list: the first ones after this
+    /// host's own, so that many hosts that start at once ask different ones.
+    pub(crate) fn set_listed(&mut self, mut agents: Vec<SocketAddr>) {
+        agents.sort_unstable();
+        let own = agents.partition_point(|a| *a <= self.me.agent);
+        agents.rotate_left(own);
+        agents.truncate(MAX_LISTED);
+        self.platform = agents;
+    }
+
     /// Answers a heartbeat.
     pub(crate) fn on_heartbeat(
         &mut self,
@@ -261,74 +265,6 @@
         self.fresh.map(|at| now.saturating_duration_since(at))
     }
 
-    /// Whether this host watches the configuration's head in the store: the
-    /// first live hosts do, and a host that is not listed yet.
-    pub(crate) fn is_watcher(&self, now: Instant) -> bool {
-        let order = rank(&self.members.hosts, "config", None);
-        let live = order.into_iter().filter(|h| self.is_live(h, now));
-        let age = self.fresh_age(now).unwrap_or(self.uptime(now));
-        let steps = (age.as_millis() / WATCHERS_STEP.as_millis()).min(2);
-        let watchers = (WATCHERS << steps).min(MAX_WATCHERS);
-        let watches = live.take(watchers).any(|h| h.host == self.me.host);
-        watches || (self.revision() == 0 && self.fresh.is_none())
-    }
-
-    /// First live host in rendezvous order, unless it is this one.
-    pub(crate) fn home(&self, item: &str, now: Instant) -> Option<SocketAddr> {
-        let home = first(&self.members.hosts, item, None, |h| self.is_live(h, now));
-        home.filter(|h| h.host != self.me.host).map(|h| h.agent)
-    }
-
-    /// Host that becomes the home of `item` when this one, its home, dies.
-    pub(crate) fn heir(&self, item: &str, now: Instant) -> Option<SocketAddr> {
-        if self.home(item, now).is_some() {
-            return None;
-        }
-        let live = |h: &MemberHost| h.host != self.me.host && self.is_live(h, now);
-        first(&self.members.hosts, item, None, live).map(|h| h.agent)
-    }
-
-    /// Whether a host answers heartbeats and is not leaving.
-    fn is_live(&self, host: &MemberHost, now: Instant) -> bool {
-        if host.host == self.me.host {
-            return !self.leaving;
-        }
-        self.peers
-            .get(&host.host)
-            .is_some_and(|p| !p.leaving && p.answered.is_some_and(|at| now < at + DOWN_AFTER))
-    }
-
-    /// Hosts that ask to join, heard recently.
-    fn joining(&self, now: Instant) -> Vec<MemberHost> {
-        let recent = |p: &Peer| {
-            let (host, at) = p.join.as_ref()?;
-            (now < *at + DOWN_AFTER).then(|| host.clone())
-        };
-        let mut joining: Vec<MemberHost> = self.peers.values().filter_map(recent).collect();
-        if !self.leaving {
-            joining.push(self.me.clone());
-        }
-        joining.retain(|h| !self.members.hosts.contains(h));
-        joining
-    }
-
-    /// What the upkeep of the member list needs to know.
-    pub(crate) fn upkeep(&mut self, remove: Duration, delisted: Duration, now: Instant) -> Upkeep {
-        let coordinator = first(&self.members.hosts, "members", None, |h| self.is_live(h, now));
-        let coordinator = coordinator.is_some_and(|h| h.host == self.me.host);
-        Upkeep {
-            me: self.me.clone(),
-            list: self.members.clone(),
-            learned: self.membership.is_learned(),
-            settled: self.membership.is_settled(now),
-            coordinator,
-            joining: self.joining(now),
-            denied: self.membership.denied_for(remove, now),
-            delistable: self.membership.denied_for(delisted, now),
-            uptime: self.uptime(now),
-        }
-    }
-
     /// State of this host, for operators.
     pub(crate) fn status(&self, store_up: bool, store_calls: u64, now: Instant) -> HostStatus {
         HostStatus {
--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -97,8 +97,15 @@
     }
 
     pub async fn run(settings: Settings, store: Arc<dyn Store>) -> Host {
+        Host::run_with(settings, store, Arc::default()).await
+    }
+
+    pub async fn run_with(
+        settings: Settings,
+        store: Arc<dyn Store>,
+        hosts: Arc<FakeHosts>,
+    ) -> Host {
         let (name, address) = (settings.node.host.clone(), settings.listen);
-        let hosts = Arc::new(FakeHosts::default());
         let agent = Agent::start(settings, store, hosts, Arc::new(SystemClock)).await.unwrap();
         Host { agent: Some(agent), ..Host::observe(&name, address).await }
     }
--- a/crates/agent/tests/faults.rs
+++ b/crates/agent/tests/faults.rs
@@ -6,8 +6,10 @@
 use std::time::Duration;
 
 use chervil_agent::Settings;
+use chervil_fakes::FakeHosts;
 use chervil_fakes::FakeStore;
 use chervil_fakes::Faults;
+use chervil_platform::ListedHost;
 use chervil_rpc::server::serve;
 use jsonrpsee::ConnectionId;
 use jsonrpsee::Extensions;
@@ -70,6 +72,30 @@
     all_settled(&hosts, 3).await;
 }
 
+/// Guards against a new host that finds no peer while the store is down,
+/// although the platform lists some.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_finds_peers_in_the_list_of_the_platform() {
+    let store = Arc::new(FakeStore::new());
+    let hosts = configured(2, &store).await;
+    let listed = Arc::new(FakeHosts::default());
+    let entry = |h: &Host| ListedHost {
+        host: h.name.clone(),
+        zone: "z1".into(),
+        agent: h.address,
+        gate: h.address,
+        leaving: false,
+    };
+    listed.set(hosts.iter().map(entry).collect());
+    store.set_faults(down());
+
+    let new = Host::run_with(settings("h9", &[]), store.clone(), listed).await;
+
+    until(async || new.status().await.revision == 3).await;
+    store.set_faults(Faults::default());
+    until(async || new.lease().await.remaining_ms > 0 && new.status().await.ready).await;
+}
+
 /// Guards against a host that has no configuration and says that it is ready.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_host_without_store_and_peers_is_not_ready() {
