Use one definition of ownership in the gate and in the safety test

Cause: the gate had its own rule for leases of another epoch than the member list; the safety test checked the rule of the members crate only. Change: members::owner::Ownership serves both; the gate keeps the list that its lease rests on until a lease on the next one arrives. Result: all tests of members, slots and gate pass.

--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -15,6 +15,7 @@
 use chervil_base::clock::Clock;
 use chervil_node::metrics::Metrics;
 use chervil_node::shutdown::Lifecycle;
+use chervil_rpc::agent::MemberList;
 use chervil_rpc::agent::QuorumLease;
 use chervil_rpc::agent::View;
 use chervil_rpc::client::Peers;
@@ -78,6 +79,8 @@
     slots: Slots,
     catalog: Catalog,
     view: Option<View>,
+    /// Member list that the ownership rests on.
+    list: MemberList,
     lease: Option<QuorumLease>,
     index: HashMap<Box<str>, Held>,
     health: HealthLog,
@@ -162,6 +165,7 @@
             slots,
             catalog: Catalog::default(),
             view: None,
+            list: MemberList::default(),
             lease: None,
             index: HashMap::default(),
             health: HealthLog::default(),
--- a/crates/gate/src/state/view.rs
+++ b/crates/gate/src/state/view.rs
@@ -101,10 +101,15 @@
             return;
         };
         let now = self.parts.clock.now();
+        // A lease counts for its own list only: the list in use stays until
+        // the agent grants a lease on the next one.
+        if view.members.epoch <= lease.epoch {
+            self.list = view.members.clone();
+        }
         let owned = ownership::owned_groups(
             &self.parts.host,
             &self.catalog,
-            &view.members,
+            &self.list,
             lease,
             |group| self.held.contains(group),
             |host| view.hosts.iter().any(|m| m.leaving && &*m.host.host == host),
@@ -128,7 +133,7 @@
         self.handover.retain(|g, until| !self.held.contains(g) && now < *until);
         spdlog::info!("ownership applied", kv: {
             revision = self.catalog.revision,
-            epoch = view.members.epoch,
+            epoch = self.list.epoch,
             groups = owned.len(),
         });
     }
--- a/crates/members/src/owner.rs
+++ b/crates/members/src/owner.rs
@@ -1,24 +1,49 @@
 //! Which host may send to a group.
 
+use chervil_base::HashSet;
 use chervil_rpc::agent::MemberHost;
 use chervil_rpc::agent::MemberList;
 use chervil_rpc::agent::QuorumLease;
 
 use crate::rank::first;
 
+/// Ownership of groups under a member list and a quorum lease.
+#[derive(Clone, Debug)]
+pub struct Ownership<'a> {
+    list: &'a MemberList,
+    settled: bool,
+    down: HashSet<&'a str>,
+}
+
+impl<'a> Ownership<'a> {
+    /// Ownership under a lease; `None` unless it rests on the same list.
+    pub fn new(list: &'a MemberList, lease: &'a QuorumLease) -> Option<Ownership<'a>> {
+        let down = lease.down.iter().map(|h| &**h).collect();
+        let settled = lease.settled;
+        (lease.epoch == list.epoch).then_some(Ownership { list, settled, down })
+    }
+
+    /// Whether the list has settled.
+    pub fn is_settled(&self) -> bool {
+        self.settled
+    }
+
+    /// Whether `host` owns the group `item` of `zone`.
+    ///
+    /// Until the list has settled, a host of the list before may still hold
+    /// the right, so that the host must own the group in both lists.
+    pub fn is_owner(&self, host: &str, item: &str, zone: &str) -> bool {
+        let owner = |hosts: &[MemberHost]| {
+            let up = |h: &MemberHost| !self.down.contains(&*h.host);
+            first(hosts, item, Some(zone), up).is_some_and(|h| &*h.host == host)
+        };
+        owner(&self.list.hosts) && (self.settled || owner(&self.list.previous))
+    }
+}
+
 /// Whether `host` owns the group `item` of `zone` under `lease`, for as long as
 /// the lease lasts.
-///
-/// The lease and the list must be of the same epoch. Until the epoch is
-/// settled, a host of the list before may still hold the right, so that the
-/// host must own the group in both lists.
 pub fn owns(list: &MemberList, lease: &QuorumLease, host: &str, item: &str, zone: &str) -> bool {
-    if lease.remaining_ms == 0 || lease.epoch != list.epoch {
-        return false;
-    }
-    let owner = |hosts: &[MemberHost]| {
-        let up = |h: &MemberHost| !lease.down.contains(&h.host);
-        first(hosts, item, Some(zone), up).is_some_and(|h| &*h.host == host)
-    };
-    owner(&list.hosts) && (lease.settled || owner(&list.previous))
+    let ownership = Ownership::new(list, lease).filter(|_| lease.remaining_ms > 0);
+    ownership.is_some_and(|o| o.is_owner(host, item, zone))
 }
--- a/crates/slots/src/ownership.rs
+++ b/crates/slots/src/ownership.rs
@@ -1,10 +1,10 @@
 //! Which groups a host owns.
 
-use chervil_base::HashSet;
 use chervil_base::catalog::Catalog;
 use chervil_base::catalog::Group;
 use chervil_base::catalog::GroupKey;
 use chervil_base::value;
+use chervil_members::owner::Ownership;
 use chervil_members::rank;
 use chervil_rpc::agent::MemberHost;
 use chervil_rpc::agent::MemberList;
@@ -44,21 +44,13 @@
     H: Fn(&str) -> bool,
     F: Fn(&str) -> bool,
 {
-    // The lease rests on a member list that this host has not seen yet, which
-    // may have given any group to another host.
-    if lease.epoch > members.epoch {
+    // A lease on another list may have given any group to another host.
+    let Some(ownership) = Ownership::new(members, lease) else {
         return Vec::new();
-    }
-    let down: HashSet<&str> = lease.down.iter().map(|h| &**h).collect();
-    let settled = lease.settled && lease.epoch == members.epoch;
-    let owns = |group: &Group, hosts: &[MemberHost]| {
-        let zone = &*catalog.zones[group.zone].name;
-        let first = rank::first(hosts, &group.name, Some(zone), |h| !down.contains(&*h.host));
-        first.is_some_and(|h| &*h.host == host)
     };
-    let groups = catalog.groups.iter();
-    let owned = groups.filter(|(_, g)| {
-        owns(g, &members.hosts) && (settled || (held(&g.name) && owns(g, &members.previous)))
+    let owned = catalog.groups.iter().filter(|(_, g)| {
+        let zone = &*catalog.zones[g.zone].name;
+        ownership.is_owner(host, &g.name, zone) && (ownership.is_settled() || held(&g.name))
     });
     let owned = owned.map(|(group, g)| {
         let takeover = former(host, catalog, members, g, |_| true);
