Take ports below the ephemeral range in the process tests

Cause: a port that a restarting process needs could be taken by an outgoing connection in the meantime. Change: ports come from 24000 to 26999.

--- a/crates/e2e/tests/support/mod.rs
+++ b/crates/e2e/tests/support/mod.rs
@@ -8,6 +8,7 @@
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::Output;
+use std::sync::atomic::AtomicU16;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -38,6 +39,10 @@
 
 static KEYS: AtomicU64 = AtomicU64::new(0);
 
+static PORTS: AtomicU16 = AtomicU16::new(24_000);
+
+const LAST_PORT: u16 = 27_000;
+
 /// Answer of an entry.
 #[derive(Clone, Debug)]
 pub struct Reply {
@@ -229,10 +234,19 @@
     ports.iter().enumerate().map(host).collect()
 }
 
+/// Addresses that nothing listens on, below the range from which the system
+/// takes ports of outgoing connections: a process that restarts must get its
+/// port again.
 fn free_ports() -> [SocketAddr; 6] {
-    let listeners: [TcpListener; 6] =
-        std::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").unwrap());
-    listeners.map(|l| l.local_addr().unwrap())
+    std::array::from_fn(|_| {
+        loop {
+            let port = PORTS.fetch_add(1, Ordering::Relaxed);
+            assert!(port < LAST_PORT, "no free port below {LAST_PORT}");
+            if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+                return listener.local_addr().unwrap();
+            }
+        }
+    })
 }
 
 /// New idempotency key.
