--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -17,30 +17,35 @@
 use crate::respond;
 use crate::respond::Reply;
 use crate::routes;
+use crate::routes::Request;
 
 /// Filter that serves callers.
 pub fn filter(entry: Arc<Entry>) -> BoxedFilter<(Response,)> {
     let (e1, e2) = (entry.clone(), entry);
-    let request = || {
-        warp::header::headers_cloned()
-            .and(warp::body::content_length_limit(MAX_BODY as u64))
-            .and(warp::body::bytes().map(Vec::from))
-    };
-    let query = warp::path!("query" / String).and(warp::post()).and(request()).then(
-        move |service: String, headers, body| {
-            let entry = e1.clone();
-            async move { into(routes::query(entry, service.into(), headers, body).await) }
-        },
-    );
-    let run = warp::path!("run" / String).and(warp::post()).and(request()).then(
-        move |service: String, headers, body| {
-            let entry = e2.clone();
-            async move { into(routes::run(entry, service.into(), headers, body).await) }
-        },
-    );
+    let query = request("query").then(move |request| {
+        let entry = e1.clone();
+        async move { into(routes::query(entry, request).await) }
+    });
+    let run = request("run").then(move |request| {
+        let entry = e2.clone();
+        async move { into(routes::run(entry, request).await) }
+    });
     query.or(run).unify().recover(refuse).unify().boxed()
 }
 
+/// Takes in `POST /<kind>/<service>`.
+fn request(kind: &'static str) -> BoxedFilter<(Request,)> {
+    warp::path(kind)
+        .and(warp::path::param())
+        .and(warp::path::end())
+        .and(warp::post())
+        .and(warp::header::headers_cloned())
+        .and(warp::body::content_length_limit(MAX_BODY as u64))
+        .and(warp::body::bytes().map(Vec::from))
+        .map(|service: String, headers, bytes| Request { service: service.into(), headers, bytes })
+        .boxed()
+}
+
 /// Turns a rejection of the filter into a typed error.
 async fn refuse(rejection: Rejection) -> Result<Response, Infallible> {
     let error = if rejection.find::<PayloadTooLarge>().is_some() {
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -1,7 +1,9 @@
 //! Handles the requests of callers.
 
 use std::sync::Arc;
+use std::time::Instant;
 
+use chervil_base::digest::Digest;
 use chervil_base::digest::request_digest;
 use chervil_node::trace;
 use chervil_plan::query::Ending;
@@ -23,35 +25,46 @@
 use crate::respond;
 use crate::respond::Reply;
 
+/// Request of a caller, as it arrived.
+#[derive(Debug)]
+pub struct Request {
+    /// Service named in the path.
+    pub service: Box<str>,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub bytes: Vec<u8>,
+}
+
+/// Request that has been checked and admitted.
+struct Admitted {
+    handle: ServiceHandle,
+    body: Box<str>,
+    digest: Digest,
+    deadline: Instant,
+    /// Least share of answered shards that the caller takes.
+    coverage: f64,
+    trace: Option<Box<str>>,
+}
+
 /// Answers `POST /query/<service>`.
-pub async fn query(
-    entry: Arc<Entry>,
-    service: Box<str>,
-    headers: HeaderMap,
-    bytes: Vec<u8>,
-) -> Reply {
-    let _running = entry.lifecycle.enter();
-    let span = info_span!("query", service = &*service);
-    let reply = try_query(&entry, service, &headers, &bytes, &span);
-    let reply = reply.instrument(span.clone()).await;
-    finish(&entry, "query", reply)
+pub async fn query(entry: Arc<Entry>, request: Request) -> Reply {
+    let span = info_span!("query", service = &*request.service);
+    handle(&entry, "query", &span, try_query(&entry, request, &span)).await
 }
 
 /// Answers `POST /run/<service>`.
-pub async fn run(
-    entry: Arc<Entry>,
-    service: Box<str>,
-    headers: HeaderMap,
-    bytes: Vec<u8>,
-) -> Reply {
-    let _running = entry.lifecycle.enter();
-    let span = info_span!("run", service = &*service);
-    let reply = try_run(&entry, service, &headers, &bytes, &span);
-    let reply = reply.instrument(span.clone()).await;
-    finish(&entry, "run", reply)
+pub async fn run(entry: Arc<Entry>, request: Request) -> Reply {
+    let span = info_span!("run", service = &*request.service);
+    handle(&entry, "run", &span, try_run(&entry, request, &span)).await
 }
 
-fn finish(entry: &Entry, kind: &str, reply: Result<Reply, CallerError>) -> Reply {
+async fn handle<F>(entry: &Entry, kind: &str, span: &Span, work: F) -> Reply
+where
+    F: Future<Output = Result<Reply, CallerError>>,
+{
+    let _running = entry.lifecycle.enter();
+    let reply = work.instrument(span.clone()).await;
     let reply = reply.unwrap_or_else(|e| respond::invalid(&e));
     entry.metrics.count(&format!("{kind}.status.{}", reply.status().as_u16()), 1);
     reply
@@ -59,54 +72,58 @@
 
 async fn try_query(
     entry: &Arc<Entry>,
-    service: Box<str>,
-    headers: &HeaderMap,
-    bytes: &[u8],
+    request: Request,
     span: &Span,
 ) -> Result<Reply, CallerError> {
-    let arrived = entry.clock.now();
-    let asked = caller::headers(headers)?;
-    let body = caller::body(bytes)?;
-    trace::set_parent(span, asked.trace.as_deref());
-    let handle = match admit(entry, &service).await? {
-        Ok(handle) => handle,
+    let admitted = match admit(entry, &request, span).await? {
+        Ok(admitted) => admitted,
         Err(refusal) => return Ok(refusal),
     };
-    let digest = request_digest(&service, bytes);
-    let trace = trace::context_of(span).or(asked.trace);
-    let deadline = arrived + asked.timeout;
-    let query = Asked { service, body, digest, deadline, trace };
+    let Admitted { handle, body, digest, deadline, coverage, trace } = admitted;
+    let query = Asked { service: request.service, body, digest, deadline, trace };
     let ending = query::answer(entry.clone(), handle, query).await;
     count(entry, &ending);
-    Ok(respond::query(&ending, asked.min_coverage))
+    Ok(respond::query(&ending, coverage))
 }
 
-async fn try_run(
-    entry: &Arc<Entry>,
-    service: Box<str>,
-    headers: &HeaderMap,
-    bytes: &[u8],
+async fn try_run(entry: &Arc<Entry>, request: Request, span: &Span) -> Result<Reply, CallerError> {
+    let key = caller::key(&request.headers, entry.clock.wall())?;
+    let admitted = match admit(entry, &request, span).await? {
+        Ok(admitted) => admitted,
+        Err(refusal) => return Ok(refusal),
+    };
+    let Admitted { handle, body, digest, deadline, trace, .. } = admitted;
+    let work = Work { service: request.service, key, body, digest, deadline, trace };
+    let end = once::run(entry.clone(), handle, work).await;
+    Ok(respond::work(&end))
+}
+
+/// Checks a request and admits it, or refuses it before any work.
+async fn admit(
+    entry: &Entry,
+    request: &Request,
     span: &Span,
-) -> Result<Reply, CallerError> {
+) -> Result<Result<Admitted, Reply>, CallerError> {
     let arrived = entry.clock.now();
-    let asked = caller::headers(headers)?;
-    let key = caller::key(headers, entry.clock.wall())?;
-    let body = caller::body(bytes)?;
+    let asked = caller::headers(&request.headers)?;
+    let body = caller::body(&request.bytes)?;
     trace::set_parent(span, asked.trace.as_deref());
-    let handle = match admit(entry, &service).await? {
+    let handle = match find(entry, &request.service).await? {
         Ok(handle) => handle,
-        Err(refusal) => return Ok(refusal),
+        Err(refusal) => return Ok(Err(refusal)),
     };
-    let digest = request_digest(&service, bytes);
-    let trace = trace::context_of(span).or(asked.trace);
-    let deadline = arrived + asked.timeout;
-    let work = Work { service, key, body, digest, deadline, trace };
-    let end = once::run(entry.clone(), handle, work).await;
-    Ok(respond::work(&end))
+    Ok(Ok(Admitted {
+        handle,
+        body,
+        digest: request_digest(&request.service, &request.bytes),
+        deadline: arrived + asked.timeout,
+        coverage: asked.min_coverage,
+        trace: trace::context_of(span).or(asked.trace),
+    }))
 }
 
 /// Finds the service and admits the request, or refuses it before any work.
-async fn admit(entry: &Entry, service: &str) -> Result<Result<ServiceHandle, Reply>, CallerError> {
+async fn find(entry: &Entry, service: &str) -> Result<Result<ServiceHandle, Reply>, CallerError> {
     let refuse = |reason, remedy, ms| Ok(Err(respond::not_run(reason, remedy, ms)));
     if !entry.is_accepting() {
         let remedy = "resend to another host; this one is not ready";
