--- a/crates/rpc/src/secret.rs
+++ b/crates/rpc/src/secret.rs
@@ -33,7 +33,9 @@
 
     fn try_from(text: Box<str>) -> Result<Secret, &'static str> {
         if text.len() < MIN_SECRET_LEN || !text.bytes().all(|b| b.is_ascii_graphic()) {
-            return Err("the shared secret needs at least 16 printable ASCII characters without spaces");
+            return Err(
+                "the shared secret needs at least 16 printable ASCII characters without spaces",
+            );
         }
         Ok(Secret(text))
     }
--- /dev/null
+++ b/crates/rpc/tests/secret.rs
@@ -0,0 +1,48 @@
+//! The shared secret between processes.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use chervil_rpc::client;
+use chervil_rpc::secret::Secret;
+use chervil_rpc::server;
+use jsonrpsee::RpcModule;
+
+fn secret(text: &str) -> Secret {
+    Secret::try_from(Box::from(text)).unwrap()
+}
+
+/// Guards against secrets in logs.
+#[test]
+fn a_secret_is_not_printed() {
+    let secret = secret("0123456789abcdef");
+
+    let printed = format!("{secret:?}");
+
+    assert!(!printed.contains("0123"), "{printed}");
+}
+
+/// Guards against weak secrets and such as cannot stand in a header.
+#[test]
+fn short_or_unprintable_secrets_are_refused() {
+    for text in ["", "0123456789abcde", "0123456789 abcdef", "0123456789abcdef\n"] {
+        assert!(Secret::try_from(Box::from(text)).is_err(), "{text:?}");
+    }
+}
+
+/// Guards against peers that present no secret, another one, or a part of it.
+#[tokio::test]
+async fn only_peers_with_the_secret_are_accepted() {
+    let address = "127.0.0.1:0".parse().unwrap();
+    let own = secret("0123456789abcdef");
+    let serving = server::serve(address, &own, RpcModule::new(())).await.unwrap();
+    let connect = async |text| {
+        client::connect(serving.address, &secret(text), Duration::from_secs(5)).await.is_ok()
+    };
+
+    assert!(connect("0123456789abcdef").await);
+    assert!(!connect("0123456789abcdeX").await);
+    assert!(!connect("0123456789abcdef0").await);
+    serving.handle.stop().unwrap();
+}
