Keep requesting the status after one new connection went silent

Cause: a connection that goes silent while it is being opened brings no status. The gate took this for a server without a status and made no status request for 5 s, so that nothing proved the items on other silent connections dead; they held their slots until their deadlines, and the queries ended with timeouts and early refusals.

Change: a server whose status was read before is used without it only when a second connection, opened after the first one failed, brings none either.

--- a/crates/gate/src/state/events.rs
+++ b/crates/gate/src/state/events.rs
@@ -87,10 +87,11 @@
                 self.slots.opened(ended.conn, &report, now);
             }
             Err(LinkError::TimedOut) => {
-                self.health.silent(&server);
                 self.parts.metrics.count("status_silent", 1);
                 self.conns.remove(ended.conn);
-                self.slots.silent(ended.conn, now);
+                if self.slots.silent(ended.conn, now) {
+                    self.health.silent(&server);
+                }
             }
             Err(e) => {
                 self.health.unreachable(&server, &e.to_string());
--- a/crates/slots/src/machine/events.rs
+++ b/crates/slots/src/machine/events.rs
@@ -40,13 +40,33 @@
         self.forget(key);
     }
 
-    /// A connection was opened, and no status came on it. Items decide whether
-    /// the server works.
-    pub fn silent(&mut self, conn: ConnKey, now: Instant) {
-        let Some(key) = self.conns.get(conn).map(|c| c.server) else {
-            return;
+    /// A connection was opened, and no status came on it; returns whether the
+    /// server is now used without its status, so that items decide whether it
+    /// works.
+    pub fn silent(&mut self, conn: ConnKey, now: Instant) -> bool {
+        let Some((key, opened)) = self.conns.get(conn).map(|c| (c.server, c.proven)) else {
+            return false;
         };
         self.close(conn, now);
+        let server = &mut self.servers[key];
+        // A connection that went silent while it was opened says nothing of the
+        // server. Without status requests, items that hang on other silent
+        // connections would keep their slots until their deadlines.
+        let first = server.doubt.is_none_or(|at| opened < at);
+        if server.known && server.mute.is_none() && first {
+            server.doubt.get_or_insert(now);
+            self.urge(key, now);
+        } else {
+            self.mute(key, now);
+        }
+        let muted = self.servers[key].mute.is_some();
+        self.dispatch(key, now);
+        self.forget(key);
+        muted
+    }
+
+    /// Uses a server without its status for a while.
+    fn mute(&mut self, key: ServerKey, now: Instant) {
         let server = &mut self.servers[key];
         server.mute = Some(now + MUTE);
         if !server.known {
@@ -55,8 +75,6 @@
             server.foreign = Foreign::default();
             self.reset_level(key);
         }
-        self.dispatch(key, now);
-        self.forget(key);
     }
 
     /// A connection could not be opened.
@@ -224,6 +242,7 @@
         server.known = true;
         server.probed_at = now;
         server.mute = None;
+        server.doubt = None;
         server.drain.status(status.draining);
         let draining = server.drain.is_draining();
         self.drop_dead(key, report, now);
--- a/crates/slots/src/server.rs
+++ b/crates/slots/src/server.rs
@@ -93,6 +93,8 @@
     pub(crate) drain: Drain,
     /// When to request the status again that it did not send.
     pub(crate) mute: Option<Instant>,
+    /// When a new connection first brought no status although earlier ones did.
+    pub(crate) doubt: Option<Instant>,
     /// Whether its status was read since ownership was gained.
     pub(crate) known: bool,
     /// Whether no reply has corrected the start level yet.
@@ -131,6 +133,7 @@
             usable: true,
             drain: Drain::default(),
             mute: None,
+            doubt: None,
             known: false,
             untouched: true,
             hinted: None,
--- a/crates/slots/tests/connections.rs
+++ b/crates/slots/tests/connections.rs
@@ -180,6 +180,57 @@
     assert_eq!((rig.opens.len(), rig.prepares.len()), (1, 0));
 }
 
+/// Guards against one connection that went silent while it was opened ending
+/// the status requests for 5 s, and thereby the proof that hung items are dead.
+#[test]
+fn one_new_connection_without_a_status_does_not_end_status_requests() {
+    let mut rig = hung();
+    let conn = rig.opens.pop_front().unwrap();
+    rig.advance(500 * MS);
+
+    rig.slots.silent(conn, rig.now);
+    rig.sort();
+    for _ in 0..4 {
+        while !rig.opens.is_empty() {
+            rig.open(0);
+        }
+        rig.settle(0, 50 * MS);
+    }
+
+    assert_eq!(rig.abandoned.len(), 2);
+}
+
+/// Guards against a server whose status stopped working being asked for it
+/// again and again while items wait.
+#[test]
+fn a_second_new_connection_without_a_status_ends_status_requests() {
+    let mut rig = hung();
+
+    for _ in 0..2 {
+        let conn = rig.opens.pop_front().unwrap();
+        rig.advance(500 * MS);
+        rig.slots.silent(conn, rig.now);
+        rig.sort();
+    }
+    rig.settle(0, SECOND);
+
+    assert_eq!(rig.opens.len(), 0);
+}
+
+/// Two items hang in both slots, and a connection is being opened to request
+/// the status.
+fn hung() -> Rig {
+    let mut rig = Rig::warm(2);
+    for query in [1, 2] {
+        rig.submit(query).unwrap();
+        rig.open_all();
+    }
+    rig.submit(3).unwrap();
+    rig.advance(100 * MS);
+    rig.tick();
+    rig
+}
+
 /// Guards against a request that was never written being reported as failed,
 /// and against starting it over and over.
 #[test]
--- a/crates/slots/tests/random.rs
+++ b/crates/slots/tests/random.rs
@@ -76,7 +76,9 @@
     if let Some(conn) = rig.opens.pop_front() {
         match pick % 4 {
             0 => rig.slots.open_failed(conn, rig.now),
-            1 => rig.slots.silent(conn, rig.now),
+            1 => {
+                rig.slots.silent(conn, rig.now);
+            }
             _ => rig.slots.opened(conn, &status, rig.now),
         }
     } else if let Some(conn) = rig.prepares.pop_front() {
