Count denials of hosts by sets instead of one by one

At 2,700 hosts of which 540 are denied by all others, each lease call and each tick gathered and selected from 1.2 million denials, and a candidate kept every denial as 40 bytes.

A voter's denials with the same times are now one set of hosts with a bit for each host. A lease goes through the sets from the newest end to the oldest and counts 64 hosts at once; the set that completes a majority gives the end of a denial, as before. The names of an answer are compared with the host that followed last time before they are looked up. The number of deniers of a host is no longer needed. A host that an answer denies twice counts once; voters never send that.

A new test compares the lease and the long denied hosts with a plain recomputation over random answers, list changes and renewals.

--- a/crates/members/examples/membership_cost.rs
+++ b/crates/members/examples/membership_cost.rs
@@ -19,11 +19,14 @@
 /// Copies whose memory is measured together.
 const COPIES: usize = 8;
 
+/// Answers of one voter whose time is measured together.
+const ANSWERS: usize = 100;
+
 /// Size of a page of memory, in KiB.
 const PAGE_KIB: usize = 4;
 
 fn main() {
-    println!("hosts  denied  KiB per host  lease us  tick us  heartbeat us");
+    println!("hosts  denied  KiB per host  lease us  tick us  heartbeat us  reply ns");
     for size in std::env::args().skip(1).map(|a| a.parse::<usize>().unwrap()) {
         for denied in [0, size / 5] {
             measure(size, denied);
@@ -44,26 +47,44 @@
     let tick = time(|| copy.tick(now));
     let beat = heartbeat(&list.hosts[1]);
     let heard = time(|| drop(copy.on_heartbeat(&beat, now)));
+    let reply = reply(&list, denied);
+    let mut sent = now;
+    let answers = time(|| sent = answer(copy, &reply, sent)) * 1_000 / ANSWERS as u128;
     // Freed memory would hide the growth of the next size.
     std::mem::forget(copies);
-    println!("{size:5}  {denied:6}  {memory:12}  {lease:8}  {tick:7}  {heard:12}");
+    println!("{size:5}  {denied:6}  {memory:12}  {lease:8}  {tick:7}  {heard:12}  {answers:8}");
 }
 
 fn membership(list: &MemberList, denied: usize, start: Instant, now: Instant) -> Membership {
     let mut membership = Membership::new(&list.hosts[0].host, 1, start);
     membership.adopt(list, start);
     membership.set_learned();
-    let (live, dead) = list.hosts.split_at(list.hosts.len() - denied);
-    let denial = |h: &MemberHost| Denial { host: h.host.clone(), age_ms: 5_000 };
-    let denials: Vec<Denial> = dead.iter().map(denial).collect();
-    for host in &live[1..] {
-        let state = heartbeat(host);
-        let reply = HeartbeatReply { vote: Vote::Up, state, denials: denials.clone() };
+    let mut reply = reply(list, denied);
+    for host in &list.hosts[1..list.hosts.len() - denied] {
+        reply.state = heartbeat(host);
         membership.on_reply(now, &reply, now);
     }
     membership
 }
 
+/// Answer of one of the live hosts.
+fn reply(list: &MemberList, denied: usize) -> HeartbeatReply {
+    let dead = &list.hosts[list.hosts.len() - denied..];
+    let denial = |h: &MemberHost| Denial { host: h.host.clone(), age_ms: 5_000 };
+    let denials = dead.iter().map(denial).collect();
+    HeartbeatReply { vote: Vote::Up, state: heartbeat(&list.hosts[1]), denials }
+}
+
+/// Takes note of answers to heartbeats sent after `sent`; returns the send time
+/// of the last.
+fn answer(membership: &mut Membership, reply: &HeartbeatReply, mut sent: Instant) -> Instant {
+    for _ in 0..ANSWERS {
+        sent += Duration::from_micros(1);
+        membership.on_reply(sent, reply, sent);
+    }
+    sent
+}
+
 fn hosts(size: usize) -> Vec<MemberHost> {
     let host = |i: usize| MemberHost {
         host: format!("host-{i:04}").into(),
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -6,12 +6,14 @@
 use std::time::Duration;
 
 pub mod change;
+mod hostset;
 pub mod membership;
 pub mod owner;
 mod quorum;
 pub mod rank;
 mod replies;
 mod stance;
+mod tally;
 
 /// Interval of heartbeats to each host of the member list.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -15,6 +15,8 @@
 
 use crate::DOWN_AFTER;
 use crate::QUORUM_LEASE;
+use crate::hostset::HostSet;
+use crate::hostset::Slots;
 use crate::quorum::Count;
 use crate::quorum::HostKey;
 use crate::quorum::Seat;
@@ -41,8 +43,11 @@
     stance: Stance,
     replies: Replies,
     denied_since: Option<Instant>,
-    /// Voters whose last answers deny the host; at least their number.
-    deniers: u32,
+    /// Number of the host in sets of hosts.
+    slot: usize,
+    /// Host that came after this one in the last report of denials; null or
+    /// forgotten when unknown.
+    follower: HostKey,
 }
 
 /// State of the member list, the votes and the quorum lease on one host.
@@ -61,6 +66,7 @@
     /// Hosts that this voter denies, and some that it denied recently.
     denied: Vec<HostKey>,
     hosts: SlotMap<HostKey, Host>,
+    slots: Slots,
     names: HashMap<Box<str>, HostKey>,
 }
 
@@ -68,7 +74,8 @@
     /// Membership of a process that has just started.
     pub fn new(name: &str, incarnation: u64, now: Instant) -> Membership {
         let mut hosts = SlotMap::with_key();
-        let me = hosts.insert(Host::new(name, now));
+        let mut slots = Slots::default();
+        let me = hosts.insert(Host::new(name, slots.take(), now));
         let mut names = HashMap::default();
         names.insert(name.into(), me);
         Membership {
@@ -84,6 +91,7 @@
             quorum: Count::default(),
             denied: Vec::new(),
             hosts,
+            slots,
             names,
         }
     }
@@ -148,7 +156,6 @@
         self.incarnation = incarnation;
         self.released = false;
         self.hosts.values_mut().for_each(|h| h.replies.withdraw(now));
-        self.hosts.values_mut().for_each(|h| h.deniers = 0);
     }
 
     /// Updates stands; to be called at least every [`HEARTBEAT_INTERVAL`](crate::HEARTBEAT_INTERVAL).
@@ -183,9 +190,7 @@
         if key == self.me {
             return;
         }
-        let names = &self.names;
-        let denied = |d: &Denial| Some((*names.get(&d.host)?, Duration::from_millis(d.age_ms)));
-        let denials = reply.denials.iter().filter_map(denied).collect();
+        let denials = self.denials(&reply.denials);
         let answer = Answer {
             sent,
             received: now,
@@ -194,9 +199,7 @@
             epoch: reply.state.epoch,
             denials,
         };
-        self.count_deniers(key, |deniers| deniers.saturating_sub(1));
         self.hosts[key].replies.record(answer);
-        self.count_deniers(key, |deniers| deniers + 1);
         self.learn_from_peers();
     }
 
@@ -238,6 +241,26 @@
         stance.hear(heartbeat.incarnation, now)
     }
 
+    /// Slots and ages of a voter's denials of known hosts.
+    ///
+    /// Voters report the same hosts in almost the same order each time, so that
+    /// most names need a comparison but no lookup.
+    fn denials(&mut self, denials: &[Denial]) -> Vec<(usize, Duration)> {
+        let mut found = Vec::with_capacity(denials.len());
+        let mut last = self.me;
+        for denial in denials {
+            let mut key = self.hosts[last].follower;
+            if self.hosts.get(key).is_none_or(|h| h.name != denial.host) {
+                let Some(known) = self.names.get(&denial.host) else { continue };
+                key = *known;
+                self.hosts[last].follower = key;
+            }
+            found.push((self.hosts[key].slot, Duration::from_millis(denial.age_ms)));
+            last = key;
+        }
+        found
+    }
+
     fn report(&mut self, now: Instant) -> Vec<Denial> {
         let hosts = &mut self.hosts;
         let denials = self.denied.iter().filter_map(|key| {
@@ -254,17 +277,6 @@
         self.learned && now >= self.started + QUORUM_LEASE
     }
 
-    /// Updates the number of deniers of each host that a voter denies.
-    fn count_deniers(&mut self, voter: HostKey, update: fn(u32) -> u32) {
-        let denied: Vec<HostKey> = self.hosts[voter].replies.denied().collect();
-        for key in denied {
-            // The host may have left the list.
-            if let Some(host) = self.hosts.get_mut(key) {
-                host.deniers = update(host.deniers);
-            }
-        }
-    }
-
     /// Seats the hosts of both lists.
     fn seat(&mut self, list: &MemberList, now: Instant) {
         self.hosts.values_mut().for_each(|h| h.seat = Seat::default());
@@ -284,32 +296,39 @@
         if let Some(key) = self.names.get(name) {
             return *key;
         }
-        let key = self.hosts.insert(Host::new(name, now));
+        let key = self.hosts.insert(Host::new(name, self.slots.take(), now));
         self.names.insert(name.into(), key);
         key
     }
 
     fn forget_strangers(&mut self, now: Instant) {
-        let Membership { hosts, names, me, .. } = self;
+        let Membership { hosts, slots, names, me, .. } = self;
+        let mut gone = HostSet::default();
         hosts.retain(|key, host| {
             let keep = key == *me || host.seat.is_taken() || host.stance.binds(now);
             if !keep {
                 names.remove(&host.name);
+                slots.put(host.slot);
+                gone.insert(host.slot);
             }
             keep
         });
+        if !gone.is_empty() {
+            hosts.values_mut().for_each(|h| h.replies.forget(&gone));
+        }
     }
 }
 
 impl Host {
-    fn new(name: &str, now: Instant) -> Host {
+    fn new(name: &str, slot: usize, now: Instant) -> Host {
         Host {
             name: name.into(),
             seat: Seat::default(),
             stance: Stance::new(now),
             replies: Replies::default(),
             denied_since: None,
-            deniers: 0,
+            slot,
+            follower: HostKey::default(),
         }
     }
 }
--- a/crates/members/src/membership/rights.rs
+++ b/crates/members/src/membership/rights.rs
@@ -5,14 +5,16 @@
 
 use chervil_rpc::agent::QuorumLease;
 
-use super::Host;
 use super::Membership;
 use crate::MIN_LEASE;
 use crate::QUORUM_LEASE;
 use crate::RATE_MARGIN;
+use crate::hostset::HostSet;
 use crate::quorum::Count;
 use crate::quorum::HostKey;
 use crate::quorum::Times;
+use crate::tally::Ballots;
+use crate::tally::denial_ends;
 
 impl Membership {
     /// Right of this host to send work.
@@ -102,44 +104,44 @@
     /// Hosts that a majority has denied for [`QUORUM_LEASE`], sorted, with the
     /// time until which it certainly denies them.
     fn denied_until(&mut self, now: Instant) -> Vec<(HostKey, Instant)> {
-        let denied = self.deniable();
-        let mut times: Vec<Times> = vec![Times::default(); denied.len()];
-        let seat = self.hosts[self.me].seat;
-        for (host, times) in denied.iter().zip(&mut times) {
-            self.own_denial(*host, now).into_iter().for_each(|end| times.add(seat, end));
-        }
-        for (_, voter) in self.hosts.iter().filter(|(key, _)| *key != self.me) {
-            // Both are sorted; after the loss of a zone they are long.
-            let mut next = 0;
-            for (host, end) in voter.replies.denials(now) {
-                while denied.get(next).is_some_and(|h| *h < host) {
-                    next += 1;
-                }
-                if denied.get(next) == Some(&host) {
-                    times[next].add(voter.seat, end);
-                }
+        let own = self.own_denials(now);
+        let mut ballots = Vec::new();
+        for (key, voter) in &self.hosts {
+            if key != self.me && voter.seat.is_taken() {
+                let ballot = |(hosts, until)| Ballots { seat: voter.seat, until, hosts };
+                ballots.extend(voter.replies.denials(now).map(ballot));
             }
         }
-        let ends = times.iter_mut().map(|times| self.quorum.newest(times));
-        denied.iter().zip(ends).filter_map(|(host, end)| Some((*host, end?))).collect()
+        if !own.is_empty() {
+            let until = now + QUORUM_LEASE - RATE_MARGIN;
+            ballots.push(Ballots { seat: self.hosts[self.me].seat, until, hosts: &own });
+        }
+        if ballots.is_empty() {
+            return Vec::new();
+        }
+        let ends = denial_ends(self.quorum, self.slots.len(), ballots);
+        let listed = self.hosts.iter().filter(|(key, h)| *key != self.me && h.seat.is_taken());
+        listed.filter_map(|(key, h)| Some((key, ends[h.slot]?))).collect()
     }
 
-    fn own_denial(&mut self, host: HostKey, now: Instant) -> Option<Instant> {
+    /// Listed hosts that this host has denied for [`QUORUM_LEASE`]; they and
+    /// the other denied ones count as reported.
+    fn own_denials(&mut self, now: Instant) -> HostSet {
+        let mut own = HostSet::default();
         if !self.can_vote(now) {
-            return None;
+            return own;
         }
-        let age = self.hosts[host].stance.report(now)?;
-        (age >= QUORUM_LEASE).then(|| now + QUORUM_LEASE - RATE_MARGIN)
-    }
-
-    /// Listed hosts that any voter denies, sorted.
-    fn deniable(&self) -> Vec<HostKey> {
-        let candidate = |host: &Host| host.deniers > 0 || !host.stance.is_up();
-        let listed = self.hosts.iter().filter(|(_, h)| h.seat.is_taken());
-        let denied = listed.filter(|(key, h)| *key != self.me && candidate(h));
-        let mut denied: Vec<HostKey> = denied.map(|(key, _)| key).collect();
-        denied.sort_unstable();
-        denied
+        let me = self.me;
+        for key in self.denied.iter().filter(|key| **key != me) {
+            // The host may have been forgotten.
+            let Some(host) = self.hosts.get_mut(*key).filter(|h| h.seat.is_taken()) else {
+                continue;
+            };
+            if host.stance.report(now).is_some_and(|age| age >= QUORUM_LEASE) {
+                own.insert(host.slot);
+            }
+        }
+        own
     }
 
     fn settle(&mut self, now: Instant) {
--- a/crates/members/src/replies.rs
+++ b/crates/members/src/replies.rs
@@ -1,5 +1,6 @@
 //! What one voter last answered, with times bounded on the safe side.
 
+use std::mem;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -7,15 +8,15 @@
 
 use crate::QUORUM_LEASE;
 use crate::RATE_MARGIN;
-use crate::quorum::HostKey;
+use crate::hostset::HostSet;
 
-/// A voter's denial of a host.
-#[derive(Clone, Copy, Debug)]
-struct Denial {
-    host: HostKey,
-    /// Latest possible time at which the denial reaches [`QUORUM_LEASE`].
+/// A voter's denials of hosts that have the same times.
+#[derive(Clone, Debug)]
+struct Denials {
+    hosts: HostSet,
+    /// Latest possible time at which the denials reach [`QUORUM_LEASE`].
     mature: Instant,
-    /// Earliest possible time at which the voter may support the host again.
+    /// Earliest possible time at which the voter may support the hosts again.
     until: Instant,
 }
 
@@ -28,8 +29,9 @@
     incarnation: u64,
     epoch: u64,
     epoch_since: Option<Instant>,
-    /// Sorted by host.
-    denials: Box<[Denial]>,
+    /// Each host is in one of them at most. A voter starts its denials at its
+    /// ticks, so that few times differ.
+    denials: Box<[Denials]>,
 }
 
 /// Answer to a heartbeat, with its send and arrival times here.
@@ -39,7 +41,8 @@
     pub(crate) vote: Vote,
     pub(crate) incarnation: u64,
     pub(crate) epoch: u64,
-    pub(crate) denials: Vec<(HostKey, Duration)>,
+    /// Slots of the hosts, and the ages of the denials.
+    pub(crate) denials: Vec<(usize, Duration)>,
 }
 
 impl Replies {
@@ -58,22 +61,24 @@
         }
         self.incarnation = answer.incarnation;
         self.epoch = answer.epoch;
-        let Answer { sent, received, denials, .. } = answer;
-        let new = denials.into_iter().map(|(host, age)| Denial {
-            host,
-            mature: received + QUORUM_LEASE.saturating_sub(age),
-            until: sent + QUORUM_LEASE - RATE_MARGIN,
-        });
-        let mut new: Vec<Denial> = new.collect();
-        new.sort_unstable_by_key(|d| d.host);
-        // A denial that is no longer reported still binds its voter, so that
-        // the groups of a host that returns keep their owner meanwhile.
-        let bound = self.denials.iter().filter(|d| d.until > received && d.mature < d.until);
-        let bound = bound.filter(|d| new.binary_search_by_key(&d.host, |n| n.host).is_err());
-        let bound: Vec<Denial> = bound.copied().collect();
-        new.extend(bound);
-        new.sort_unstable_by_key(|d| d.host);
-        self.denials = new.into();
+        self.replace_denials(&answer);
+    }
+
+    /// Keeps a denial that is no longer reported: it still binds its voter, so
+    /// that the groups of a host that returns keep their owner meanwhile.
+    fn replace_denials(&mut self, answer: &Answer) {
+        if answer.denials.is_empty() && self.denials.is_empty() {
+            return;
+        }
+        let (mut denials, reported) = reported(answer);
+        for mut old in mem::take(&mut self.denials) {
+            old.hosts.subtract(&reported);
+            let bound = old.until > answer.received && old.mature < old.until;
+            if bound && !old.hosts.is_empty() {
+                denials.push(old);
+            }
+        }
+        self.denials = denials.into();
     }
 
     /// Send time of the newest heartbeat that the voter supported.
@@ -96,16 +101,16 @@
         since.is_some_and(|since| now >= since + QUORUM_LEASE)
     }
 
-    /// Hosts that the voter denies or denied recently.
-    pub(crate) fn denied(&self) -> impl Iterator<Item = HostKey> {
-        self.denials.iter().map(|d| d.host)
+    /// Hosts that the voter has denied for [`QUORUM_LEASE`], with the time until
+    /// which it certainly denies them.
+    pub(crate) fn denials(&self, now: Instant) -> impl Iterator<Item = (&HostSet, Instant)> {
+        let valid = self.denials.iter().filter(move |d| d.mature <= now && now < d.until);
+        valid.map(|d| (&d.hosts, d.until))
     }
 
-    /// Hosts that the voter has denied for [`QUORUM_LEASE`], sorted, with the
-    /// time until which it certainly denies them.
-    pub(crate) fn denials(&self, now: Instant) -> impl Iterator<Item = (HostKey, Instant)> {
-        let valid = self.denials.iter().filter(move |d| d.mature <= now && now < d.until);
-        valid.map(|d| (d.host, d.until))
+    /// Forgets the denials of hosts whose slots are given to other hosts.
+    pub(crate) fn forget(&mut self, gone: &HostSet) {
+        self.denials.iter_mut().for_each(|d| d.hosts.subtract(gone));
     }
 
     /// Forgets all support, given to a right that was released since, and
@@ -116,3 +121,27 @@
         self.denials = Box::default();
     }
 }
+
+/// Denials of an answer by their times, and all hosts that it denies. A host
+/// that is listed twice counts once.
+fn reported(answer: &Answer) -> (Vec<Denials>, HostSet) {
+    let mut ages: Vec<(Duration, HostSet)> = Vec::new();
+    let mut reported = HostSet::default();
+    for (slot, age) in &answer.denials {
+        if !reported.insert(*slot) {
+            continue;
+        }
+        let age = QUORUM_LEASE.min(*age);
+        let found = ages.iter().position(|(a, _)| *a == age).unwrap_or_else(|| {
+            ages.push((age, HostSet::default()));
+            ages.len() - 1
+        });
+        ages[found].1.insert(*slot);
+    }
+    let until = answer.sent + QUORUM_LEASE - RATE_MARGIN;
+    let denials = ages.into_iter().map(|(age, mut hosts)| {
+        hosts.shrink();
+        Denials { hosts, mature: answer.received + (QUORUM_LEASE - age), until }
+    });
+    (denials.collect(), reported)
+}
