Take ports below the ephemeral range in the agent tests

Cause: a_paused_agent_has_lost_its_lease failed once with "address already in use": a port found free was taken by an outgoing connection. Change: ports come from 28000 to 30999.

--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -6,6 +6,7 @@
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU16;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -42,9 +43,21 @@
 /// Interval at which a simulated gate asks for its lease.
 const GATE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Ports of agents, below the range from which the system takes ports of
+/// outgoing connections: an agent that restarts must get its port again.
+static PORTS: AtomicU16 = AtomicU16::new(28_000);
+
+const LAST_PORT: u16 = 31_000;
+
 /// An address of loopback that is free at present.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    loop {
+        let port = PORTS.fetch_add(1, Ordering::Relaxed);
+        assert!(port < LAST_PORT, "no free port below {LAST_PORT}");
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().unwrap();
+        }
+    }
 }
 
 pub fn settings(host: &str, peers: &[SocketAddr]) -> Settings {
