--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/actor.rs
@@ -19,23 +19,23 @@
 use xtra::Context;
 use xtra::Handler;
 
-use crate::outlook::Outlook;
 use crate::state::Source;
 use crate::state::State;
+use crate::view::ViewState;
 
 /// Owner of the state; every message is handled at the time of its handling.
 #[derive(xtra::Actor)]
-pub(crate) struct Core {
+pub(crate) struct AgentActor {
     pub(crate) state: State,
     pub(crate) clock: Arc<dyn Clock>,
-    pub(crate) outlook: watch::Sender<Arc<Outlook>>,
+    pub(crate) view_state: watch::Sender<Arc<ViewState>>,
     pub(crate) pulls: mpsc::Sender<Source>,
     pub(crate) lifecycle: Lifecycle,
     pub(crate) metrics: Metrics,
 }
 
 /// Address of the actor.
-pub(crate) type CoreAddress = Address<Core>;
+pub(crate) type AgentAddress = Address<AgentActor>;
 
 /// Updates stands and returns the heartbeats to be sent.
 pub(crate) struct Tick;
@@ -47,7 +47,7 @@
 }
 
 /// A heartbeat of a peer arrived.
-pub(crate) struct Heard(pub(crate) Heartbeat);
+pub(crate) struct HeartbeatReceived(pub(crate) Heartbeat);
 
 /// The answer to a heartbeat arrived.
 pub(crate) struct Answered {
@@ -86,15 +86,15 @@
     pub(crate) uptime: Duration,
 }
 
-impl Core {
+impl AgentActor {
     fn publish(&mut self, now: Instant) {
-        let last = self.outlook.borrow().clone();
+        let last = self.view_state.borrow().clone();
         self.lifecycle.set_ready(self.state.is_ready(now));
-        if let Some(next) = self.state.outlook(&last, now) {
+        if let Some(next) = self.state.view_state(&last, now) {
             if next.ready != last.ready {
                 spdlog::info!("readiness changed", kv: { ready = next.ready });
             }
-            self.outlook.send_replace(Arc::new(next));
+            self.view_state.send_replace(Arc::new(next));
         }
     }
 
@@ -106,7 +106,7 @@
     }
 }
 
-impl Handler<Tick> for Core {
+impl Handler<Tick> for AgentActor {
     type Return = Round;
 
     async fn handle(&mut self, _: Tick, _: &mut Context<Self>) -> Round {
@@ -124,17 +124,21 @@
     }
 }
 
-impl Handler<Heard> for Core {
+impl Handler<HeartbeatReceived> for AgentActor {
     type Return = HeartbeatReply;
 
-    async fn handle(&mut self, message: Heard, _: &mut Context<Self>) -> HeartbeatReply {
+    async fn handle(
+        &mut self,
+        message: HeartbeatReceived,
+        _: &mut Context<Self>,
+    ) -> HeartbeatReply {
         let (reply, source) = self.state.on_heartbeat(&message.0, self.clock.now());
         self.pull(source);
         reply
     }
 }
 
-impl Handler<Answered> for Core {
+impl Handler<Answered> for AgentActor {
     type Return = ();
 
     async fn handle(&mut self, m: Answered, _: &mut Context<Self>) {
@@ -143,7 +147,7 @@
     }
 }
 
-impl Handler<Offer> for Core {
+impl Handler<Offer> for AgentActor {
     type Return = Result<bool, Box<str>>;
 
     async fn handle(&mut self, offer: Offer, _: &mut Context<Self>) -> Self::Return {
@@ -161,7 +165,7 @@
     }
 }
 
-impl Handler<HeadRead> for Core {
+impl Handler<HeadRead> for AgentActor {
     type Return = ();
 
     async fn handle(&mut self, read: HeadRead, _: &mut Context<Self>) {
@@ -170,7 +174,7 @@
     }
 }
 
-impl Handler<ListRead> for Core {
+impl Handler<ListRead> for AgentActor {
     type Return = ();
 
     async fn handle(&mut self, read: ListRead, _: &mut Context<Self>) {
@@ -186,7 +190,7 @@
     }
 }
 
-impl<F, R> Handler<Ask<F>> for Core
+impl<F, R> Handler<Ask<F>> for AgentActor
 where
     F: FnOnce(&mut State, Instant) -> R + Send + 'static,
     R: Send + 'static,
--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -24,13 +24,12 @@
 use tokio::time;
 use xtra::Mailbox;
 
-use crate::beat;
-use crate::core::Ask;
-use crate::core::Core;
-use crate::core::CoreAddress;
+use crate::actor::AgentActor;
+use crate::actor::AgentAddress;
+use crate::actor::Ask;
 use crate::forward::Forward;
+use crate::heartbeat;
 use crate::list::Keeper;
-use crate::outlook::Outlook;
 use crate::pull;
 use crate::server::Methods;
 use crate::settings::Settings;
@@ -38,6 +37,7 @@
 use crate::state::State;
 use crate::store::BoundedStore;
 use crate::traffic::Traffic;
+use crate::view::ViewState;
 use crate::watch::Watcher;
 
 /// Limit of a connection attempt to a peer.
@@ -75,7 +75,7 @@
 
 /// A running agent; it stops when it is dropped.
 pub struct Agent {
-    core: CoreAddress,
+    core: AgentAddress,
     serving: Serving,
     lifecycle: Lifecycle,
     traffic: Arc<Traffic>,
@@ -163,21 +163,21 @@
 
 impl Parts {
     async fn start(self) -> Result<Agent, StartError> {
-        let (outlook, outlooks) = watch::channel(Arc::new(Outlook::default()));
+        let (view_state, view_states) = watch::channel(Arc::new(ViewState::default()));
         let (pulls, pulls_due) = mpsc::channel(1);
         let me = self.settings.member(self.settings.listen);
         let state = State::new(me, self.settings.peers.clone(), rand::random(), self.clock.now());
-        let core = Core {
+        let core = AgentActor {
             state,
             clock: self.clock.clone(),
-            outlook,
+            view_state,
             pulls,
             lifecycle: self.lifecycle.clone(),
             metrics: self.metrics.clone(),
         };
         let core = xtra::spawn_tokio(core, Mailbox::bounded(MAILBOX));
         let claims = self.claims();
-        let methods = self.methods(&core, outlooks, claims.clone());
+        let methods = self.methods(&core, view_states, claims.clone());
         let settings = &self.settings;
         let serving = serve(settings.listen, &settings.secret, methods.into_rpc()).await?;
         spdlog::info!("agent started", kv: { host = &*settings.node.host });
@@ -198,8 +198,8 @@
 
     fn methods(
         &self,
-        core: &CoreAddress,
-        outlook: watch::Receiver<Arc<Outlook>>,
+        core: &AgentAddress,
+        view_state: watch::Receiver<Arc<ViewState>>,
         claims: Arc<Claims>,
     ) -> Methods {
         let forward = Forward {
@@ -211,7 +211,7 @@
         };
         Methods {
             core: core.clone(),
-            outlook,
+            view_state,
             forward,
             store: self.store.clone(),
             traffic: self.traffic.clone(),
@@ -221,14 +221,14 @@
 
     fn tasks(
         &self,
-        core: &CoreAddress,
+        core: &AgentAddress,
         pulls_due: mpsc::Receiver<Source>,
         claims: Arc<Claims>,
     ) -> JoinSet<()> {
         let mut tasks = JoinSet::new();
         let tunables = &self.settings.tunables;
         let (peers, clock) = (self.peers.clone(), self.clock.clone());
-        tasks.spawn(beat::run(core.clone(), peers, clock, self.traffic.clone()));
+        tasks.spawn(heartbeat::run(core.clone(), peers, clock, self.traffic.clone()));
         tasks.spawn(pull::run(core.clone(), self.peers.clone(), pulls_due));
         let watcher = Watcher {
             core: core.clone(),
@@ -252,7 +252,7 @@
 
 /// Forgets old suspects, and deletes old claims while this host is the first
 /// in the order of "sweep".
-async fn sweep(core: CoreAddress, claims: Arc<Claims>) {
+async fn sweep(core: AgentAddress, claims: Arc<Claims>) {
     loop {
         time::sleep(SWEEP_INTERVAL).await;
         let ask = Ask(|state: &mut State, now| {
--- a/crates/agent/src/forward.rs
+++ b/crates/agent/src/forward.rs
@@ -22,13 +22,13 @@
 use jsonrpsee::ws_client::WsClient;
 use tokio::time;
 
-use crate::core::Ask;
-use crate::core::CoreAddress;
+use crate::actor::AgentAddress;
+use crate::actor::Ask;
 use crate::state::State;
 
 /// Serves requests whose home may be another host.
 pub(crate) struct Forward {
-    pub(crate) core: CoreAddress,
+    pub(crate) core: AgentAddress,
     pub(crate) peers: Arc<Peers>,
     pub(crate) claims: Arc<Claims>,
     pub(crate) limit: Duration,
--- a/crates/agent/src/beat.rs
+++ b/crates/agent/src/heartbeat.rs
@@ -17,9 +17,9 @@
 use tokio::time;
 use tokio::time::MissedTickBehavior;
 
-use crate::core::Answered;
-use crate::core::CoreAddress;
-use crate::core::Tick;
+use crate::actor::AgentAddress;
+use crate::actor::Answered;
+use crate::actor::Tick;
 use crate::traffic::Traffic;
 
 /// A heartbeat without an answer for this long is given up, and its connection
@@ -28,7 +28,7 @@
 
 /// Sends heartbeats until the actor ends.
 pub(crate) async fn run(
-    core: CoreAddress,
+    core: AgentAddress,
     peers: Arc<Peers>,
     clock: Arc<dyn Clock>,
     traffic: Arc<Traffic>,
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -1,12 +1,11 @@
 //! The agent: keeps a host's configuration, membership and link to the
 //! platform's store, and answers the host's own entry and gate.
 
+mod actor;
 pub mod agent;
-mod beat;
-mod core;
 mod forward;
+mod heartbeat;
 mod list;
-mod outlook;
 mod pull;
 pub mod run;
 mod server;
@@ -14,6 +13,7 @@
 mod state;
 mod store;
 mod traffic;
+mod view;
 mod watch;
 
 pub use crate::agent::Agent;
--- a/crates/agent/src/list.rs
+++ b/crates/agent/src/list.rs
@@ -16,10 +16,10 @@
 use snafu::Snafu;
 use tokio::time;
 
-use crate::core::Ask;
-use crate::core::CoreAddress;
-use crate::core::ListRead;
-use crate::core::Upkeep;
+use crate::actor::AgentAddress;
+use crate::actor::Ask;
+use crate::actor::ListRead;
+use crate::actor::Upkeep;
 use crate::settings::Tunables;
 use crate::state::State;
 use crate::store::Backoff;
@@ -55,7 +55,7 @@
 
 /// What the upkeep works with.
 pub(crate) struct Keeper {
-    pub(crate) core: CoreAddress,
+    pub(crate) core: AgentAddress,
     pub(crate) store: Arc<dyn Store>,
     pub(crate) hosts: Arc<dyn HostList>,
     pub(crate) tunables: Tunables,
--- a/crates/agent/src/pull.rs
+++ b/crates/agent/src/pull.rs
@@ -12,9 +12,9 @@
 use tracing::Instrument as _;
 use tracing::info_span;
 
-use crate::core::Ask;
-use crate::core::CoreAddress;
-use crate::core::Offer;
+use crate::actor::AgentAddress;
+use crate::actor::Ask;
+use crate::actor::Offer;
 use crate::state::Source;
 use crate::state::State;
 
@@ -22,7 +22,7 @@
 const TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Pulls until the actor ends.
-pub(crate) async fn run(core: CoreAddress, peers: Arc<Peers>, mut due: mpsc::Receiver<Source>) {
+pub(crate) async fn run(core: AgentAddress, peers: Arc<Peers>, mut due: mpsc::Receiver<Source>) {
     while let Some(source) = due.recv().await {
         let ask = Ask(|state: &mut State, _| PullRequest {
             revision: state.revision(),
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -28,15 +28,15 @@
 use tracing::Instrument as _;
 use tracing::info_span;
 
-use crate::core::Ask;
-use crate::core::CoreAddress;
-use crate::core::Heard;
-use crate::core::Offer;
+use crate::actor::AgentAddress;
+use crate::actor::Ask;
+use crate::actor::HeartbeatReceived;
+use crate::actor::Offer;
 use crate::forward::Forward;
-use crate::outlook::Outlook;
 use crate::state::State;
 use crate::store::BoundedStore;
 use crate::traffic::Traffic;
+use crate::view::ViewState;
 
 /// Longest wait for a change of the view.
 const MAX_WAIT: Duration = Duration::from_secs(30);
@@ -49,8 +49,8 @@
 
 /// Serves the agent's methods.
 pub(crate) struct Methods {
-    pub(crate) core: CoreAddress,
-    pub(crate) outlook: watch::Receiver<Arc<Outlook>>,
+    pub(crate) core: AgentAddress,
+    pub(crate) view_state: watch::Receiver<Arc<ViewState>>,
     pub(crate) forward: Forward,
     pub(crate) store: Arc<BoundedStore>,
     pub(crate) traffic: Arc<Traffic>,
@@ -71,11 +71,11 @@
 impl AgentRpcServer for Methods {
     async fn view(&self, request: ViewRequest) -> RpcResult<View> {
         let wait = Duration::from_millis(request.wait_ms.into()).min(MAX_WAIT);
-        let mut outlook = self.outlook.clone();
+        let mut view_state = self.view_state.clone();
         // After the wait the view is sent as it is, changed or not.
-        let changed = outlook.wait_for(|o| o.sequence != request.after);
+        let changed = view_state.wait_for(|o| o.sequence != request.after);
         let _ = time::timeout(wait, changed).await;
-        let current = self.outlook.borrow().clone();
+        let current = self.view_state.borrow().clone();
         Ok(current.view(request.revision))
     }
 
@@ -90,7 +90,7 @@
     }
 
     async fn heartbeat(&self, heartbeat: Heartbeat) -> RpcResult<HeartbeatReply> {
-        let reply = self.core.send(Heard(heartbeat)).await.map_err(stopping)?;
+        let reply = self.core.send(HeartbeatReceived(heartbeat)).await.map_err(stopping)?;
         self.traffic.answer(&reply);
         Ok(reply)
     }
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -19,7 +19,7 @@
 use chervil_rpc::agent::PullReply;
 use chervil_rpc::agent::QuorumLease;
 
-use crate::outlook::Outlook;
+use crate::view::ViewState;
 
 mod homes;
 
@@ -286,9 +286,9 @@
     }
 
     /// What the entry and the gate see.
-    pub(crate) fn outlook(&mut self, last: &Outlook, now: Instant) -> Option<Outlook> {
+    pub(crate) fn view_state(&mut self, last: &ViewState, now: Instant) -> Option<ViewState> {
         let hosts = self.members.hosts.iter().map(|h| self.member(h, now)).collect();
-        let outlook = Outlook {
+        let view_state = ViewState {
             sequence: self.sequence + 1,
             host: self.me.host.clone(),
             members: self.members.clone(),
@@ -296,11 +296,11 @@
             catalog: self.catalog.clone(),
             ready: self.is_ready(now),
         };
-        if last.sequence > 0 && outlook.same(last) {
+        if last.sequence > 0 && view_state.same(last) {
             return None;
         }
         self.sequence += 1;
-        Some(outlook)
+        Some(view_state)
     }
 
     fn member(&self, host: &MemberHost, now: Instant) -> Member {
--- a/crates/agent/src/state/homes.rs
+++ b/crates/agent/src/state/homes.rs
@@ -12,7 +12,7 @@
 
 use super::Peer;
 use super::State;
-use crate::core::Upkeep;
+use crate::actor::Upkeep;
 
 /// Hosts that watch the configuration's head in the store.
 const WATCHERS: usize = 3;
--- a/crates/agent/src/outlook.rs
+++ b/crates/agent/src/view.rs
@@ -11,7 +11,7 @@
 value! {
     /// State that the views of one sequence number are made of.
     #[derive(Default)]
-    pub(crate) struct Outlook {
+    pub(crate) struct ViewState {
         pub(crate) sequence: u64,
         pub(crate) host: Box<str>,
         pub(crate) members: Arc<MemberList>,
@@ -21,7 +21,7 @@
     }
 }
 
-impl Outlook {
+impl ViewState {
     /// View for an asker that holds the catalog of `revision`.
     pub(crate) fn view(&self, revision: u64) -> View {
         let known = revision != 0 && revision == self.catalog.revision;
@@ -36,7 +36,7 @@
     }
 
     /// Whether both show the same, apart from their sequence numbers.
-    pub(crate) fn same(&self, other: &Outlook) -> bool {
+    pub(crate) fn same(&self, other: &ViewState) -> bool {
         self.ready == other.ready
             && self.catalog.revision == other.catalog.revision
             && self.members.epoch == other.members.epoch
--- a/crates/agent/src/watch.rs
+++ b/crates/agent/src/watch.rs
@@ -12,10 +12,10 @@
 use serde::Deserialize;
 use tokio::time;
 
-use crate::core::Ask;
-use crate::core::CoreAddress;
-use crate::core::HeadRead;
-use crate::core::Offer;
+use crate::actor::AgentAddress;
+use crate::actor::Ask;
+use crate::actor::HeadRead;
+use crate::actor::Offer;
 use crate::state::State;
 use crate::store::Backoff;
 
@@ -34,7 +34,7 @@
 
 /// Watches the head while this host is one of the watchers.
 pub(crate) struct Watcher {
-    pub(crate) core: CoreAddress,
+    pub(crate) core: AgentAddress,
     pub(crate) store: Arc<dyn Store>,
     pub(crate) clock: Arc<dyn Clock>,
     /// How long one watch waits.
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -209,20 +209,20 @@
 }
 
 /// Takes in what servers hold.
-pub struct Told {
+pub struct IndexUpdate {
     /// Name of the service.
     pub service: Box<str>,
     /// What its servers hold.
-    pub told: Vec<ServerIndex>,
+    pub updates: Vec<ServerIndex>,
 }
 
-impl Handler<Told> for Directory {
+impl Handler<IndexUpdate> for Directory {
     type Return = ();
 
-    async fn handle(&mut self, told: Told, context: &mut Context<Self>) {
-        let Some(known) = self.services.get_mut(&told.service) else { return };
+    async fn handle(&mut self, update: IndexUpdate, context: &mut Context<Self>) {
+        let Some(known) = self.services.get_mut(&update.service) else { return };
         let mut changed = false;
-        for index in told.told {
+        for index in update.updates {
             if known.held.get(&index.server) != Some(&index.versions) {
                 known.held.insert(index.server, index.versions);
                 changed = true;
@@ -232,10 +232,10 @@
             return;
         }
         if known.layouts.borrow().pinned().is_none() {
-            return self.rebuild(&told.service);
+            return self.rebuild(&update.service);
         }
         known.stale = true;
-        let (address, service) = (context.mailbox().address(), told.service);
+        let (address, service) = (context.mailbox().address(), update.service);
         tokio::spawn(async move {
             time::sleep(REBUILD_DELAY).await;
             // Without a directory the process is stopping.
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -8,7 +8,7 @@
 use chervil_base::digest::stable_hash;
 use chervil_plan::layout::Layout;
 use chervil_plan::once::Attempt;
-use chervil_plan::once::Heard;
+use chervil_plan::once::AttemptEnd;
 use chervil_plan::once::Once;
 use chervil_plan::once::Step;
 use chervil_rpc::agent::AgentRpcClient as _;
@@ -192,19 +192,19 @@
                 if now + WAY_BACK >= work.deadline {
                     return WorkEnd::NotRun(Some(Refusal::Expired));
                 }
-                let heard = ask(entry, &layout, work, attempt).await;
+                let end = ask(entry, &layout, work, attempt).await;
                 let mut policy = service.policy.lock();
-                step = once.heard(heard, &layout, &mut policy, entry.clock.now());
+                step = once.attempt_ended(end, &layout, &mut policy, entry.clock.now());
             }
         }
     }
 }
 
-async fn ask(entry: &Entry, layout: &Layout, work: &Work, attempt: Attempt) -> Heard {
+async fn ask(entry: &Entry, layout: &Layout, work: &Work, attempt: Attempt) -> AttemptEnd {
     let gate = layout.gate(attempt.gate);
     let left = work.deadline.saturating_duration_since(entry.clock.now());
     let connect = time::timeout(left, entry.peers.get(gate.address)).await;
-    let Ok(Ok(client)) = connect else { return Heard::NoGate };
+    let Ok(Ok(client)) = connect else { return AttemptEnd::NoGate };
     let left = work.deadline.saturating_duration_since(entry.clock.now());
     let request = RunRequest {
         service: work.service.clone(),
@@ -215,12 +215,12 @@
         trace: work.trace.clone(),
     };
     match time::timeout(left + GRACE, client.run(request)).await {
-        Ok(Ok(reply)) => Heard::Reply(reply),
+        Ok(Ok(reply)) => AttemptEnd::Reply(reply),
         Ok(Err(e)) => {
             spdlog::warn!("the end of claimed work is unknown", kv: { host: = gate.host, error: = e });
-            Heard::Silence
+            AttemptEnd::NoReply
         }
-        Err(_) => Heard::Silence,
+        Err(_) => AttemptEnd::NoReply,
     }
 }
 
--- a/crates/entry/src/query.rs
+++ b/crates/entry/src/query.rs
@@ -23,9 +23,9 @@
 
 use crate::canary;
 use crate::canary::Canary;
+use crate::directory::IndexUpdate;
 use crate::directory::ServiceHandle;
 use crate::directory::SharedPolicy;
-use crate::directory::Told;
 use crate::entry::Entry;
 
 /// Events that are taken in before the next actions are carried out.
@@ -176,7 +176,7 @@
                 }
                 Action::AskCanary(request) => self.canary(Canary::Ask(request)),
                 Action::ReportCanary(report) => self.canary(Canary::Report(report)),
-                Action::Refresh { told } => news.extend(told),
+                Action::Refresh { updates } => news.extend(updates),
                 Action::Finish(end) => ending = Some(end),
             }
         }
@@ -206,11 +206,11 @@
         let _ = canaries.send(canary);
     }
 
-    fn refresh(&self, told: Vec<ServerIndex>) {
+    fn refresh(&self, updates: Vec<ServerIndex>) {
         let (directory, service) = (self.entry.directory.clone(), self.name.clone());
         self.service.refresh.notify_one();
         tokio::spawn(async move {
-            let _ = directory.send(Told { service, told }).await;
+            let _ = directory.send(IndexUpdate { service, updates }).await;
         });
     }
 
--- a/crates/entry/src/refresh.rs
+++ b/crates/entry/src/refresh.rs
@@ -16,9 +16,9 @@
 use xtra::WeakAddress;
 
 use crate::directory::Directory;
+use crate::directory::IndexUpdate;
 use crate::directory::ServiceHandle;
 use crate::directory::StillUsed;
-use crate::directory::Told;
 
 /// Interval of refreshes.
 const INTERVAL: Duration = Duration::from_secs(1);
@@ -42,8 +42,8 @@
 ) {
     loop {
         let layout = handle.layouts.borrow().clone();
-        let told = fetch(&peers, &service, &layout).await;
-        let update = Told { service: service.clone(), told };
+        let updates = fetch(&peers, &service, &layout).await;
+        let update = IndexUpdate { service: service.clone(), updates };
         if directory.send(update).await.is_err() {
             return;
         }
@@ -59,7 +59,7 @@
 /// Asks the likely owner of each group, and the next gate where that fails.
 async fn fetch(peers: &Peers, service: &str, layout: &Layout) -> Vec<ServerIndex> {
     let mut failed: HashMap<SocketAddr, bool> = HashMap::default();
-    let mut told = Vec::new();
+    let mut updates = Vec::new();
     let most = layout.parts().groups.iter().map(|g| g.gates.len()).max().unwrap_or(0);
     for _ in 0..most {
         let wanted = wanted(layout, &failed);
@@ -70,10 +70,10 @@
         let mut calls = stream::iter(calls).buffer_unordered(PARALLEL);
         while let Some((address, reply)) = calls.next().await {
             failed.insert(address, reply.is_none());
-            told.extend(reply.into_iter().flatten());
+            updates.extend(reply.into_iter().flatten());
         }
     }
-    told
+    updates
 }
 
 /// Gates to ask next: for each group the first that has not failed, unless it
--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -166,7 +166,7 @@
         let me = self.me;
         for (_, host) in self.hosts.iter_mut().filter(|(key, _)| *key != me) {
             if paused {
-                host.stance.excuse(now);
+                host.stance.restart_timeout(now);
             } else if votes {
                 host.stance.tick(now);
             }
@@ -235,7 +235,7 @@
             return Vote::Abstain;
         }
         if !votes || heartbeat.epoch < self.list.epoch {
-            stance.excuse(now);
+            stance.restart_timeout(now);
             return Vote::Abstain;
         }
         stance.hear(heartbeat.incarnation, now)
--- a/crates/members/src/stance.rs
+++ b/crates/members/src/stance.rs
@@ -44,7 +44,7 @@
 
     /// Gives the host the full time to be heard again, after this process
     /// itself was paused. Existing denials stand.
-    pub fn excuse(&mut self, now: Instant) {
+    pub fn restart_timeout(&mut self, now: Instant) {
         self.heard = now;
     }
 
--- a/crates/plan/src/layout.rs
+++ b/crates/plan/src/layout.rs
@@ -102,12 +102,12 @@
     }
 
     /// The same layout after servers told what they hold.
-    pub fn with<I>(&self, told: I) -> Layout
+    pub fn with<I>(&self, updates: I) -> Layout
     where
         I: IntoIterator<Item = ServerIndex>,
     {
         let mut layout = self.clone();
-        told.into_iter().for_each(|t| layout.index.update(t));
+        updates.into_iter().for_each(|t| layout.index.update(t));
         layout.map();
         layout
     }
--- a/crates/plan/src/once.rs
+++ b/crates/plan/src/once.rs
@@ -26,13 +26,13 @@
 
 /// How an attempt ended, as far as the entry can know.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Heard {
+pub enum AttemptEnd {
     /// The gate's reply.
     Reply(RunReply),
     /// No connection to the gate could be opened; nothing was sent.
     NoGate,
     /// The connection was lost or the time ran out after the request was sent.
-    Silence,
+    NoReply,
 }
 
 /// What to do next.
@@ -68,32 +68,32 @@
     }
 
     /// Takes in the end of the latest attempt.
-    pub fn heard(
+    pub fn attempt_ended(
         &mut self,
-        heard: Heard,
+        end: AttemptEnd,
         layout: &Layout,
         policy: &mut Policy,
         now: Instant,
     ) -> Step {
         let Some(last) = self.tried.last() else { return Step::NotRun(None) };
         let server = &layout.server(last.server).name;
-        match heard {
-            Heard::Reply(RunReply::Done { body }) => {
+        match end {
+            AttemptEnd::Reply(RunReply::Done { body }) => {
                 policy.replicas.good(server);
                 Step::Done(body)
             }
-            Heard::Reply(RunReply::Unknown) | Heard::Silence => {
+            AttemptEnd::Reply(RunReply::Unknown) | AttemptEnd::NoReply => {
                 policy.replicas.failed(server, now);
                 Step::Unknown
             }
-            Heard::Reply(RunReply::NotRun { reason }) => {
+            AttemptEnd::Reply(RunReply::NotRun { reason }) => {
                 if !matches!(reason, Refusal::NotOwner | Refusal::Stopping) {
                     policy.replicas.failed(server, now);
                 }
                 self.refusal = Some(reason);
                 self.next(layout, policy, now)
             }
-            Heard::NoGate => {
+            AttemptEnd::NoGate => {
                 policy.replicas.gate_failed(&layout.gate(last.gate).host, now);
                 self.next(layout, policy, now)
             }
--- a/crates/plan/src/query.rs
+++ b/crates/plan/src/query.rs
@@ -131,7 +131,7 @@
     /// Newest layout seen; the attempts refer to `layout`.
     newest: Arc<Layout>,
     /// What servers that do not hold the pinned version told.
-    told: HashMap<Box<str>, Vec<HeldVersion>>,
+    updates: HashMap<Box<str>, Vec<HeldVersion>>,
     /// Shard that finds out whether losses come from the request itself.
     loss_probe: Option<Shard>,
     /// Whether a shard was answered after a loss.
@@ -251,7 +251,7 @@
             failing: Vec::new(),
             failing_gates: Vec::new(),
             disowned: Vec::new(),
-            told: HashMap::default(),
+            updates: HashMap::default(),
             loss_probe: None,
             loss_cleared: false,
             unanswered: 0,
--- a/crates/plan/src/query/event.rs
+++ b/crates/plan/src/query/event.rs
@@ -90,7 +90,7 @@
     /// Learn anew what the servers hold: a reply contradicted the layout.
     Refresh {
         /// What servers told.
-        told: Vec<ServerIndex>,
+        updates: Vec<ServerIndex>,
     },
     /// Answer the caller; nothing follows.
     Finish(Ending),
--- a/crates/plan/src/query/finish.rs
+++ b/crates/plan/src/query/finish.rs
@@ -52,7 +52,7 @@
             return;
         }
         if now < self.finish_at && self.is_exhausted() && self.unanswered > 0 {
-            self.restart_as_told(policy, now, actions);
+            self.restart_at_reported(policy, now, actions);
         }
         if now >= self.finish_at || (self.is_exhausted() && !self.awaits_version(now)) {
             self.finish(policy, now, actions);
--- a/crates/plan/src/query/reply.rs
+++ b/crates/plan/src/query/reply.rs
@@ -188,10 +188,10 @@
         actions: &mut Vec<Action>,
     ) {
         let server = self.layout.server(self.attempts[at as usize].server).name.clone();
-        let first = self.told.insert(server.clone(), held.clone()).is_none();
+        let first = self.updates.insert(server.clone(), held.clone()).is_none();
         if first {
-            let told = vec![ServerIndex { server, versions: held }];
-            actions.push(Action::Refresh { told });
+            let updates = vec![ServerIndex { server, versions: held }];
+            actions.push(Action::Refresh { updates });
         }
         self.ended(at, End::Gone, policy, now, actions);
     }
--- a/crates/plan/src/query/restart.rs
+++ b/crates/plan/src/query/restart.rs
@@ -32,13 +32,13 @@
             return self.adopt(policy, now);
         }
         let in_time = self.finish_at.saturating_duration_since(now) >= MIN_LEFT;
-        if self.told.is_empty() || self.restarts >= MAX_RESTARTS || !in_time {
+        if self.updates.is_empty() || self.restarts >= MAX_RESTARTS || !in_time {
             return;
         }
         // What servers told this query is newer than what the layout says.
-        let told = self.told.iter();
-        let told = told.map(|(s, v)| ServerIndex { server: s.clone(), versions: v.clone() });
-        let layout = Arc::new(self.newest.with(told));
+        let updates = self.updates.iter();
+        let updates = updates.map(|(s, v)| ServerIndex { server: s.clone(), versions: v.clone() });
+        let layout = Arc::new(self.newest.with(updates));
         match layout.newer_than(self.pinned.version) {
             Some(newer) if newer.ratio() > self.attainable(&layout) => {
                 self.restart(layout, newer, policy, now, actions)
@@ -48,14 +48,14 @@
     }
 
     /// Considers a restart on the news of this query's own replies.
-    pub(super) fn restart_as_told(
+    pub(super) fn restart_at_reported(
         &mut self,
         policy: &mut Policy,
         now: Instant,
         actions: &mut Vec<Action>,
     ) {
-        if self.told.len() > self.considered {
-            self.considered = self.told.len();
+        if self.updates.len() > self.considered {
+            self.considered = self.updates.len();
             self.on_layout(policy, now, actions);
             if self.timer <= now {
                 self.flush(policy, now, actions);
--- a/crates/plan/tests/once.rs
+++ b/crates/plan/tests/once.rs
@@ -8,7 +8,7 @@
 use chervil_base::HashSet;
 use chervil_plan::layout::Layout;
 use chervil_plan::once::Attempt;
-use chervil_plan::once::Heard;
+use chervil_plan::once::AttemptEnd;
 use chervil_plan::once::Once;
 use chervil_plan::once::Step;
 use chervil_plan::policy::Policy;
@@ -31,8 +31,8 @@
     World { servers: (0..3).map(server).collect(), ..World::default() }.layout()
 }
 
-fn refused(reason: Refusal) -> Heard {
-    Heard::Reply(RunReply::NotRun { reason })
+fn refused(reason: Refusal) -> AttemptEnd {
+    AttemptEnd::Reply(RunReply::NotRun { reason })
 }
 
 fn asked(step: Step) -> Attempt {
@@ -48,15 +48,15 @@
     let (layout, mut policy) = (layout(), Policy::new(Tunables::default()));
     let now = Instant::now();
     let ends = [
-        (Heard::Reply(RunReply::Unknown), Step::Unknown),
-        (Heard::Silence, Step::Unknown),
-        (Heard::Reply(RunReply::Done { body: "x".into() }), Step::Done("x".into())),
+        (AttemptEnd::Reply(RunReply::Unknown), Step::Unknown),
+        (AttemptEnd::NoReply, Step::Unknown),
+        (AttemptEnd::Reply(RunReply::Done { body: "x".into() }), Step::Done("x".into())),
     ];
 
-    for (heard, expected) in ends {
+    for (end, expected) in ends {
         let mut once = Once::new(1);
         asked(once.start(&layout, &policy, now));
-        assert_eq!(once.heard(heard, &layout, &mut policy, now), expected);
+        assert_eq!(once.attempt_ended(end, &layout, &mut policy, now), expected);
     }
 }
 
@@ -73,7 +73,7 @@
     while let Step::Ask(attempt) = step {
         servers.insert(attempt.server);
         attempts += 1;
-        step = once.heard(refused(Refusal::Busy), &layout, &mut policy, now);
+        step = once.attempt_ended(refused(Refusal::Busy), &layout, &mut policy, now);
     }
 
     assert_eq!(servers.len(), 3);
@@ -103,7 +103,7 @@
     let mut once = Once::new(1);
     let first = asked(once.start(&layout, &policy, now));
 
-    let next = asked(once.heard(Heard::NoGate, &layout, &mut policy, now));
+    let next = asked(once.attempt_ended(AttemptEnd::NoGate, &layout, &mut policy, now));
 
     assert_ne!(next.gate, first.gate);
     assert_ne!(asked(Once::new(1).start(&layout, &policy, now)).gate, first.gate);
--- a/crates/slots/src/machine.rs
+++ b/crates/slots/src/machine.rs
@@ -134,7 +134,7 @@
             Stage::Running(conn) => {
                 self.servers[item.server].give_up(work, now);
                 self.close(conn, now);
-                self.urge(item.server, now);
+                self.probe_soon(item.server, now);
             }
         }
         self.dispatch(item.server, now);
--- a/crates/slots/src/machine/configure.rs
+++ b/crates/slots/src/machine/configure.rs
@@ -76,7 +76,7 @@
         for l in levels {
             let server = self.names.get(&l.server).map(|k| &mut self.servers[*k]);
             if let Some(server) = server.filter(|s| s.owned) {
-                if server.untouched {
+                if server.unused {
                     server.warmup.adopt(l.level.min(server.slots));
                     server.hinted = Some(now);
                 }
@@ -131,7 +131,7 @@
             }
             server.owned = true;
             server.known = false;
-            server.untouched = true;
+            server.unused = true;
             server.warmup.adopt(level.min(spec.slots));
         }
         let server = &mut self.servers[key];
--- a/crates/slots/src/machine/dispatch.rs
+++ b/crates/slots/src/machine/dispatch.rs
@@ -21,7 +21,7 @@
 const BACKOFF_START: Duration = Duration::from_millis(50);
 
 /// Time for which the status of a server that does not send it is not requested.
-pub(super) const MUTE: Duration = Duration::from_secs(5);
+pub(super) const NO_STATUS_RETRY: Duration = Duration::from_secs(5);
 
 /// Time after which a connection that is being opened, beyond twice its usual
 /// cost, no longer keeps another one from being opened.
@@ -49,7 +49,7 @@
             return;
         }
         // A status that cannot be read is not waited for.
-        if !server.known && server.mute.is_none() {
+        if !server.known && server.no_status.is_none() {
             self.learn_status(key, now);
             return;
         }
@@ -105,7 +105,7 @@
         let conn = server.pool.open(&mut self.conns, key, now);
         let address = server.address;
         // Items do not wait for a status that will probably not come.
-        let open = if server.mute.is_some() {
+        let open = if server.no_status.is_some() {
             Action::Prepare { conn, address }
         } else {
             Action::Open { conn, address }
@@ -117,10 +117,10 @@
     /// connection of its own.
     pub(super) fn retry_status(&mut self, key: ServerKey, now: Instant) {
         let server = &mut self.servers[key];
-        if server.mute.is_none_or(|at| now < at) {
+        if server.no_status.is_none_or(|at| now < at) {
             return;
         }
-        server.mute = Some(now + MUTE);
+        server.no_status = Some(now + NO_STATUS_RETRY);
         if server.pool.used(now) < server.connections as usize {
             let conn = server.pool.open(&mut self.conns, key, now);
             self.actions.push(Action::Open { conn, address: server.address });
@@ -128,12 +128,12 @@
     }
 
     /// Requests the status at once, as the load of the server is in doubt.
-    pub(super) fn urge(&mut self, key: ServerKey, now: Instant) {
+    pub(super) fn probe_soon(&mut self, key: ServerKey, now: Instant) {
         let Some(server) = self.servers.get_mut(key).filter(|s| s.owned) else {
             return;
         };
         server.probe_at = now + self.settings.urgent;
-        if server.mute.is_some() || server.pool.is_asking(&self.conns) {
+        if server.no_status.is_some() || server.pool.is_asking(&self.conns) {
             return;
         }
         let after = server.stalled_since(now);
@@ -160,7 +160,7 @@
 
     fn learn_status(&mut self, key: ServerKey, now: Instant) {
         if !self.servers[key].pool.is_asking(&self.conns) {
-            self.urge(key, now);
+            self.probe_soon(key, now);
         }
     }
 
@@ -187,7 +187,7 @@
         };
         self.servers[key].give_up(stalled, now);
         self.abandon(stalled, now);
-        self.urge(key, now);
+        self.probe_soon(key, now);
         true
     }
 
--- a/crates/slots/src/machine/events.rs
+++ b/crates/slots/src/machine/events.rs
@@ -7,7 +7,7 @@
 use super::Item;
 use super::Slots;
 use super::Stage;
-use super::dispatch::MUTE;
+use super::dispatch::NO_STATUS_RETRY;
 use crate::foreign::Foreign;
 use crate::pool::ConnState;
 use crate::types::ConnKey;
@@ -52,23 +52,23 @@
         // A connection that went silent while it was opened says nothing of the
         // server. Without status requests, items that hang on other silent
         // connections would keep their slots until their deadlines.
-        let first = server.doubt.is_none_or(|at| opened < at);
-        if server.known && server.mute.is_none() && first {
-            server.doubt.get_or_insert(now);
-            self.urge(key, now);
+        let first = server.silent_since.is_none_or(|at| opened < at);
+        if server.known && server.no_status.is_none() && first {
+            server.silent_since.get_or_insert(now);
+            self.probe_soon(key, now);
         } else {
-            self.mute(key, now);
+            self.use_without_status(key, now);
         }
-        let muted = self.servers[key].mute.is_some();
+        let without_status = self.servers[key].no_status.is_some();
         self.dispatch(key, now);
         self.forget(key);
-        muted
+        without_status
     }
 
     /// Uses a server without its status for a while.
-    fn mute(&mut self, key: ServerKey, now: Instant) {
+    fn use_without_status(&mut self, key: ServerKey, now: Instant) {
         let server = &mut self.servers[key];
-        server.mute = Some(now + MUTE);
+        server.no_status = Some(now + NO_STATUS_RETRY);
         if !server.known {
             server.known = true;
             // Nothing can be known of the work of others.
@@ -134,7 +134,7 @@
         let before = server.warmup.level();
         match end {
             End::Replied { report } => {
-                server.untouched = false;
+                server.unused = false;
                 server.foreign.admitted(now);
                 server.warmup.reply(took, true, server.slots);
                 if let Some(report) = report {
@@ -143,7 +143,7 @@
             }
             End::TimedOut => server.warmup.reply(took, false, server.slots),
             End::Lost | End::Refused { reason: Refusal::Cold } => {
-                server.untouched = false;
+                server.unused = false;
                 server.warmup.reset();
             }
             End::Refused { reason: Refusal::Busy } => {
@@ -206,7 +206,7 @@
             _ => self.close(conn, now),
         }
         match end {
-            End::TimedOut | End::Lost => self.urge(key, now),
+            End::TimedOut | End::Lost => self.probe_soon(key, now),
             End::Refused { .. } => self.servers[key].probe_at = now + self.settings.urgent,
             _ => {}
         }
@@ -241,8 +241,8 @@
         }
         server.known = true;
         server.probed_at = now;
-        server.mute = None;
-        server.doubt = None;
+        server.no_status = None;
+        server.silent_since = None;
         server.drain.status(status.draining);
         let draining = server.drain.is_draining();
         self.drop_dead(key, report, now);
--- a/crates/slots/src/machine/tick.rs
+++ b/crates/slots/src/machine/tick.rs
@@ -43,7 +43,7 @@
 
     fn probe_due(&mut self, key: ServerKey, now: Instant) {
         let server = &self.servers[key];
-        if !server.owned || server.mute.is_some() || now < server.probe_at {
+        if !server.owned || server.no_status.is_some() || now < server.probe_at {
             return;
         }
         let blocked = server.foreign.count() > 0 && !server.queue.is_empty();
--- a/crates/slots/src/server.rs
+++ b/crates/slots/src/server.rs
@@ -92,13 +92,13 @@
     pub(crate) usable: bool,
     pub(crate) drain: Drain,
     /// When to request the status again that it did not send.
-    pub(crate) mute: Option<Instant>,
+    pub(crate) no_status: Option<Instant>,
     /// When a new connection first brought no status although earlier ones did.
-    pub(crate) doubt: Option<Instant>,
+    pub(crate) silent_since: Option<Instant>,
     /// Whether its status was read since ownership was gained.
     pub(crate) known: bool,
     /// Whether no reply has corrected the start level yet.
-    pub(crate) untouched: bool,
+    pub(crate) unused: bool,
     /// When the hint came that gave the start level.
     pub(crate) hinted: Option<Instant>,
     /// Slots that the server itself reports; 0 when it does not.
@@ -132,10 +132,10 @@
             owned: true,
             usable: true,
             drain: Drain::default(),
-            mute: None,
-            doubt: None,
+            no_status: None,
+            silent_since: None,
             known: false,
-            untouched: true,
+            unused: true,
             hinted: None,
             reported: 0,
             warmup: Warmup::new(level.min(spec.slots)),
@@ -169,7 +169,7 @@
             Some(at) => report.sent.checked_sub(report.uptime).is_some_and(|start| start > at),
             None => report.uptime < YOUNG,
         };
-        !self.known && self.untouched && young
+        !self.known && self.unused && young
     }
 
     /// Whether it gets new work, apart from the quorum lease.
