Install stop signal handlers in one place, before a process starts

Cause: the gate polled a future once to install its handlers early; the other processes installed them only after the start. The load script wrote the settings of gate and entry twice.

--- a/bench/cluster.sh
+++ b/bench/cluster.sh
@@ -99,24 +99,14 @@
     write_node_settings "$1" agent
 }
 
-write_gate_settings() { # host
+write_server_settings() { # host, gate or entry
     cat <<EOF
-listen = "$ip:$(gate_port "$1")"
+listen = "$ip:$("$2_port" "$1")"
 secret = "$secret"
 agent = "$ip:$(agent_port "$1")"
 
 EOF
-    write_node_settings "$1" gate
-}
-
-write_entry_settings() { # host
-    cat <<EOF
-listen = "$ip:$(entry_port "$1")"
-secret = "$secret"
-agent = "$ip:$(agent_port "$1")"
-
-EOF
-    write_node_settings "$1" entry
+    write_node_settings "$1" "$2"
 }
 
 write_ctl_settings() {
@@ -137,8 +127,8 @@
     write_ctl_settings >"$WORK/ctl.toml"
     for i in $(seq "$HOSTS"); do
         write_agent_settings "$i" >"$WORK/agent-$i.toml"
-        write_gate_settings "$i" >"$WORK/gate-$i.toml"
-        write_entry_settings "$i" >"$WORK/entry-$i.toml"
+        write_server_settings "$i" gate >"$WORK/gate-$i.toml"
+        write_server_settings "$i" entry >"$WORK/entry-$i.toml"
     done
 }
 
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -15,8 +15,8 @@
 use chervil_node::logs::LogError;
 use chervil_node::metrics::Metrics;
 use chervil_node::metrics::MetricsError;
-use chervil_node::shutdown;
 use chervil_node::shutdown::Lifecycle;
+use chervil_node::shutdown::StopSignals;
 use chervil_node::trace;
 use chervil_node::trace::TraceError;
 use chervil_rpc::client::Peers;
@@ -84,12 +84,13 @@
 pub async fn run(settings: EntrySettings) -> Result<(), StartError> {
     logs::init(&settings.node.log_level)?;
     let _traces = trace::init("chervil-entry", settings.node.otlp.as_deref())?;
+    let mut signals = StopSignals::install().context(SignalsSnafu)?;
     let metrics = Metrics::new("chervil.entry", settings.node.statsd)?;
     let admin_address = settings.node.admin;
     let running = serve(&settings, metrics).await?;
     let admin = admin::serve(admin_address, running.entry.lifecycle.clone()).await?;
     spdlog::info!("started", kv: { host: = settings.node.host, listen: = running.address });
-    shutdown::signalled().await.context(SignalsSnafu)?;
+    signals.received().await;
     let drained = running.stop(&settings).await;
     admin.abort();
     spdlog::info!("stopped", kv: { drained = drained });
--- a/crates/gate/src/app.rs
+++ b/crates/gate/src/app.rs
@@ -3,7 +3,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::task::Poll;
 use std::time::Duration;
 
 use chervil_backend::http::HttpLink;
@@ -15,8 +14,8 @@
 use chervil_node::logs::LogError;
 use chervil_node::metrics::Metrics;
 use chervil_node::metrics::MetricsError;
-use chervil_node::shutdown;
 use chervil_node::shutdown::Lifecycle;
+use chervil_node::shutdown::StopSignals;
 use chervil_node::trace;
 use chervil_node::trace::TraceError;
 use chervil_rpc::client::Peers;
@@ -120,16 +119,9 @@
 pub async fn run(settings: GateSettings) -> Result<(), GateError> {
     logs::init(&settings.node.log_level)?;
     let _traces = trace::init("chervil-gate", settings.node.otlp.as_deref())?;
-    let mut signalled = Box::pin(shutdown::signalled());
-    // The first poll installs the handlers, so that no signal is missed.
-    let mut early = futures::poll!(signalled.as_mut());
+    let mut signals = StopSignals::install().context(SignalsSnafu)?;
     let gate = start(settings).await?;
-    if early.is_pending() {
-        early = Poll::Ready(signalled.await);
-    }
-    if let Poll::Ready(result) = early {
-        result.context(SignalsSnafu)?;
-    }
+    signals.received().await;
     gate.stop().await;
     Ok(())
 }
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::sync::watch;
@@ -107,13 +108,27 @@
     }
 }
 
-/// Waits for SIGTERM or SIGINT.
-pub async fn signalled() -> io::Result<()> {
-    let mut term = signal(SignalKind::terminate())?;
-    let mut int = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
+/// Signals that ask a process to stop.
+#[derive(Debug)]
+pub struct StopSignals {
+    term: Signal,
+    int: Signal,
+}
+
+impl StopSignals {
+    /// Installs the handlers; a process does so before it starts, so that a
+    /// signal during the start is not missed.
+    pub fn install() -> io::Result<StopSignals> {
+        let term = signal(SignalKind::terminate())?;
+        let int = signal(SignalKind::interrupt())?;
+        Ok(StopSignals { term, int })
+    }
+
+    /// Waits for SIGTERM or SIGINT, if none has come since the installation.
+    pub async fn received(&mut self) {
+        tokio::select! {
+            _ = self.term.recv() => {}
+            _ = self.int.recv() => {}
+        }
     }
-    Ok(())
 }
--- a/crates/slots/src/ownership.rs
+++ b/crates/slots/src/ownership.rs
@@ -29,8 +29,8 @@
 ///
 /// A group gained by a change of the member list is owned only once the lease
 /// has settled on the new epoch; until then, the host keeps what it holds (by
-/// group name) if the list before gives it that, too. A group lost is not owned
-/// at once. `leaving` tells hosts that stop on purpose, which hand over without
+/// group name) if the list before gives it that, too. A lost group stops
+/// being owned at once. `leaving` tells hosts that stop on purpose, which hand over without
 /// running work.
 pub fn owned_groups<H, F>(
     host: &str,
