Let one host read the registry and the others ask it

Hosts are ranked; the first reads, the others ask the best one ahead that has fresh news, and read the store themselves when none has. Entries whose only news is a heartbeat are not passed on.

--- a/platform/src/client.rs
+++ b/crates/front/src/client.rs
@@ -1,4 +1,4 @@
-//! HTTP calls to the platform's store.
+//! HTTP calls with JSON bodies, to the registry and to other hosts.
 
 use std::net::SocketAddr;
 use std::sync::Mutex;
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use chervil_front::registry::RegistryError;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
 use hyper::Method;
@@ -16,14 +15,18 @@
 use hyper::client::conn::http1::SendRequest;
 use hyper::header;
 use hyper_util::rt::TokioIo;
+use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpStream;
 use tokio::time;
 
-/// Longest time that opening a connection to the store takes.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+use crate::registry::RegistryError;
 
-/// Client of the store; keeps a connection for each call that runs at a time.
+/// Longest time that opening a connection takes; a hop between zones takes a
+/// hundredth of it.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Client of one server; keeps a connection for each call that runs at a time.
 #[derive(Debug)]
 pub struct Client {
     address: SocketAddr,
@@ -31,23 +34,25 @@
 }
 
 impl Client {
-    /// A client of the store at `address`.
+    /// A client of the server at `address`.
     pub fn new(address: SocketAddr) -> Client {
         Client { address, idle: Mutex::new(Vec::new()) }
     }
 
     /// Makes a call and decodes the body of a success. A connection whose call
     /// fails or is given up is not used again.
-    pub async fn call<Body>(
+    pub async fn call<Question, Body>(
         &self,
         method: Method,
         path: &str,
-        body: Option<serde_json::Value>,
+        body: Option<&Question>,
     ) -> Result<Body, RegistryError>
     where
+        Question: Serialize,
         Body: DeserializeOwned,
     {
-        let text = body.map(|b| b.to_string()).unwrap_or_default();
+        let text = body.map(serde_json::to_string).transpose();
+        let text = text.map_err(|e| unreachable(&e))?.unwrap_or_default();
         let request = Request::builder()
             .method(method)
             .uri(path)
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -1,161 +1,317 @@
-//! Following the registry: what a host believes is brought up to date, also
-//! through outages of the registry.
+//! Following the registry: what a host believes is brought up to date, by the
+//! registry itself or by another host that follows it, also through outages.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
-use chervil_base::HashMap;
 use chervil_base::HashSet;
 use chervil_route::fleet::Change;
+use chervil_route::fleet::Entry;
+use chervil_route::sources::Peer;
 use tokio::time;
 
 use crate::core::Core;
+use crate::host::HostSettings;
+use crate::journal::Cursor;
+use crate::journal::Journal;
 use crate::listen::Lifecycle;
+use crate::peers::Peers;
+use crate::peers::Told;
 use crate::registry::Changes;
 use crate::registry::Event;
 use crate::registry::Presence;
 use crate::registry::Registry;
 use crate::registry::RegistryError;
 
-/// Time that one call waits for a change.
-const WAIT: Duration = Duration::from_millis(300);
+/// Time that one call to the registry waits for a change.
+const REGISTRY_WAIT: Duration = Duration::from_millis(300);
 
-/// Time after which a call counts as lost.
-const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+/// Time after which a call to the registry counts as lost, besides its wait.
+const REGISTRY_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// First pause after a failed call; it doubles up to `LONGEST_PAUSE`.
+/// Time that one call to another host waits for news.
+const PEER_WAIT: Duration = Duration::from_millis(900);
+
+/// Time after which a call to another host counts as lost, besides its wait.
+const PEER_TIMEOUT: Duration = Duration::from_millis(350);
+
+/// Time for which a host that did not answer is not asked.
+const LOST_PEER_PAUSE: Duration = Duration::from_secs(5);
+
+/// Time for which a host that had only old news is not asked.
+const STALE_PEER_PAUSE: Duration = Duration::from_millis(700);
+
+/// Pause between two answers of another host, in which its news collect.
+const PEER_PAUSE: Duration = Duration::from_millis(40);
+
+/// First pause after a failed call to the registry; it doubles.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 
-/// Longest pause after failed calls.
-const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
+/// Longest such pause of a host that others ask first.
+const LEADING_PAUSE: Duration = Duration::from_millis(1_000);
+
+/// Longest such pause of another host.
+const LONGEST_PAUSE: Duration = Duration::from_millis(4_000);
 
 /// Time after the return of the registry in which a missing backend server is
 /// kept: the entries of live ones are back within two seconds.
 const RETURN_HOLD: Duration = Duration::from_millis(2_300);
 
+/// Time after its start for which a host asks the seeds before the registry.
+const SEED_TIME: Duration = Duration::from_millis(1_500);
+
+/// Pause between two rounds over the seeds.
+const SEED_PAUSE: Duration = Duration::from_millis(100);
+
 /// Time that the entry of a host lasts without renewal.
-const PRESENCE_TTL: Duration = Duration::from_secs(15);
+const PRESENCE_TTL: Duration = Duration::from_secs(30);
 
 /// Interval at which the entry of a host is renewed.
-const PRESENCE_RENEWAL: Duration = Duration::from_secs(5);
+const PRESENCE_RENEWAL: Duration = Duration::from_secs(10);
 
-/// Time for which a host that left the registry still counts, since entries
-/// lapse in an outage.
-const HOST_MEMORY: Duration = Duration::from_secs(30);
+/// Pause before a failed entry or renewal is tried again.
+const PRESENCE_PAUSE: Duration = Duration::from_secs(2);
 
 /// Interval at which the registry is asked for changes, as a share of the time
 /// within which a change must be in force.
-const POLL_SHARE: f64 = 0.45;
+const READ_SHARE: f64 = 0.2;
+
+/// Age from which news of another host are too old, as a share of that time.
+const STALE_SHARE: f64 = 0.45;
 
 /// Interval at which idle connections are looked over.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Whom to ask next.
+enum Source {
+    Registry,
+    Peer(Box<str>, SocketAddr),
+    Seed(SocketAddr),
+    Nobody(Duration),
+}
+
 /// Follows the registry for a host.
 pub struct Follower {
     core: Arc<Core>,
     registry: Arc<dyn Registry>,
     lifecycle: Arc<Lifecycle>,
-    poll: Duration,
-    revision: Option<u64>,
-    trouble: bool,
-    hold: Option<Instant>,
-    leaving: HashSet<Box<str>>,
-    hosts: HashMap<Box<str>, Option<Instant>>,
+    journal: Arc<Journal>,
+    peers: Peers,
+    seeds: Vec<SocketAddr>,
+    is_seed: bool,
+    start: Instant,
+    turn: usize,
+    change: Duration,
     floor: u32,
+    cursor: Cursor,
+    listed: bool,
+    failed: Option<Instant>,
     pause: Duration,
+    hold: Option<Instant>,
+    leaving: HashSet<Box<str>>,
 }
 
 impl Follower {
-    /// A follower for which changes must be in force within `bound`, on one of
-    /// at least `floor` hosts.
+    /// A follower on one of at least `floor` hosts.
     pub fn new(
         core: Arc<Core>,
         registry: Arc<dyn Registry>,
         lifecycle: Arc<Lifecycle>,
-        bound: Duration,
+        journal: Arc<Journal>,
+        settings: &HostSettings,
         floor: u32,
     ) -> Follower {
+        let own = settings.peer.address;
+        let seeds: Vec<SocketAddr> = settings.seeds.iter().copied().filter(|s| *s != own).collect();
         Follower {
+            start: core.now(),
             core,
             registry,
             lifecycle,
-            poll: bound.mul_f64(POLL_SHARE),
-            revision: None,
-            trouble: false,
-            hold: None,
-            leaving: HashSet::default(),
-            hosts: HashMap::default(),
+            journal,
+            peers: Peers::default(),
+            is_seed: seeds.len() < settings.seeds.len(),
+            seeds,
+            turn: 0,
+            change: settings.change,
             floor,
+            cursor: Cursor::default(),
+            listed: false,
+            failed: None,
             pause: FIRST_PAUSE,
+            hold: None,
+            leaving: HashSet::default(),
         }
     }
 
     /// Follows the registry until the process ends.
     pub async fn run(mut self) {
         loop {
-            let pause = match self.call().await {
-                Ok(changes) => {
-                    self.returned();
-                    self.apply(changes);
-                    self.poll
-                }
-                Err(RegistryError::HistoryLost) => {
-                    spdlog::warn!("registry history lost; listing it again");
-                    self.revision = None;
-                    Duration::ZERO
-                }
-                Err(error) => self.failed(&error),
+            let pause = match self.source() {
+                Source::Registry => self.read_registry().await,
+                Source::Peer(host, address) => self.ask_peer(host, address).await,
+                Source::Seed(address) => self.ask_seed(address).await,
+                Source::Nobody(pause) => pause,
             };
             self.expire();
-            time::sleep(pause).await;
+            if !pause.is_zero() {
+                time::sleep(pause).await;
+            }
+        }
+    }
+
+    fn source(&mut self) -> Source {
+        let now = self.core.now();
+        let early = now.duration_since(self.start) < SEED_TIME && !self.is_seed;
+        let retry = self.failed.filter(|f| *f > now);
+        if !self.listed {
+            if !self.seeds.is_empty() && (early || retry.is_some()) {
+                self.turn += 1;
+                return Source::Seed(self.seeds[self.turn % self.seeds.len()]);
+            }
+        } else if let Some((host, peer)) = self.core.state().sources.best(now) {
+            return Source::Peer(host.into(), peer.address);
+        }
+        match retry {
+            Some(at) => Source::Nobody(at.duration_since(now).min(STALE_PEER_PAUSE)),
+            None => Source::Registry,
         }
     }
 
-    async fn call(&self) -> Result<Changes, RegistryError> {
+    fn stale(&self) -> Duration {
+        self.change.mul_f64(STALE_SHARE)
+    }
+
+    async fn read_registry(&mut self) -> Duration {
+        let asked = self.core.now();
+        let revision = self.cursor.revision;
         let call = async {
-            match self.revision {
-                Some(revision) => self.registry.changes(revision, WAIT).await,
-                None => self.registry.list().await,
+            if self.listed {
+                self.registry.changes(revision, REGISTRY_WAIT).await
+            } else {
+                self.registry.list().await
             }
         };
         let lost = RegistryError::Unreachable { reason: "no reply in time".into() };
-        time::timeout(WAIT + CALL_TIMEOUT, call).await.unwrap_or(Err(lost))
+        let result = time::timeout(REGISTRY_WAIT + REGISTRY_TIMEOUT, call).await;
+        match result.unwrap_or(Err(lost)) {
+            Ok(changes) => {
+                self.returned();
+                self.take_registry(changes, asked);
+                self.change.mul_f64(READ_SHARE)
+            }
+            Err(RegistryError::HistoryLost) => {
+                spdlog::warn!("registry history lost; listing it again", kv: { revision });
+                self.listed = false;
+                Duration::ZERO
+            }
+            Err(error) => {
+                self.registry_failed(&error);
+                Duration::ZERO
+            }
+        }
+    }
+
+    fn take_registry(&mut self, changes: Changes, asked: Instant) {
+        self.journal.advance(changes.revision);
+        self.apply(changes.events, !self.listed);
+        self.cursor = Cursor { boot: 0, serial: 0, revision: changes.revision };
+        self.journal.confirm(asked);
+        self.listed = true;
     }
 
-    fn failed(&mut self, error: &RegistryError) -> Duration {
+    fn registry_failed(&mut self, error: &RegistryError) {
         self.core.metrics.count("registry.failed");
-        if !self.trouble {
-            spdlog::warn!("registry lost", kv: { error = error.to_string().as_str() });
+        let now = self.core.now();
+        if self.failed.is_none() {
+            let error = error.to_string();
+            spdlog::warn!("registry lost", kv: { error = error.as_str() });
         }
-        self.trouble = true;
-        let pause = self.pause;
-        self.pause = (pause * 2).min(LONGEST_PAUSE);
-        pause
+        self.failed = Some(now + self.pause);
+        let leading = self.core.state().sources.is_leading();
+        let longest = if leading { LEADING_PAUSE } else { LONGEST_PAUSE };
+        self.pause = (self.pause * 2).min(longest);
     }
 
     fn returned(&mut self) {
         self.pause = FIRST_PAUSE;
-        if std::mem::take(&mut self.trouble) {
-            spdlog::info!("registry back", kv: { revision = self.revision.unwrap_or_default() });
+        if self.failed.take().is_some() {
+            spdlog::info!("registry back", kv: { revision = self.cursor.revision });
             self.hold = Some(self.core.now() + RETURN_HOLD);
         }
     }
 
-    fn apply(&mut self, changes: Changes) {
-        let full = self.revision.is_none();
+    async fn ask_peer(&mut self, host: Box<str>, address: SocketAddr) -> Duration {
+        let result = self.ask(address, PEER_WAIT).await;
+        let now = self.core.now();
+        let (problem, pause) = match result {
+            Ok(told) if self.is_fresh(&told) => {
+                self.take_told(told, now);
+                return PEER_PAUSE;
+            }
+            Ok(_) => ("old news", STALE_PEER_PAUSE),
+            Err(_) => ("no answer", LOST_PEER_PAUSE),
+        };
+        spdlog::info!("host not asked for a while", kv: { host = &*host, problem });
+        self.core.state().sources.avoid(&host, now + pause);
+        Duration::ZERO
+    }
+
+    /// Asks a seed for everything. While the registry is away, old news are
+    /// better than none.
+    async fn ask_seed(&mut self, address: SocketAddr) -> Duration {
+        let result = self.ask(address, Duration::ZERO).await;
+        let now = self.core.now();
+        match result {
+            Ok(told) if !told.events.is_empty() && (self.is_fresh(&told) || self.failed.is_some()) => {
+                spdlog::info!("registry learned from a seed", kv: {
+                    seed = address.to_string().as_str(),
+                    age_ms = told.age_ms.unwrap_or(u64::MAX),
+                });
+                self.take_told(told, now);
+                Duration::ZERO
+            }
+            Ok(_) | Err(_) => SEED_PAUSE,
+        }
+    }
+
+    async fn ask(&mut self, address: SocketAddr, wait: Duration) -> Result<Told, RegistryError> {
+        let stale = self.stale();
+        let call = self.peers.ask(address, self.cursor, wait, stale);
+        let lost = RegistryError::Unreachable { reason: "no reply in time".into() };
+        time::timeout(wait + PEER_TIMEOUT, call).await.unwrap_or(Err(lost))
+    }
+
+    fn is_fresh(&self, told: &Told) -> bool {
+        let young = told.age_ms.is_some_and(|a| Duration::from_millis(a) < self.stale());
+        young && told.cursor.revision >= self.cursor.revision
+    }
+
+    fn take_told(&mut self, told: Told, now: Instant) {
+        self.journal.advance(told.cursor.revision);
+        self.apply(told.events, told.full);
+        self.cursor = told.cursor;
+        self.listed = true;
+        let age = told.age_ms.map(Duration::from_millis);
+        if let Some(confirmed) = age.and_then(|a| now.checked_sub(a)) {
+            self.journal.confirm(confirmed);
+        }
+    }
+
+    fn apply(&mut self, events: Vec<Event>, full: bool) {
         if full {
-            self.forget_missing(&changes.events);
+            self.forget_missing(&events);
         }
-        for event in changes.events {
+        for event in events {
             self.take_in(event);
         }
-        self.revision = Some(changes.revision);
         if full {
+            let state = self.core.state();
             spdlog::info!("registry listed", kv: {
-                revision = changes.revision,
-                backends = self.core.state().fleet.len(),
-                hosts = self.hosts.len(),
+                backends = state.fleet.len(),
+                hosts = state.sources.count(),
             });
         }
         let state = self.core.state();
@@ -166,49 +322,45 @@
 
     /// Treats what a full list lacks as gone.
     fn forget_missing(&mut self, events: &[Event]) {
-        let listed: HashSet<&str> = events.iter().filter_map(server_id).collect();
-        let known: Vec<Box<str>> = self.core.state().fleet.ids().map(Box::from).collect();
-        for id in known.into_iter().filter(|id| !listed.contains(&**id)) {
-            self.server_gone(id);
-        }
-        self.core.state().fleet.set_evacuated(HashSet::default());
         let now = self.core.now();
-        for seen in self.hosts.values_mut() {
-            seen.get_or_insert(now);
-        }
+        let servers: HashSet<&str> = events.iter().filter_map(server_id).collect();
+        let zones: HashSet<&str> = events.iter().filter_map(evacuated_zone).collect();
+        let mut state = self.core.state();
+        let known = state.fleet.ids().filter(|id| !servers.contains(id));
+        let gone: Vec<Box<str>> = known.map(Box::from).collect();
+        let out = state.fleet.evacuated().iter().filter(|z| !zones.contains(&***z));
+        let restored: Vec<Box<str>> = out.cloned().collect();
+        state.sources.all_lapsed(now);
+        drop(state);
+        gone.into_iter().for_each(|id| self.server_gone(id));
+        restored.into_iter().for_each(|zone| self.evacuate(zone, false));
     }
 
     fn take_in(&mut self, event: Event) {
-        let now = self.core.now();
         match event {
             Event::Config(config) => {
-                let version = config.version;
-                let routes = config.routes.len();
-                if self.core.state().adopt(*config) {
+                let (version, routes) = (config.version, config.routes.len());
+                if self.core.state().adopt((*config).clone()) {
                     spdlog::info!("configuration adopted", kv: { version, routes });
+                    self.journal.push(&Event::Config(config));
                 }
             }
             Event::Evacuated(zone) => self.evacuate(zone, true),
             Event::Restored(zone) => self.evacuate(zone, false),
-            Event::Server(entry) => {
-                self.leaving.remove(&entry.id);
-                let (id, draining) = (entry.id.clone(), entry.draining);
-                let change = self.core.state().fleet.upsert(*entry, now);
-                match change {
-                    Change::Replaced(old) => self.core.pools().remove(old),
-                    Change::Added(_) | Change::Updated(_) => {}
-                }
-                if !matches!(change, Change::Updated(_)) {
-                    spdlog::debug!("backend known", kv: { id = &*id, draining });
-                }
-            }
+            Event::Server(entry) => self.server(*entry),
             Event::ServerGone(id) => self.server_gone(id),
-            Event::Host(host) => {
-                self.hosts.insert(host, None);
-                self.count_hosts();
+            Event::Host(host, peer) => {
+                let mut state = self.core.state();
+                if !state.sources.listed().any(|(h, p)| h == &*host && p == peer) {
+                    self.journal.push(&Event::Host(host.clone(), peer));
+                    state.sources.insert(host, peer);
+                }
+                let count = state.sources.count().max(self.floor);
+                state.set_hosts(count);
             }
             Event::HostGone(host) => {
-                self.hosts.insert(host, Some(now));
+                self.core.state().sources.lapsed(&host, self.core.now());
+                self.journal.push(&Event::HostGone(host));
             }
             Event::Unreadable { key, reason } => {
                 spdlog::warn!("registry value unreadable", kv: { key = &*key, reason = &*reason });
@@ -216,31 +368,46 @@
         }
     }
 
+    fn server(&mut self, entry: Entry) {
+        self.leaving.remove(&entry.id);
+        let now = self.core.now();
+        let change = self.core.state().fleet.upsert(entry.clone(), now);
+        match change {
+            Change::Same => return,
+            Change::Replaced(old) => self.core.pools().remove(old),
+            Change::Added(_) | Change::Updated => {}
+        }
+        spdlog::debug!("backend changed", kv: { id = &*entry.id, draining = entry.draining });
+        self.journal.push(&Event::Server(Box::new(entry)));
+    }
+
     fn evacuate(&mut self, zone: Box<str>, out: bool) {
-        spdlog::info!("zone changed", kv: { zone = &*zone, evacuated = out });
         let mut state = self.core.state();
         let mut zones = state.fleet.evacuated().clone();
-        if out {
-            zones.insert(zone);
-        } else {
-            zones.remove(&zone);
+        let changed = if out { zones.insert(zone.clone()) } else { zones.remove(&zone) };
+        if !changed {
+            return;
         }
         state.fleet.set_evacuated(zones);
+        spdlog::info!("zone changed", kv: { zone = &*zone, evacuated = out });
+        let event = if out { Event::Evacuated(zone) } else { Event::Restored(zone) };
+        self.journal.push(&event);
     }
 
     fn server_gone(&mut self, id: Box<str>) {
         if self.hold.is_some() {
             self.leaving.insert(id);
         } else {
-            self.forget(&id);
+            self.forget(id);
         }
     }
 
-    fn forget(&self, id: &str) {
-        let key = self.core.state().fleet.remove(id);
+    fn forget(&self, id: Box<str>) {
+        let key = self.core.state().fleet.remove(&id);
         if let Some(key) = key {
             self.core.pools().remove(key);
-            spdlog::info!("backend gone", kv: { id });
+            spdlog::info!("backend gone", kv: { id = &*id });
+            self.journal.push(&Event::ServerGone(id));
         }
     }
 
@@ -251,20 +418,16 @@
         if self.hold.is_some_and(|h| h <= now) {
             self.hold = None;
             for id in std::mem::take(&mut self.leaving) {
-                self.forget(&id);
+                self.forget(id);
             }
         }
-        let before = self.hosts.len();
-        self.hosts.retain(|_, left| left.is_none_or(|l| now.duration_since(l) < HOST_MEMORY));
-        if self.hosts.len() != before {
-            self.count_hosts();
+        let mut state = self.core.state();
+        state.sources.expire(now);
+        let count = state.sources.count().max(self.floor);
+        if count != state.hosts() {
+            state.set_hosts(count);
         }
     }
-
-    fn count_hosts(&self) {
-        let count = (self.hosts.len() as u32).max(self.floor);
-        self.core.state().set_hosts(count);
-    }
 }
 
 fn server_id(event: &Event) -> Option<&str> {
@@ -274,22 +437,33 @@
     }
 }
 
+fn evacuated_zone(event: &Event) -> Option<&str> {
+    match event {
+        Event::Evacuated(zone) => Some(zone),
+        _ => None,
+    }
+}
+
 /// Keeps the entry of this host in the registry.
-pub async fn keep_presence(registry: Arc<dyn Registry>, host: Box<str>) {
+pub async fn keep_presence(registry: Arc<dyn Registry>, host: Box<str>, peer: Peer) {
     let mut presence: Option<Presence> = None;
     loop {
         let result = match presence {
             Some(held) => registry.renew(held).await,
-            None => registry.announce(&host, PRESENCE_TTL).await.map(|p| presence = Some(p)),
+            None => registry.announce(&host, peer, PRESENCE_TTL).await.map(|p| presence = Some(p)),
         };
-        if let Err(error) = result {
-            spdlog::debug!("presence not kept", kv: { error = error.to_string().as_str() });
-            if error == RegistryError::Lapsed {
-                presence = None;
-                continue;
+        match result {
+            Ok(()) => time::sleep(PRESENCE_RENEWAL).await,
+            Err(error) => {
+                let lapsed = error == RegistryError::Lapsed;
+                let error = error.to_string();
+                spdlog::warn!("entry of this host not kept", kv: { error = error.as_str() });
+                if lapsed {
+                    presence = None;
+                }
+                time::sleep(PRESENCE_PAUSE).await;
             }
         }
-        time::sleep(PRESENCE_RENEWAL).await;
     }
 }
 
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -7,6 +7,9 @@
 
 use chervil_base::clock::Clock;
 use chervil_base::value;
+use chervil_route::sources::Peer;
+use chervil_route::sources::Sources;
+use rand::RngExt as _;
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
 use snafu::ResultExt as _;
@@ -17,11 +20,13 @@
 use crate::core::Core;
 use crate::follow;
 use crate::follow::Follower;
+use crate::journal::Journal;
 use crate::listen;
 use crate::listen::Lifecycle;
 use crate::logs::Log;
 use crate::metrics::Metrics;
 use crate::names::HeaderNames;
+use crate::peers;
 use crate::ready;
 use crate::registry::Registry;
 use crate::state::Bounds;
@@ -41,6 +46,10 @@
         pub listen: SocketAddr,
         /// Address for readiness probes.
         pub ready: SocketAddr,
+        /// Address and power that other hosts are told.
+        pub peer: Peer,
+        /// Hosts to ask at the start.
+        pub seeds: Vec<SocketAddr>,
         /// Address for metrics.
         pub metrics: SocketAddr,
         /// Time within which a change of the registry must be in force.
@@ -83,23 +92,29 @@
 ) -> Result<(), HostError> {
     let callers = listen_on(settings.listen).await?;
     let probes = listen_on(settings.ready).await?;
+    let others = listen_on(settings.peer.address).await?;
     let scrapes = listen_on(settings.metrics).await?;
     let rng = SmallRng::from_rng(&mut rand::rng());
-    let state = State::new(settings.zone.clone(), settings.bounds, LEAST_HOSTS, rng);
+    let boot = rand::rng().random::<u64>() | 1;
+    let sources = Sources::new(settings.name.clone());
+    let state = State::new(settings.zone.clone(), settings.bounds, LEAST_HOSTS, sources, rng);
     let core = Core::new(names, Log::default(), Metrics::default(), clock, state);
     let core = Arc::new(core);
     let lifecycle = Arc::new(Lifecycle::default());
     spdlog::info!("started", kv: { host = &*settings.name, zone = &*settings.zone });
 
+    let journal = Arc::new(Journal::new(boot));
     let follower = Follower::new(
         core.clone(),
         registry.clone(),
         lifecycle.clone(),
-        settings.change,
+        journal.clone(),
+        &settings,
         LEAST_HOSTS,
     );
+    tokio::spawn(peers::serve(others, core.clone(), journal));
     tokio::spawn(follower.run());
-    tokio::spawn(follow::keep_presence(registry, settings.name.clone()));
+    tokio::spawn(follow::keep_presence(registry, settings.name.clone(), settings.peer));
     tokio::spawn(follow::prune_connections(core.clone()));
     tokio::spawn(ready::serve_ready(probes, lifecycle.clone()));
     tokio::spawn(ready::serve_metrics(scrapes, core.clone()));
--- /dev/null
+++ b/crates/front/src/peers.rs
@@ -0,0 +1,157 @@
+//! Hosts tell each other what they have learned of the registry.
+
+use std::convert::Infallible;
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chervil_base::HashMap;
+use chervil_base::message;
+use http_body_util::BodyExt as _;
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::time;
+
+use crate::answer;
+use crate::answer::Answer;
+use crate::client::Client;
+use crate::core::Core;
+use crate::journal::Cursor;
+use crate::journal::Journal;
+use crate::journal::News;
+use crate::registry::Event;
+use crate::registry::RegistryError;
+
+/// Longest time that a host is kept waiting for news.
+const LONGEST_WAIT: Duration = Duration::from_secs(2);
+
+/// Path of the one call between hosts.
+const PATH: &str = "/news";
+
+message! {
+    /// Question of a host.
+    #[derive(Copy)]
+    struct Question {
+        cursor: Cursor,
+        wait_ms: u64,
+        stale_ms: u64,
+    }
+
+    /// Answer to a host.
+    pub struct Told {
+        /// Where the asking host then stands.
+        pub cursor: Cursor,
+        /// Milliseconds since the news were confirmed; none before that.
+        pub age_ms: Option<u64>,
+        /// Whether the events are everything, not only what is new.
+        pub full: bool,
+        /// Events.
+        pub events: Vec<Event>,
+    }
+}
+
+/// Asks other hosts.
+#[derive(Debug, Default)]
+pub struct Peers {
+    clients: HashMap<SocketAddr, Client>,
+}
+
+impl Peers {
+    /// Asks a host for what is new; it answers after `wait` at the latest, and
+    /// at once if its own news are older than `stale`.
+    pub async fn ask(
+        &mut self,
+        address: SocketAddr,
+        cursor: Cursor,
+        wait: Duration,
+        stale: Duration,
+    ) -> Result<Told, RegistryError> {
+        let client = self.clients.entry(address).or_insert_with(|| Client::new(address));
+        let question = Question {
+            cursor,
+            wait_ms: wait.as_millis() as u64,
+            stale_ms: stale.as_millis() as u64,
+        };
+        client.call(Method::POST, PATH, Some(&question)).await
+    }
+}
+
+/// Answers other hosts.
+pub async fn serve(listener: TcpListener, core: Arc<Core>, journal: Arc<Journal>) {
+    loop {
+        // Accepting fails when descriptors run out; the next call waits for one.
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        tokio::spawn(connection(stream, core.clone(), journal.clone()));
+    }
+}
+
+async fn connection(stream: TcpStream, core: Arc<Core>, journal: Arc<Journal>) {
+    let service = service_fn(|request: Request<Incoming>| {
+        let (core, journal) = (core.clone(), journal.clone());
+        async move { Ok::<_, Infallible>(answer(&core, &journal, request).await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder.header_read_timeout(None);
+    // A connection that cannot be set up, or that the other host breaks, shows
+    // there as a failed call.
+    let _ = stream.set_nodelay(true);
+    let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+}
+
+async fn answer(core: &Core, journal: &Journal, request: Request<Incoming>) -> Answer {
+    let Ok(body) = request.into_body().collect().await else {
+        return answer::own(StatusCode::BAD_REQUEST, "the question cannot be read\n");
+    };
+    let Ok(question) = serde_json::from_slice::<Question>(&body.to_bytes()) else {
+        return answer::own(StatusCode::BAD_REQUEST, "the question is malformed\n");
+    };
+    wait_for_news(core, journal, question).await;
+    let news = journal.news(question.cursor, core.now());
+    Response::new(Full::new(Bytes::from(text(core, news))))
+}
+
+async fn wait_for_news(core: &Core, journal: &Journal, question: Question) {
+    let wait = Duration::from_millis(question.wait_ms).min(LONGEST_WAIT);
+    let end = core.now() + wait;
+    let stale = Duration::from_millis(question.stale_ms);
+    let mut serial = journal.subscribe();
+    loop {
+        let now = core.now();
+        serial.mark_unchanged();
+        let news = journal.news(question.cursor, now);
+        let age = news.age.unwrap_or(Duration::MAX);
+        if news.events.is_none_or(|e| !e.is_empty()) || age >= stale || now >= end {
+            return;
+        }
+        let turn = now + (stale - age);
+        tokio::select! {
+            _ = serial.changed() => {}
+            () = time::sleep_until(turn.min(end).into()) => {}
+        }
+    }
+}
+
+fn text(core: &Core, news: News) -> String {
+    let full = news.events.is_none();
+    let events = news.events.unwrap_or_else(|| core.state().snapshot(core.now()));
+    // Cursors and ages are numbers, which always have a JSON form.
+    let cursor = serde_json::to_string(&news.cursor).unwrap_or_default();
+    let age = news.age.map_or("null".into(), |a| a.as_millis().to_string());
+    let mut text = String::new();
+    // Writing to a string cannot fail.
+    let _ = write!(text, "{{\"cursor\":{cursor},\"age_ms\":{age},\"full\":{full},\"events\":[");
+    text.push_str(&events.join(","));
+    text.push_str("]}");
+    text
+}
--- a/crates/front/src/registry.rs
+++ b/crates/front/src/registry.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use chervil_base::message;
 use chervil_base::value;
 use chervil_route::config::Config;
 use chervil_route::fleet::Entry;
+use chervil_route::sources::Peer;
 use snafu::Snafu;
 
-value! {
+message! {
     /// One change of the registry.
     pub enum Event {
         /// A configuration.
@@ -22,8 +24,8 @@
         Server(Box<Entry>),
         /// A backend server is gone.
         ServerGone(Box<str>),
-        /// Another host.
-        Host(Box<str>),
+        /// A host of the deployment.
+        Host(Box<str>, Peer),
         /// Another host is gone.
         HostGone(Box<str>),
         /// A value that cannot be used.
@@ -34,7 +36,9 @@
             reason: Box<str>,
         },
     }
+}
 
+value! {
     /// Events up to a revision.
     pub struct Changes {
         /// Events, oldest first.
@@ -90,7 +94,12 @@
     async fn changes(&self, revision: u64, wait: Duration) -> Result<Changes, RegistryError>;
 
     /// Enters this host for `ttl`.
-    async fn announce(&self, host: &str, ttl: Duration) -> Result<Presence, RegistryError>;
+    async fn announce(
+        &self,
+        host: &str,
+        peer: Peer,
+        ttl: Duration,
+    ) -> Result<Presence, RegistryError>;
 
     /// Extends the entry of this host.
     async fn renew(&self, presence: Presence) -> Result<(), RegistryError>;
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -12,16 +12,20 @@
 use chervil_route::config::Route;
 use chervil_route::config::Target;
 use chervil_route::fleet::BackendKey;
+use chervil_route::fleet::Entry;
 use chervil_route::fleet::Fleet;
 use chervil_route::fleet::Need;
 use chervil_route::health::Attempt;
 use chervil_route::pace::Pace;
+use chervil_route::sources::Sources;
 use chervil_route::split::Split;
 use chervil_route::suspects::Suspects;
 use chervil_route::warmup::WarmupLimit;
 use rand::RngExt as _;
 use rand::rngs::SmallRng;
 
+use crate::registry::Event;
+
 value! {
     /// Bounds that hold for all hosts together.
     #[derive(Copy)]
@@ -52,6 +56,8 @@
 pub struct State {
     /// Configuration in force, none before the first.
     pub config: Option<Arc<Config>>,
+    /// Hosts of the deployment.
+    pub sources: Sources,
     /// Backend servers.
     pub fleet: Fleet,
     /// Requests that may crash backend servers.
@@ -67,9 +73,16 @@
 
 impl State {
     /// State of a host that has just started.
-    pub fn new(zone: Box<str>, bounds: Bounds, hosts: u32, rng: SmallRng) -> State {
+    pub fn new(
+        zone: Box<str>,
+        bounds: Bounds,
+        hosts: u32,
+        sources: Sources,
+        rng: SmallRng,
+    ) -> State {
         State {
             config: None,
+            sources,
             fleet: Fleet::default(),
             suspects: Suspects::default(),
             zone,
@@ -95,6 +108,22 @@
         true
     }
 
+    /// Everything that the host believes of the registry, as events in JSON.
+    pub fn snapshot(&self, now: Instant) -> Vec<Arc<str>> {
+        let mut events = Vec::new();
+        events.extend(self.config.as_ref().map(|c| Event::Config(Box::new((**c).clone()))));
+        events.extend(self.fleet.evacuated().iter().cloned().map(Event::Evacuated));
+        for (host, peer) in self.sources.listed() {
+            events.push(Event::Host(host.into(), peer));
+        }
+        for backend in self.fleet.iter() {
+            let warmup = backend.warmup.left(now);
+            events.push(Event::Server(Box::new(Entry { warmup, ..backend.entry.clone() })));
+        }
+        // Events consist of plain data, which always has a JSON form.
+        events.iter().filter_map(|e| serde_json::to_string(e).ok()).map(Arc::from).collect()
+    }
+
     /// Number of hosts that share the bounds.
     pub fn hosts(&self) -> u32 {
         self.hosts
--- a/crates/route/src/config.rs
+++ b/crates/route/src/config.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use chervil_base::HashMap;
-use chervil_base::value;
+use chervil_base::message;
 
-value! {
+message! {
     /// One version of the operators' configuration.
     pub struct Config {
         /// Version, which grows from one configuration to the next.
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -6,6 +6,7 @@
 
 use chervil_base::HashMap;
 use chervil_base::HashSet;
+use chervil_base::message;
 use chervil_base::value;
 use rand::RngExt as _;
 use rand::rngs::SmallRng;
@@ -23,6 +24,9 @@
 /// Factor on the cost of a cold backend server.
 const COLD_FACTOR: f64 = 2.0;
 
+/// Difference of a stated cold time that is no news.
+const WARMUP_TOLERANCE: Duration = Duration::from_millis(500);
+
 /// Random spread of the cost, so that hosts do not all choose the same one.
 const JITTER: f64 = 0.12;
 
@@ -31,7 +35,7 @@
     pub struct BackendKey;
 }
 
-value! {
+message! {
     /// What the registry says of a backend server.
     pub struct Entry {
         /// Name of this start of the backend server.
@@ -51,7 +55,9 @@
         /// Start in milliseconds of Unix time, where it is stated.
         pub born: Option<u64>,
     }
+}
 
+value! {
     /// A backend server.
     pub struct Backend {
         /// Registry entry.
@@ -92,7 +98,9 @@
         /// is void.
         Replaced(BackendKey),
         /// Other figures.
-        Updated(BackendKey),
+        Updated,
+        /// Nothing that matters.
+        Same,
     }
 }
 
@@ -119,9 +127,11 @@
             return Change::Replaced(key);
         }
         let backend = &mut self.arena[key];
+        let moved = backend.warmup.left(now).abs_diff(entry.warmup) > WARMUP_TOLERANCE;
+        let same = !moved && same_figures(&backend.entry, &entry);
         backend.warmup.set(entry.warmup, now);
         backend.entry = entry;
-        Change::Updated(key)
+        if same { Change::Same } else { Change::Updated }
     }
 
     fn insert(&mut self, entry: Entry, now: Instant) -> BackendKey {
@@ -168,6 +178,11 @@
         self.arena.get_mut(key)
     }
 
+    /// All backend servers.
+    pub fn iter(&self) -> impl Iterator<Item = &Backend> {
+        self.arena.values()
+    }
+
     /// Ids of all backend servers.
     pub fn ids(&self) -> impl Iterator<Item = &str> {
         self.ids.keys().map(|id| &**id)
@@ -218,3 +233,7 @@
         Some(cost * (1.0 + JITTER * rng.random::<f64>()))
     }
 }
+
+fn same_figures(old: &Entry, new: &Entry) -> bool {
+    old.zone == new.zone && old.slots == new.slots && old.draining == new.draining
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod health;
 pub mod merge;
 pub mod pace;
+pub mod sources;
 pub mod split;
 pub mod suspects;
 pub mod warmup;
--- a/crates/route/src/warmup.rs
+++ b/crates/route/src/warmup.rs
@@ -33,6 +33,11 @@
         self.until = (!left.is_zero()).then_some(now + left);
     }
 
+    /// How much longer the backend server is cold.
+    pub fn left(&self, now: Instant) -> Duration {
+        self.until.map_or(Duration::ZERO, |u| u.saturating_duration_since(now))
+    }
+
     /// Whether the backend server is cold.
     pub fn is_cold(&self, now: Instant) -> bool {
         self.until.is_some_and(|u| u > now)
