--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -19,8 +19,6 @@
 use crate::core::Core;
 use crate::reply::Reply;
 
-/// Time kept off the latency target for the way back to the caller.
-const ANSWER_TIME: Duration = Duration::from_millis(10);
 
 /// Time that a late reply is still awaited after the answer, so that its
 /// connection can be used again. It stays below the half second within which
@@ -30,10 +28,6 @@
 /// Time after which a part without a backend server looks for one again.
 const SEARCH_PAUSE: Duration = Duration::from_millis(12);
 
-/// Part of the budget that second requests for late replies leave to retries
-/// of failures.
-const RETRY_RESERVE: f64 = 0.25;
-
 value! {
     /// How a query ended.
     pub enum Gathered {
@@ -115,10 +109,14 @@
     }
 }
 
-/// Runs a query.
-pub async fn run(core: &Arc<Core>, route: &Route, gather: &Gather, plan: Plan) -> Gathered {
-    let start = core.now();
-    let soft = start + route.aim.saturating_sub(ANSWER_TIME);
+/// Runs a query. From `soft` on it ends as soon as enough parts are in.
+pub async fn run(
+    core: &Arc<Core>,
+    route: &Route,
+    gather: &Gather,
+    plan: Plan,
+    soft: Instant,
+) -> Gathered {
     let hard = plan.deadline;
     let (sender, mut events) = mpsc::unbounded_channel();
     let mut query = Query::new(core, route, gather, plan, sender);
@@ -213,12 +211,12 @@
             if part.reply.is_some() || part.lost || part.again.is_none_or(|a| a > now) {
                 continue;
             }
-            self.extend(index, if part.live > 0 { RETRY_RESERVE } else { 0.0 });
+            self.extend(index);
         }
     }
 
     /// Sends one more request for a part, if attempts and budget allow it.
-    fn extend(&mut self, index: usize, reserve: f64) {
+    fn extend(&mut self, index: usize) {
         let part = &mut self.parts[index];
         part.again = None;
         if part.sent == 0 {
@@ -226,7 +224,7 @@
             return;
         }
         let allowed = part.ran + part.live < self.route.attempts;
-        if allowed && self.core.state().budget(&part.service).spend_above(reserve) {
+        if allowed && self.core.state().budget(&part.service).spend() {
             if self.send(index) {
                 self.extra += 1;
             }
@@ -260,7 +258,7 @@
 
     fn again(&mut self, index: usize) {
         if self.parts[index].reply.is_none() {
-            self.extend(index, 0.0);
+            self.extend(index);
         }
     }
 
--- a/crates/front/src/handle.rs
+++ b/crates/front/src/handle.rs
@@ -34,6 +34,12 @@
 /// Time kept off a caller's deadline for the way back.
 const RETURN_TIME: Duration = Duration::from_millis(12);
 
+/// Round trip between a caller and this host, rounded up from 6 ms.
+const CALLER_ROUND_TRIP: Duration = Duration::from_millis(7);
+
+/// Time that this host takes to read a request and to write an answer.
+const OWN_TIME: Duration = Duration::from_millis(2);
+
 /// Time after which a caller may come back when no backend server took its
 /// request.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
@@ -52,8 +58,8 @@
     }
 }
 
-/// Answers a request.
-pub async fn handle(core: Arc<Core>, request: Request<Incoming>) -> Answer {
+/// Answers a request; `opened` says whether it is the first on its connection.
+pub async fn handle(core: Arc<Core>, request: Request<Incoming>, opened: bool) -> Answer {
     let start = core.now();
     let config = core.state().config.clone();
     let Some(config) = config else {
@@ -84,7 +90,8 @@
         request: Arc::new(outgoing),
         idempotent: route.idempotent,
     };
-    let (answer, summary) = dispatch(&core, route, plan).await;
+    let soft = start + route.aim.saturating_sub(way(opened));
+    let (answer, summary) = dispatch(&core, route, plan, soft).await;
     note(&core, &head.headers, &config, route, &answer, &summary, start);
     answer
 }
@@ -118,9 +125,20 @@
     hasher.finish()
 }
 
-async fn dispatch(core: &Arc<Core>, route: &Route, plan: Plan) -> (Answer, Summary) {
+/// Part of the latency target that passes outside of this host. Opening a
+/// connection takes the caller another round trip.
+fn way(opened: bool) -> Duration {
+    CALLER_ROUND_TRIP * (1 + u32::from(opened)) + OWN_TIME
+}
+
+async fn dispatch(
+    core: &Arc<Core>,
+    route: &Route,
+    plan: Plan,
+    soft: Instant,
+) -> (Answer, Summary) {
     if let Target::Gather(gather) = &route.target {
-        let gathered = gather::run(core, route, gather, plan).await;
+        let gathered = gather::run(core, route, gather, plan, soft).await;
         return answer_gathered(core, gathered);
     }
     let service = core.state().pick_service(route);
--- a/crates/front/src/listen.rs
+++ b/crates/front/src/listen.rs
@@ -104,6 +104,7 @@
 /// Activity of one connection.
 struct Activity {
     running: AtomicUsize,
+    served: AtomicUsize,
     last: Mutex<Instant>,
 }
 
@@ -131,9 +132,12 @@
 
 async fn connection(stream: TcpStream, core: Arc<Core>, lifecycle: Arc<Lifecycle>) {
     lifecycle.open.fetch_add(1, Ordering::Relaxed);
-    let activity =
-        Arc::new(Activity { running: AtomicUsize::new(0), last: Mutex::new(core.now()) });
-    converse(stream, &core, &lifecycle, &activity).await;
+    let activity = Activity {
+        running: AtomicUsize::new(0),
+        served: AtomicUsize::new(0),
+        last: Mutex::new(core.now()),
+    };
+    converse(stream, &core, &lifecycle, &Arc::new(activity)).await;
     lifecycle.open.fetch_sub(1, Ordering::Relaxed);
 }
 
@@ -147,7 +151,8 @@
         let (core, lifecycle, activity) = (core.clone(), lifecycle.clone(), activity.clone());
         async move {
             activity.running.fetch_add(1, Ordering::Relaxed);
-            let mut answer = handle::handle(core.clone(), request).await;
+            let opened = activity.served.fetch_add(1, Ordering::Relaxed) == 0;
+            let mut answer = handle::handle(core.clone(), request, opened).await;
             activity.touch(core.now());
             activity.running.fetch_sub(1, Ordering::Relaxed);
             if matches!(*lifecycle.stage.borrow(), Stage::Stopping | Stage::Closing) {
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -78,12 +78,12 @@
         bounds: Bounds,
         hosts: u32,
         sources: Sources,
-        rng: SmallRng,
+        mut rng: SmallRng,
     ) -> State {
         State {
             config: None,
             sources,
-            fleet: Fleet::default(),
+            fleet: Fleet::new(rng.random()),
             suspects: Suspects::default(),
             zone,
             bounds,
@@ -186,6 +186,7 @@
             expected,
             limit: self.bounds.warmup,
             cold_rate: known.map_or(0.0, |s| s.cold_rate),
+            connections: known.map_or(1, |s| s.connections),
             hosts: self.hosts,
         };
         let key = self.fleet.choose(&need, &mut self.rng, now)?;
--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -8,10 +8,10 @@
 
 /// Part of the allowance that is spent; the rest covers a host that restarts
 /// with a new share within the same window.
-const USED_SHARE: f64 = 0.8;
+const USED_SHARE: f64 = 0.92;
 
 /// Part of the share that a starting host begins with.
-const INITIAL_SHARE: f64 = 0.5;
+const INITIAL_SHARE: f64 = 0.75;
 
 value! {
     /// Allowance of extra requests for one service, over all hosts.
@@ -57,12 +57,6 @@
         }
         enough
     }
-
-    /// Takes one extra request only while more than `part` of the budget is
-    /// left, so that retries of failures find some.
-    pub fn spend_above(&mut self, part: f64) -> bool {
-        self.tokens >= 1.0 + self.peak * part && self.spend()
-    }
 }
 
 fn share(allowance: Allowance, hosts: u32) -> f64 {
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -1,5 +1,7 @@
 //! Backend servers as a host knows them, and the choice among them.
 
+use std::hash::Hash as _;
+use std::hash::Hasher as _;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -10,6 +12,7 @@
 use chervil_base::value;
 use rand::RngExt as _;
 use rand::rngs::SmallRng;
+use rustc_hash::FxHasher;
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
@@ -27,6 +30,14 @@
 /// Difference of a stated cold time that is no news.
 const WARMUP_TOLERANCE: Duration = Duration::from_millis(500);
 
+/// Factor on the cost of a backend server outside of the subset to which this
+/// host keeps connections.
+const OUTSIDE_FACTOR: f64 = 2.5;
+
+/// Part of the connections of a backend server that the subsets use; the rest
+/// is for hosts that go outside of theirs.
+const SUBSET_SHARE: f64 = 0.8;
+
 /// Random spread of the cost, so that hosts do not all choose the same one.
 const JITTER: f64 = 0.12;
 
@@ -85,6 +96,8 @@
         pub limit: WarmupLimit,
         /// Requests a second that a cold backend server of the service bears.
         pub cold_rate: f64,
+        /// Connections that one backend server of the service accepts.
+        pub connections: u32,
         /// Number of hosts.
         pub hosts: u32,
     }
@@ -111,9 +124,15 @@
     ids: HashMap<Box<str>, BackendKey>,
     services: HashMap<Box<str>, Vec<BackendKey>>,
     evacuated: HashSet<Box<str>>,
+    seed: u64,
 }
 
 impl Fleet {
+    /// No backend servers yet; `seed` tells this host from others.
+    pub fn new(seed: u64) -> Fleet {
+        Fleet { seed, ..Fleet::default() }
+    }
+
     /// Takes in an entry of the registry.
     pub fn upsert(&mut self, entry: Entry, now: Instant) -> Change {
         let Some(&key) = self.ids.get(&entry.id) else {
@@ -207,15 +226,41 @@
     /// The backend server of a service that should answer soonest.
     pub fn choose(&self, need: &Need<'_>, rng: &mut SmallRng, now: Instant) -> Option<BackendKey> {
         let keys = self.services.get(need.service)?;
+        let last = self.subset_end(keys, need);
         let open = keys.iter().copied().filter(|k| !need.tried.contains(k) && self.is_open(*k));
-        let costs = open.filter_map(|k| Some((k, self.cost(k, need, rng, now)?)));
+        let costs = open.filter_map(|k| Some((k, self.cost(k, need, last, rng, now)?)));
         costs.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(k, _)| k)
     }
 
+    /// Preference of the last backend server in this host's subset, where the
+    /// hosts are too many for each to have a connection to every one.
+    fn subset_end(&self, keys: &[BackendKey], need: &Need<'_>) -> Option<u64> {
+        let share = f64::from(need.connections) * SUBSET_SHARE / f64::from(need.hosts.max(1));
+        if share >= 1.0 {
+            return None;
+        }
+        let size = ((share * keys.len() as f64) as usize).max(1);
+        let mut order: Vec<u64> = keys.iter().map(|k| self.preference(*k, need.zone)).collect();
+        order.sort_unstable();
+        order.get(size - 1).copied()
+    }
+
+    /// Order in which this host prefers backend servers: those of its zone
+    /// first, the others by a hash that differs from host to host.
+    fn preference(&self, key: BackendKey, zone: &str) -> u64 {
+        let Some(backend) = self.arena.get(key) else { return u64::MAX };
+        let mut hasher = FxHasher::default();
+        self.seed.hash(&mut hasher);
+        backend.entry.id.hash(&mut hasher);
+        let remote = u64::from(*backend.entry.zone != *zone);
+        (hasher.finish() >> 1) | (remote << 63)
+    }
+
     fn cost(
         &self,
         key: BackendKey,
         need: &Need<'_>,
+        last: Option<u64>,
         rng: &mut SmallRng,
         now: Instant,
     ) -> Option<f64> {
@@ -230,6 +275,9 @@
         if backend.warmup.is_cold(now) {
             cost *= COLD_FACTOR;
         }
+        if last.is_some_and(|l| self.preference(key, need.zone) > l) {
+            cost *= OUTSIDE_FACTOR;
+        }
         Some(cost * (1.0 + JITTER * rng.random::<f64>()))
     }
 }
