Ask seeds only at the first start of a deployment

After a loss of all machines the hosts waited up to 0.66 s for seeds that were starting themselves. One list call reads the whole registry.

--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -59,11 +59,12 @@
 /// kept: the entries of live ones are back within two seconds.
 const RETURN_HOLD: Duration = Duration::from_millis(2_300);
 
-/// Time after its start for which a host asks the seeds before the registry.
+/// Time for which a host asks the seeds before the registry when the whole
+/// deployment starts for the first time.
 const SEED_TIME: Duration = Duration::from_millis(1_500);
 
 /// Pause between two rounds over the seeds.
-const SEED_PAUSE: Duration = Duration::from_millis(100);
+const SEED_PAUSE: Duration = Duration::from_millis(60);
 
 /// Time that the entry of a host lasts without renewal.
 const PRESENCE_TTL: Duration = Duration::from_secs(30);
@@ -100,8 +101,7 @@
     journal: Arc<Journal>,
     peers: Peers,
     seeds: Vec<SocketAddr>,
-    is_seed: bool,
-    start: Instant,
+    early: Option<Instant>,
     turn: usize,
     change: Duration,
     floor: u32,
@@ -125,14 +125,14 @@
     ) -> Follower {
         let own = settings.peer.address;
         let seeds: Vec<SocketAddr> = settings.seeds.iter().copied().filter(|s| *s != own).collect();
+        let asks_seeds = settings.bootstrap && seeds.len() == settings.seeds.len();
         Follower {
-            start: core.now(),
+            early: asks_seeds.then(|| core.now() + SEED_TIME),
             core,
             registry,
             lifecycle,
             journal,
             peers: Peers::default(),
-            is_seed: seeds.len() < settings.seeds.len(),
             seeds,
             turn: 0,
             change: settings.change,
@@ -164,7 +164,7 @@
 
     fn source(&mut self) -> Source {
         let now = self.core.now();
-        let early = now.duration_since(self.start) < SEED_TIME && !self.is_seed;
+        let early = self.early.is_some_and(|e| now < e);
         let retry = self.failed.filter(|f| *f > now);
         if !self.listed {
             if !self.seeds.is_empty() && (early || retry.is_some()) {
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -50,6 +50,8 @@
         pub peer: Peer,
         /// Hosts to ask at the start.
         pub seeds: Vec<SocketAddr>,
+        /// Whether the whole deployment starts for the first time.
+        pub bootstrap: bool,
         /// Address for metrics.
         pub metrics: SocketAddr,
         /// Time within which a change of the registry must be in force.
