Compress large events between hosts

A configuration of 1,772 routes is over a megabyte, and every host got it from a host in another zone.

--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -17,6 +17,7 @@
 use crate::journal::Cursor;
 use crate::journal::Journal;
 use crate::listen::Lifecycle;
+use crate::packed::Packed;
 use crate::peers::Peers;
 use crate::peers::Told;
 use crate::registry::Changes;
@@ -111,6 +112,7 @@
     pause: Duration,
     hold: Option<Instant>,
     leaving: HashSet<Box<str>>,
+    leading: bool,
 }
 
 impl Follower {
@@ -143,6 +145,7 @@
             pause: FIRST_PAUSE,
             hold: None,
             leaving: HashSet::default(),
+            leading: true,
         }
     }
 
@@ -230,8 +233,7 @@
             spdlog::warn!("registry lost", kv: { error = error.as_str() });
         }
         self.failed = Some(now + self.pause);
-        let leading = self.core.state().sources.is_leading();
-        let longest = if leading { LEADING_PAUSE } else { LONGEST_PAUSE };
+        let longest = if self.leading { LEADING_PAUSE } else { LONGEST_PAUSE };
         self.pause = (self.pause * 2).min(longest);
     }
 
@@ -290,8 +292,17 @@
     }
 
     fn take_told(&mut self, told: Told, now: Instant) {
+        let events: Result<Vec<Event>, _> = told.events.into_iter().map(Packed::unpack).collect();
+        let events = match events {
+            Ok(events) => events,
+            Err(error) => {
+                let error = error.to_string();
+                spdlog::error!("news of a host unreadable", kv: { error = error.as_str() });
+                return;
+            }
+        };
         self.journal.advance(told.cursor.revision);
-        self.apply(told.events, told.full);
+        self.apply(events, told.full);
         self.cursor = told.cursor;
         self.listed = true;
         let age = told.age_ms.map(Duration::from_millis);
@@ -342,7 +353,7 @@
                 let (version, routes) = (config.version, config.routes.len());
                 if self.core.state().adopt((*config).clone()) {
                     spdlog::info!("configuration adopted", kv: { version, routes });
-                    self.journal.push(&Event::Config(config));
+                    self.tell(&Event::Config(config));
                 }
             }
             Event::Evacuated(zone) => self.evacuate(zone, true),
@@ -352,15 +363,15 @@
             Event::Host(host, peer) => {
                 let mut state = self.core.state();
                 if !state.sources.listed().any(|(h, p)| h == &*host && p == peer) {
-                    self.journal.push(&Event::Host(host.clone(), peer));
-                    state.sources.insert(host, peer);
+                    state.sources.insert(host.clone(), peer);
+                    self.tell(&Event::Host(host, peer));
                 }
                 let count = state.sources.count().max(self.floor);
                 state.set_hosts(count);
             }
             Event::HostGone(host) => {
                 self.core.state().sources.lapsed(&host, self.core.now());
-                self.journal.push(&Event::HostGone(host));
+                self.tell(&Event::HostGone(host));
             }
             Event::Unreadable { key, reason } => {
                 spdlog::warn!("registry value unreadable", kv: { key = &*key, reason = &*reason });
@@ -368,6 +379,13 @@
         }
     }
 
+    /// Keeps an event for the hosts that ask this one.
+    fn tell(&self, event: &Event) {
+        if self.leading {
+            self.journal.push(event);
+        }
+    }
+
     fn server(&mut self, entry: Entry) {
         self.leaving.remove(&entry.id);
         let now = self.core.now();
@@ -378,7 +396,7 @@
             Change::Added(_) | Change::Updated => {}
         }
         spdlog::debug!("backend changed", kv: { id = &*entry.id, draining = entry.draining });
-        self.journal.push(&Event::Server(Box::new(entry)));
+        self.tell(&Event::Server(Box::new(entry)));
     }
 
     fn evacuate(&mut self, zone: Box<str>, out: bool) {
@@ -391,7 +409,7 @@
         state.fleet.set_evacuated(zones);
         spdlog::info!("zone changed", kv: { zone = &*zone, evacuated = out });
         let event = if out { Event::Evacuated(zone) } else { Event::Restored(zone) };
-        self.journal.push(&event);
+        self.tell(&event);
     }
 
     fn server_gone(&mut self, id: Box<str>) {
@@ -407,7 +425,7 @@
         if let Some(key) = key {
             self.core.pools().remove(key);
             spdlog::info!("backend gone", kv: { id = &*id });
-            self.journal.push(&Event::ServerGone(id));
+            self.tell(&Event::ServerGone(id));
         }
     }
 
@@ -427,6 +445,11 @@
         if count != state.hosts() {
             state.set_hosts(count);
         }
+        let leading = state.sources.is_leading();
+        if self.leading && !leading {
+            self.journal.clear();
+        }
+        self.leading = leading;
     }
 }
 
--- a/crates/front/src/journal.rs
+++ b/crates/front/src/journal.rs
@@ -11,6 +11,7 @@
 use chervil_base::message;
 use tokio::sync::watch;
 
+use crate::packed;
 use crate::registry::Event;
 
 /// Events that are kept; a host that is further behind gets everything.
@@ -85,11 +86,10 @@
 
     /// Adds an event.
     pub fn push(&self, event: &Event) {
-        // Events consist of plain data, which always has a JSON form.
-        let Ok(text) = serde_json::to_string(event) else { return };
+        let Some(text) = packed::pack(event) else { return };
         let mut inner = self.inner();
         inner.serial += 1;
-        let entry = Entry { serial: inner.serial, revision: inner.revision, text: text.into() };
+        let entry = Entry { serial: inner.serial, revision: inner.revision, text };
         inner.entries.push_back(entry);
         if inner.entries.len() > CAPACITY {
             let oldest = inner.entries.pop_front().map_or(0, |e| e.revision);
@@ -100,6 +100,14 @@
         self.serial.send_replace(serial);
     }
 
+    /// Keeps no events, for a host that others do not ask.
+    pub fn clear(&self) {
+        let mut inner = self.inner();
+        inner.serial += 1;
+        inner.entries.clear();
+        inner.floor = u64::MAX;
+    }
+
     /// Begins a batch of events that ends at a revision.
     pub fn advance(&self, revision: u64) {
         let mut inner = self.inner();
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod metrics;
 pub mod names;
 pub mod outgoing;
+pub mod packed;
 pub mod peers;
 pub mod pool;
 pub mod ready;
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -30,7 +30,7 @@
 use crate::journal::Cursor;
 use crate::journal::Journal;
 use crate::journal::News;
-use crate::registry::Event;
+use crate::packed::Packed;
 use crate::registry::RegistryError;
 
 /// Longest time that a host is kept waiting for news.
@@ -57,7 +57,7 @@
         /// Whether the events are everything, not only what is new.
         pub full: bool,
         /// Events.
-        pub events: Vec<Event>,
+        pub events: Vec<Packed>,
     }
 }
 
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -24,6 +24,7 @@
 use rand::RngExt as _;
 use rand::rngs::SmallRng;
 
+use crate::packed;
 use crate::registry::Event;
 
 value! {
@@ -108,7 +109,7 @@
         true
     }
 
-    /// Everything that the host believes of the registry, as events in JSON.
+    /// Everything that the host believes of the registry, as events for another host.
     pub fn snapshot(&self, now: Instant) -> Vec<Arc<str>> {
         let mut events = Vec::new();
         events.extend(self.config.as_ref().map(|c| Event::Config(Box::new((**c).clone()))));
@@ -120,8 +121,7 @@
             let warmup = backend.warmup.left(now);
             events.push(Event::Server(Box::new(Entry { warmup, ..backend.entry.clone() })));
         }
-        // Events consist of plain data, which always has a JSON form.
-        events.iter().filter_map(|e| serde_json::to_string(e).ok()).map(Arc::from).collect()
+        events.iter().filter_map(packed::pack).collect()
     }
 
     /// Number of hosts that share the bounds.
