--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -47,7 +47,12 @@
 }
 
 /// The answer made of the parts of several shards.
-pub fn gathered(body: Vec<u8>, stamps: &[HeaderValue], missing: usize, names: &HeaderNames) -> Answer {
+pub fn gathered(
+    body: Vec<u8>,
+    stamps: &[HeaderValue],
+    missing: usize,
+    names: &HeaderNames,
+) -> Answer {
     let mut answer = Response::new(Full::new(Bytes::from(body)));
     let headers = answer.headers_mut();
     for stamp in stamps {
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -110,8 +110,7 @@
     pub fn is_clean(&mut self) -> bool {
         let mut byte = [0u8; 1];
         let read = self.stream.try_read(&mut byte);
-        self.buffer.is_empty()
-            && read.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+        self.buffer.is_empty() && read.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
     /// Sends a message and reads the reply to it.
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -267,7 +267,9 @@
         let result = self.ask(address, Duration::ZERO).await;
         let now = self.core.now();
         match result {
-            Ok(told) if !told.events.is_empty() && (self.is_fresh(&told) || self.failed.is_some()) => {
+            Ok(told)
+                if !told.events.is_empty() && (self.is_fresh(&told) || self.failed.is_some()) =>
+            {
                 spdlog::info!("registry learned from a seed", kv: {
                     seed = address.to_string().as_str(),
                     age_ms = told.age_ms.unwrap_or(u64::MAX),
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -19,7 +19,6 @@
 use crate::core::Core;
 use crate::reply::Reply;
 
-
 /// Time that a late reply is still awaited after the answer, so that its
 /// connection can be used again. It stays below the half second within which
 /// backend servers must be free of work for a caller that has left.
--- a/crates/front/src/handle.rs
+++ b/crates/front/src/handle.rs
@@ -92,6 +92,7 @@
     };
     let soft = start + route.aim.saturating_sub(way(opened));
     let (answer, summary) = dispatch(&core, route, plan, soft).await;
+    judge(&core, digest, &summary);
     note(&core, &head.headers, &config, route, &answer, &summary, start);
     answer
 }
@@ -125,18 +126,25 @@
     hasher.finish()
 }
 
+/// Remembers requests whose answers break off, which may crash backend servers.
+fn judge(core: &Core, digest: u64, summary: &Summary) {
+    let now = core.now();
+    match summary.outcome {
+        "answered" | "partial" => core.state().suspects.cleared(digest),
+        "unknown" | "failed" if summary.reason != "deadline" => {
+            core.state().suspects.lost(digest, now);
+        }
+        _ => {}
+    }
+}
+
 /// Part of the latency target that passes outside of this host. Opening a
 /// connection takes the caller another round trip.
 fn way(opened: bool) -> Duration {
     CALLER_ROUND_TRIP * (1 + u32::from(opened)) + OWN_TIME
 }
 
-async fn dispatch(
-    core: &Arc<Core>,
-    route: &Route,
-    plan: Plan,
-    soft: Instant,
-) -> (Answer, Summary) {
+async fn dispatch(core: &Arc<Core>, route: &Route, plan: Plan, soft: Instant) -> (Answer, Summary) {
     if let Target::Gather(gather) = &route.target {
         let gathered = gather::run(core, route, gather, plan, soft).await;
         return answer_gathered(core, gathered);
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -3,11 +3,11 @@
 
 pub mod answer;
 pub mod attempt;
+pub mod client;
 pub mod core;
 pub mod exchange;
 pub mod follow;
 pub mod gather;
-pub mod client;
 pub mod handle;
 pub mod host;
 pub mod journal;
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -143,9 +143,9 @@
             let budget = Budget::new(self.bounds.allowance, self.hosts);
             self.budgets.insert(service.into(), budget);
         }
-        self.budgets.entry(service.into()).or_insert_with(|| {
-            Budget::new(self.bounds.allowance, self.hosts)
-        })
+        self.budgets
+            .entry(service.into())
+            .or_insert_with(|| Budget::new(self.bounds.allowance, self.hosts))
     }
 
     /// Latency estimates of a route.
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -154,7 +154,8 @@
     }
 
     fn insert(&mut self, entry: Entry, now: Instant) -> BackendKey {
-        let mut warmup = Warmup::default();
+        let phase = self.hash(&entry.id) as f64 / u64::MAX as f64;
+        let mut warmup = Warmup::new(phase);
         warmup.set(entry.warmup, now);
         let (id, service) = (entry.id.clone(), entry.service.clone());
         let backend = Backend { entry, health: Health::new(now), warmup, replaced: false };
@@ -249,11 +250,16 @@
     /// first, the others by a hash that differs from host to host.
     fn preference(&self, key: BackendKey, zone: &str) -> u64 {
         let Some(backend) = self.arena.get(key) else { return u64::MAX };
+        let remote = u64::from(*backend.entry.zone != *zone);
+        (self.hash(&backend.entry.id) >> 1) | (remote << 63)
+    }
+
+    /// Hash of a backend server that differs from host to host.
+    fn hash(&self, id: &str) -> u64 {
         let mut hasher = FxHasher::default();
         self.seed.hash(&mut hasher);
-        backend.entry.id.hash(&mut hasher);
-        let remote = u64::from(*backend.entry.zone != *zone);
-        (hasher.finish() >> 1) | (remote << 63)
+        id.hash(&mut hasher);
+        hasher.finish()
     }
 
     fn cost(
--- a/crates/route/src/warmup.rs
+++ b/crates/route/src/warmup.rs
@@ -7,7 +7,7 @@
 
 /// Part of the bound that is used; the rest covers requests that arrive
 /// bunched.
-const USED_SHARE: f64 = 0.6;
+const USED_SHARE: f64 = 0.5;
 
 value! {
     /// What cold backend servers bear, over all hosts.
@@ -20,16 +20,27 @@
     }
 
     /// Pacing of one host's requests to one cold backend server.
-    #[derive(Copy, Default)]
+    #[derive(Copy)]
     pub struct Warmup {
+        phase: f64,
+        since: Option<Instant>,
         until: Option<Instant>,
         last: Option<Instant>,
     }
 }
 
 impl Warmup {
+    /// Pacing that begins at `phase` (0 to 1) of the interval between two
+    /// requests, so that hosts do not begin together.
+    pub fn new(phase: f64) -> Warmup {
+        Warmup { phase, since: None, until: None, last: None }
+    }
+
     /// Takes in that the backend server stays cold for `left`.
     pub fn set(&mut self, left: Duration, now: Instant) {
+        if !self.is_cold(now) {
+            self.since = Some(now);
+        }
         self.until = (!left.is_zero()).then_some(now + left);
     }
 
@@ -49,7 +60,8 @@
             return true;
         }
         let interval = interval(limit, rate, hosts);
-        self.last.is_none_or(|l| now.duration_since(l) >= interval)
+        let first = self.since.is_none_or(|s| now >= s + interval.mul_f64(self.phase));
+        first && self.last.is_none_or(|l| now.duration_since(l) >= interval)
     }
 
     /// Counts a request.
--- /dev/null
+++ b/crates/route/tests/limits.rs
@@ -0,0 +1,119 @@
+//! Budgets, cold starts and suspects: bounds that hold over all hosts.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use chervil_route::budget::Allowance;
+use chervil_route::budget::Budget;
+use chervil_route::suspects::Suspects;
+use chervil_route::warmup::Warmup;
+use chervil_route::warmup::WarmupLimit;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::any;
+use proptest::proptest;
+
+const LIMIT: WarmupLimit = WarmupLimit { overshoot: 1.5, slack: 5.0 };
+
+const ALLOWANCE: Allowance = Allowance { ratio: 0.2, slack: 104.0 };
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    /// Guards against more extra requests than the ratio and the fixed number
+    /// allow over all hosts, however requests and failures are spread.
+    #[test]
+    fn extra_requests_stay_within_the_allowance(turns in proptest::collection::vec((0usize..12, any::<bool>()), 1..4_000)) {
+        let mut budgets = vec![Budget::new(ALLOWANCE, 12); 12];
+        let (mut requests, mut extra) = (0u32, 0u32);
+
+        for (host, fails) in turns {
+            budgets[host].earn();
+            requests += 1;
+            while fails && budgets[host].spend() {
+                extra += 1;
+            }
+        }
+
+        let allowed = ALLOWANCE.ratio * f64::from(requests) + ALLOWANCE.slack;
+        assert!(f64::from(extra) <= allowed, "{extra} extra, {allowed} allowed");
+    }
+
+    /// Guards against more requests to a cold backend server in any second than
+    /// it bears, summed over all hosts, each of which always has one to send.
+    #[test]
+    fn cold_server_gets_what_it_bears(rate in 0.0f64..40.0, hosts in 1u32..40) {
+        let start = Instant::now();
+        let mut sent = Vec::new();
+        for host in 0..hosts {
+            let mut warmup = Warmup::new(f64::from(host) / f64::from(hosts));
+            warmup.set(Duration::from_secs(60), start);
+            for tick in 0..600 {
+                let at = start + Duration::from_millis(tick * 10);
+                if warmup.may_send(LIMIT, rate, hosts, at) {
+                    warmup.sent(at);
+                    sent.push(at);
+                }
+            }
+        }
+
+        let window = Duration::from_secs(1);
+        let bound = rate * LIMIT.overshoot + LIMIT.slack;
+        for first in &sent {
+            let count = sent.iter().filter(|s| **s >= *first && **s < *first + window).count();
+            assert!(count as f64 <= bound, "{count} in a second, {bound} borne");
+        }
+    }
+}
+
+/// Guards against a host that starts with the whole allowance.
+#[test]
+fn starting_host_has_less_than_its_share() {
+    let mut budget = Budget::new(ALLOWANCE, 12);
+
+    let spent = std::iter::from_fn(|| budget.spend().then_some(())).count();
+
+    assert!((spent as f64) < ALLOWANCE.slack / 12.0);
+}
+
+/// Guards against a warm backend server that is held back.
+#[test]
+fn warm_server_is_not_limited() {
+    let now = Instant::now();
+    let mut warmup = Warmup::new(0.0);
+    warmup.set(Duration::from_millis(100), now);
+
+    warmup.sent(now);
+
+    assert!(!warmup.may_send(LIMIT, 0.0, 12, now));
+    assert!(warmup.may_send(LIMIT, 0.0, 12, now + Duration::from_millis(101)));
+}
+
+/// Guards against a request that crashes one backend server after another.
+#[test]
+fn crashing_request_is_blocked() {
+    let now = Instant::now();
+    let mut suspects = Suspects::default();
+
+    let before: Vec<bool> = (0..4)
+        .map(|_| {
+            let blocked = suspects.is_blocked(9, now);
+            suspects.lost(9, now);
+            blocked
+        })
+        .collect();
+
+    assert_eq!(before, [false, false, false, true]);
+    assert!(!suspects.is_blocked(8, now));
+}
+
+/// Guards against a request that stays blocked after it was answered.
+#[test]
+fn answered_request_is_no_suspect() {
+    let now = Instant::now();
+    let mut suspects = Suspects::default();
+    (0..3).for_each(|_| suspects.lost(9, now));
+
+    suspects.cleared(9);
+
+    assert!(!suspects.is_blocked(9, now));
+}
--- /dev/null
+++ b/crates/route/tests/support/mod.rs
@@ -0,0 +1,57 @@
+//! Fixtures of the decision tests.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use chervil_route::fleet::BackendKey;
+use chervil_route::fleet::Entry;
+use chervil_route::fleet::Fleet;
+use chervil_route::fleet::Need;
+use chervil_route::warmup::WarmupLimit;
+use rand::SeedableRng as _;
+use rand::rngs::SmallRng;
+
+pub const EXPECTED: Duration = Duration::from_millis(10);
+
+pub const LIMIT: WarmupLimit = WarmupLimit { overshoot: 1.5, slack: 5.0 };
+
+pub fn entry(id: &str, zone: &str) -> Entry {
+    Entry {
+        id: id.into(),
+        service: "lookup".into(),
+        address: "127.0.0.1:9000".parse().unwrap(),
+        zone: zone.into(),
+        slots: 2,
+        draining: false,
+        warmup: Duration::ZERO,
+        born: None,
+    }
+}
+
+pub fn need<'a>(tried: &'a [BackendKey]) -> Need<'a> {
+    Need {
+        service: "lookup",
+        zone: "north",
+        tried,
+        expected: EXPECTED,
+        limit: LIMIT,
+        cold_rate: 0.0,
+        connections: 50,
+        hosts: 12,
+    }
+}
+
+pub fn fleet(entries: &[Entry], now: Instant) -> Fleet {
+    let mut fleet = Fleet::new(7);
+    for entry in entries {
+        fleet.upsert(entry.clone(), now);
+    }
+    fleet
+}
+
+/// Ids that `rounds` choices fall on.
+pub fn chosen(fleet: &Fleet, need: &Need<'_>, rounds: usize, now: Instant) -> Vec<Box<str>> {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let keys = (0..rounds).filter_map(|_| fleet.choose(need, &mut rng, now));
+    keys.map(|k| fleet.get(k).unwrap().entry.id.clone()).collect()
+}
