Share among hosts which backends are in trouble

With 138 hosts each sees a backend about once in five seconds, and 17 in 100 backends that turn slow cost every query several parts until each host had found all of them. Hosts report attempts that took far too long to the host that they follow; when reports last longer than a pause, all hosts avoid the backend for four seconds. It stays a candidate.

Ruled out: a shorter delay before the second request (the budget is what ends).

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -64,8 +64,9 @@
     fn drop(&mut self) {
         let now = self.core.now();
         let mut state = self.core.state();
-        if let Some(backend) = state.fleet.get_mut(self.choice.key) {
-            backend.health.finish(self.choice.attempt, self.outcome, now);
+        let Some(backend) = state.fleet.get_mut(self.choice.key) else { return };
+        if backend.health.finish(self.choice.attempt, self.outcome, now) {
+            self.core.report(&self.choice.id);
         }
     }
 }
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -6,6 +6,7 @@
 use std::sync::PoisonError;
 use std::time::Instant;
 
+use chervil_base::HashSet;
 use chervil_base::clock::Clock;
 
 use crate::logs::Log;
@@ -25,6 +26,7 @@
     clock: Arc<dyn Clock>,
     state: Mutex<State>,
     pools: Mutex<Pools>,
+    reports: Mutex<HashSet<Box<str>>>,
 }
 
 impl Core {
@@ -37,7 +39,21 @@
         state: State,
     ) -> Core {
         let pools = Mutex::new(Pools::default());
-        Core { names, log, metrics, clock, state: Mutex::new(state), pools }
+        let reports = Mutex::default();
+        Core { names, log, metrics, clock, state: Mutex::new(state), pools, reports }
+    }
+
+    /// Notes a backend server that was seen in trouble.
+    pub fn report(&self, id: &str) {
+        let mut reports = self.reports.lock().unwrap_or_else(PoisonError::into_inner);
+        if !reports.contains(id) {
+            reports.insert(id.into());
+        }
+    }
+
+    /// Takes the backend servers that were seen in trouble since the last call.
+    pub fn take_reports(&self) -> HashSet<Box<str>> {
+        std::mem::take(&mut self.reports.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
     /// Monotonic time.
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -375,6 +375,10 @@
                 self.core.state().sources.lapsed(&host, self.core.now());
                 self.tell(&Event::HostGone(host));
             }
+            Event::Trouble(id) => {
+                self.core.state().avoid(&id, self.core.now());
+                self.tell(&Event::Trouble(id));
+            }
             Event::Unreadable { key, reason } => {
                 spdlog::warn!("registry value unreadable", kv: { key = &*key, reason = &*reason });
             }
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -4,11 +4,15 @@
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use bytes::Bytes;
 use chervil_base::HashMap;
+use chervil_base::HashSet;
 use chervil_base::message;
+use chervil_route::trouble::Trouble;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
 use hyper::Method;
@@ -31,13 +35,23 @@
 use crate::journal::Journal;
 use crate::journal::News;
 use crate::packed::Packed;
+use crate::registry::Event;
 use crate::registry::RegistryError;
 
 /// Longest time that a host is kept waiting for news.
 const LONGEST_WAIT: Duration = Duration::from_secs(2);
 
-/// Path of the one call between hosts.
-const PATH: &str = "/news";
+/// Path of the call for news.
+const NEWS_PATH: &str = "/news";
+
+/// Path of the call that reports backend servers in trouble.
+const TROUBLE_PATH: &str = "/trouble";
+
+/// Time over which reports are collected.
+const REPORT_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Time after which a report counts as lost; the next one follows soon.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 
 message! {
     /// Question of a host.
@@ -68,6 +82,10 @@
 }
 
 impl Peers {
+    fn client(&mut self, address: SocketAddr) -> &Client {
+        self.clients.entry(address).or_insert_with(|| Client::new(address))
+    }
+
     /// Asks a host for what is new; it answers after `wait` at the latest, and
     /// at once if its own news are older than `stale`.
     pub async fn ask(
@@ -77,29 +95,52 @@
         wait: Duration,
         stale: Duration,
     ) -> Result<Told, RegistryError> {
-        let client = self.clients.entry(address).or_insert_with(|| Client::new(address));
         let question = Question {
             cursor,
             wait_ms: wait.as_millis() as u64,
             stale_ms: stale.as_millis() as u64,
         };
-        client.call(Method::POST, PATH, Some(&question)).await
+        self.client(address).call(Method::POST, NEWS_PATH, Some(&question)).await
     }
 }
 
-/// Answers other hosts.
+/// Answers other hosts, and reports what this host sees.
 pub async fn serve(listener: TcpListener, core: Arc<Core>, journal: Arc<Journal>) {
+    let trouble = Mutex::default();
+    let desk = Arc::new(Desk { core, journal, trouble });
+    tokio::spawn(report(desk.clone()));
     loop {
         // Accepting fails when descriptors run out; the next call waits for one.
         let Ok((stream, _)) = listener.accept().await else { continue };
-        tokio::spawn(connection(stream, core.clone(), journal.clone()));
+        tokio::spawn(connection(stream, desk.clone()));
+    }
+}
+
+/// Reports backend servers in trouble to the host that this one follows.
+async fn report(desk: Arc<Desk>) {
+    let mut peers = Peers::default();
+    loop {
+        time::sleep(REPORT_INTERVAL).await;
+        let ids = desk.core.take_reports();
+        if ids.is_empty() {
+            continue;
+        }
+        let followed = desk.core.state().sources.best(desk.core.now()).map(|(_, p)| p.address);
+        let Some(address) = followed else {
+            desk.take_reports(&ids);
+            continue;
+        };
+        let call = peers.client(address).call::<_, bool>(Method::POST, TROUBLE_PATH, Some(&ids));
+        if !matches!(time::timeout(REPORT_TIMEOUT, call).await, Ok(Ok(_))) {
+            desk.core.metrics.count("reports.lost");
+        }
     }
 }
 
-async fn connection(stream: TcpStream, core: Arc<Core>, journal: Arc<Journal>) {
+async fn connection(stream: TcpStream, desk: Arc<Desk>) {
     let service = service_fn(|request: Request<Incoming>| {
-        let (core, journal) = (core.clone(), journal.clone());
-        async move { Ok::<_, Infallible>(answer(&core, &journal, request).await) }
+        let desk = desk.clone();
+        async move { Ok::<_, Infallible>(answer(&desk, request).await) }
     });
     let mut builder = http1::Builder::new();
     builder.header_read_timeout(None);
@@ -109,10 +150,40 @@
     let _ = builder.serve_connection(TokioIo::new(stream), service).await;
 }
 
-async fn answer(core: &Core, journal: &Journal, request: Request<Incoming>) -> Answer {
+/// What a host tells others, and what it learns from their reports.
+struct Desk {
+    core: Arc<Core>,
+    journal: Arc<Journal>,
+    trouble: Mutex<Trouble>,
+}
+
+impl Desk {
+    fn take_reports(&self, ids: &HashSet<Box<str>>) {
+        let now = self.core.now();
+        let mut trouble = self.trouble.lock().unwrap_or_else(PoisonError::into_inner);
+        for id in ids {
+            if trouble.report(id, now) {
+                spdlog::info!("backend in trouble", kv: { id = &**id });
+                self.core.state().avoid(id, now);
+                self.journal.push(&Event::Trouble(id.clone()));
+            }
+        }
+    }
+}
+
+async fn answer(desk: &Desk, request: Request<Incoming>) -> Answer {
+    let reports = request.uri().path() == TROUBLE_PATH;
+    let (core, journal) = (&desk.core, &desk.journal);
     let Ok(body) = request.into_body().collect().await else {
         return answer::own(StatusCode::BAD_REQUEST, "the question cannot be read\n");
     };
+    if reports {
+        let Ok(ids) = serde_json::from_slice::<HashSet<Box<str>>>(&body.to_bytes()) else {
+            return answer::own(StatusCode::BAD_REQUEST, "the report is malformed\n");
+        };
+        desk.take_reports(&ids);
+        return answer::own(StatusCode::OK, "true\n");
+    }
     let Ok(question) = serde_json::from_slice::<Question>(&body.to_bytes()) else {
         return answer::own(StatusCode::BAD_REQUEST, "the question is malformed\n");
     };
--- a/crates/front/src/registry.rs
+++ b/crates/front/src/registry.rs
@@ -28,6 +28,8 @@
         Host(Box<str>, Peer),
         /// Another host is gone.
         HostGone(Box<str>),
+        /// A backend server that hosts have seen in trouble.
+        Trouble(Box<str>),
         /// A value that cannot be used.
         Unreadable {
             /// Key of the value.
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -27,6 +27,9 @@
 use crate::packed;
 use crate::registry::Event;
 
+/// Time for which a backend server in trouble is avoided.
+const AVOID_TIME: Duration = Duration::from_secs(4);
+
 value! {
     /// Bounds that hold for all hosts together.
     #[derive(Copy)]
@@ -109,6 +112,13 @@
         true
     }
 
+    /// Avoids a backend server for a while, the length of which differs from
+    /// host to host, so that few of them find out whether it has recovered.
+    pub fn avoid(&mut self, id: &str, now: Instant) {
+        let spread = 0.75 + 0.5 * self.rng.random::<f64>();
+        self.fleet.avoid(id, now + AVOID_TIME.mul_f64(spread));
+    }
+
     /// Everything that the host believes of the registry, as events for another host.
     pub fn snapshot(&self, now: Instant) -> Vec<Arc<str>> {
         let mut events = Vec::new();
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -34,6 +34,9 @@
 /// host keeps connections.
 const OUTSIDE_FACTOR: f64 = 2.5;
 
+/// Factor on the cost of a backend server that the hosts avoid.
+const AVOIDED_FACTOR: f64 = 6.0;
+
 /// Part of the connections of a backend server that the subsets use; the rest
 /// is for hosts that go outside of theirs.
 const SUBSET_SHARE: f64 = 0.8;
@@ -79,6 +82,8 @@
         pub warmup: Warmup,
         /// Whether another backend server has answered at its address.
         pub replaced: bool,
+        /// Time until which the hosts avoid it.
+        pub avoided: Option<Instant>,
     }
 
     /// What matters for a choice.
@@ -158,7 +163,7 @@
         let mut warmup = Warmup::new(phase);
         warmup.set(entry.warmup, now);
         let (id, service) = (entry.id.clone(), entry.service.clone());
-        let backend = Backend { entry, health: Health::new(now), warmup, replaced: false };
+        let backend = Backend { entry, health: Health::new(now), warmup, replaced: false, avoided: None };
         let key = self.arena.insert(backend);
         self.ids.insert(id, key);
         self.services.entry(service).or_default().push(key);
@@ -178,6 +183,14 @@
         Some(key)
     }
 
+    /// Avoids a backend server until a time, if it is known.
+    pub fn avoid(&mut self, id: &str, until: Instant) {
+        let backend = self.ids.get(id).and_then(|k| self.arena.get_mut(*k));
+        if let Some(backend) = backend {
+            backend.avoided = Some(until);
+        }
+    }
+
     /// Takes in the availability zones that get no new requests.
     pub fn set_evacuated(&mut self, zones: HashSet<Box<str>>) {
         self.evacuated = zones;
@@ -281,6 +294,9 @@
         if backend.warmup.is_cold(now) {
             cost *= COLD_FACTOR;
         }
+        if backend.avoided.is_some_and(|a| a > now) {
+            cost *= AVOIDED_FACTOR;
+        }
         if last.is_some_and(|l| self.preference(key, need.zone) > l) {
             cost *= OUTSIDE_FACTOR;
         }
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -41,6 +41,9 @@
 /// raises the cost, while slots are free.
 const SHARING_FACTOR: f64 = 0.15;
 
+/// Ratio to the expected time from which an attempt is trouble.
+const TROUBLE_RATIO: f64 = 3.5;
+
 /// Ratio to the expected time from which a running request counts as overdue.
 const OVERDUE_RATIO: f64 = 2.0;
 
@@ -131,14 +134,15 @@
         attempt
     }
 
-    /// Takes in the end of an attempt.
-    pub fn finish(&mut self, attempt: Attempt, outcome: Outcome, now: Instant) {
+    /// Takes in the end of an attempt; true if it shows trouble of the backend
+    /// server.
+    pub fn finish(&mut self, attempt: Attempt, outcome: Outcome, now: Instant) -> bool {
         let Some(at) = self.running.iter().position(|r| r.attempt == attempt) else {
-            return;
+            return false;
         };
         let run = self.running.swap_remove(at);
         if outcome == Outcome::Canceled {
-            return;
+            return false;
         }
         self.decay(now);
         let ratio = ratio(now.duration_since(run.start), run.expected);
@@ -159,6 +163,11 @@
             }
             Outcome::Canceled => {}
         }
+        match outcome {
+            Outcome::Failed | Outcome::Unreachable => true,
+            Outcome::Answered | Outcome::Abandoned => ratio >= TROUBLE_RATIO,
+            Outcome::Refused | Outcome::Canceled => false,
+        }
     }
 
     /// Takes in the load that the backend server reports with a reply.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod sources;
 pub mod split;
 pub mod suspects;
+pub mod trouble;
 pub mod warmup;
