Add a fault soak of real processes

Checked while it runs: answers of the right request, true parts and counts, one run of what must not be repeated, refusals that are true, bounds on leaving backends in calm times, recovery.

--- a/crates/chervillink/src/main.rs
+++ b/crates/chervillink/src/main.rs
@@ -1,5 +1,6 @@
 //! The process of one host.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -28,18 +29,21 @@
 backend servers.
 
 Usage:
-    chervillink [--settings FILE] [--log-level LEVEL] [--check]
+    chervillink [--settings FILE] [--metrics ADDRESS] [--log-level LEVEL] [--check]
     chervillink --help | --version
 
 Options:
     --settings FILE    Settings file of the platform. Without it, the path is
                        taken from the environment.
+    --metrics ADDRESS  Address of the metrics, IP:PORT [default: port 9464 at
+                       the machine's address].
     --log-level LEVEL  error, warn, info, debug or trace [default: info].
     --check            Check the settings and exit.
 ";
 
 struct Args {
     settings: Option<PathBuf>,
+    metrics: Option<SocketAddr>,
     level: Option<String>,
     check: bool,
 }
@@ -63,10 +67,12 @@
 
 fn parse(mut args: Arguments) -> Result<Args, String> {
     let settings = args.opt_value_from_os_str("--settings", |s| Ok::<_, String>(PathBuf::from(s)));
+    let metrics = args.opt_value_from_str("--metrics");
     let level = args.opt_value_from_str("--log-level");
     let parsed = Args {
         check: args.contains("--check"),
         settings: settings.map_err(|e| format!("{e}; see --help"))?,
+        metrics: metrics.map_err(|e| format!("{e}; see --help"))?,
         level: level.map_err(|e| format!("{e}; see --help"))?,
     };
     finish(args).map_err(|e| e.to_string())?;
@@ -77,10 +83,11 @@
     let Some(path) = args.settings.or_else(settings::path) else {
         return fail(BINARY, EXIT_USAGE, "no settings file is named; use --settings FILE");
     };
-    let settings = match settings::read(&path) {
+    let mut settings = match settings::read(&path) {
         Ok(settings) => settings,
         Err(error) => return fail(BINARY, EXIT_USAGE, error),
     };
+    settings.host.metrics = args.metrics.unwrap_or(settings.host.metrics);
     if args.check {
         println!("{} is valid", path.display());
         return ExitCode::SUCCESS;
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -163,7 +163,8 @@
         let mut warmup = Warmup::new(phase);
         warmup.set(entry.warmup, now);
         let (id, service) = (entry.id.clone(), entry.service.clone());
-        let backend = Backend { entry, health: Health::new(now), warmup, replaced: false, avoided: None };
+        let backend =
+            Backend { entry, health: Health::new(now), warmup, replaced: false, avoided: None };
         let key = self.arena.insert(backend);
         self.ids.insert(id, key);
         self.services.entry(service).or_default().push(key);
--- /dev/null
+++ b/crates/soak/src/caller.rs
@@ -0,0 +1,176 @@
+//! Stand-in of a caller: keeps its connection as long as it holds and checks
+//! each answer.
+
+use std::io;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::RngExt as _;
+use rand::rngs::SmallRng;
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpStream;
+use tokio::time;
+
+use crate::backend;
+use crate::ledger::Ledger;
+use crate::wire;
+
+/// Time that a caller waits.
+const PATIENCE: Duration = Duration::from_millis(1_500);
+
+/// Time over its patience after which a caller gives up.
+const OVERTIME: Duration = Duration::from_millis(1_000);
+
+/// Longest pause between two requests in milliseconds.
+const PAUSE_MS: u64 = 40;
+
+/// Share of requests that must not be repeated.
+const QUOTES: f64 = 0.3;
+
+/// Ports of the hosts that the load balancer uses.
+pub type Rotation = Arc<Mutex<Vec<u16>>>;
+
+struct Answer {
+    status: u16,
+    headers: Vec<(String, String)>,
+    body: Vec<u8>,
+}
+
+/// Sends requests until `end`.
+pub async fn run(
+    number: usize,
+    rotation: Rotation,
+    ledger: Ledger,
+    mut rng: SmallRng,
+    end: Instant,
+) {
+    let mut kept: Option<TcpStream> = None;
+    let mut count = 0;
+    while Instant::now() < end {
+        count += 1;
+        let quote = rng.random_bool(QUOTES);
+        let kind = if quote { "quote" } else { "query" };
+        let id = format!("{kind}-{number}-{count}");
+        let connection = match kept.take() {
+            Some(stream) => Some(stream),
+            None => connect(&rotation, &mut rng).await,
+        };
+        if let Some(mut stream) = connection {
+            let exchange = exchange(&mut stream, &id, quote);
+            match time::timeout(PATIENCE + OVERTIME, exchange).await {
+                Ok(Ok(answer)) => {
+                    let closing = header(&answer, "connection").any(|v| v == "close");
+                    judge(&ledger, &id, quote, &answer);
+                    kept = (!closing).then_some(stream);
+                }
+                Ok(Err(_)) | Err(_) => ledger.failed(),
+            }
+        } else {
+            ledger.failed();
+        }
+        time::sleep(Duration::from_millis(rng.random_range(0..PAUSE_MS))).await;
+    }
+}
+
+async fn connect(rotation: &Rotation, rng: &mut SmallRng) -> Option<TcpStream> {
+    let port = {
+        let ports = rotation.lock().unwrap_or_else(PoisonError::into_inner);
+        if ports.is_empty() {
+            return None;
+        }
+        ports[rng.random_range(0..ports.len())]
+    };
+    TcpStream::connect(("127.0.0.1", port)).await.ok()
+}
+
+async fn exchange(stream: &mut TcpStream, id: &str, quote: bool) -> io::Result<Answer> {
+    let (method, path, body) = if quote {
+        ("POST", wire::QUOTE_PATH, "three ropes")
+    } else {
+        ("GET", wire::QUERY_PATH, "")
+    };
+    let text = format!(
+        "{method} {path}7 HTTP/1.1\r\nhost: {}\r\n{}: {id}\r\n{}: {}\r\ncontent-length: {}\r\n\r\n{body}",
+        wire::HOST,
+        wire::REQUEST_ID,
+        wire::DEADLINE,
+        PATIENCE.as_millis(),
+        body.len(),
+    );
+    stream.write_all(text.as_bytes()).await?;
+    read(stream).await
+}
+
+async fn read(stream: &mut TcpStream) -> io::Result<Answer> {
+    let mut bytes = Vec::new();
+    let end = loop {
+        if stream.read_buf(&mut bytes).await? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        if let Some(end) = bytes.windows(4).position(|w| w == b"\r\n\r\n") {
+            break end;
+        }
+    };
+    let head = String::from_utf8_lossy(&bytes[..end]).to_string();
+    let mut lines = head.split("\r\n");
+    let status = lines.next().and_then(|l| l.split(' ').nth(1)).and_then(|s| s.parse().ok());
+    let pairs = lines.filter_map(|l| l.split_once(':'));
+    let headers =
+        pairs.map(|(n, v)| (n.to_ascii_lowercase(), v.trim().to_string())).collect::<Vec<_>>();
+    let length = headers.iter().find(|(n, _)| n == "content-length");
+    let length = length.and_then(|(_, v)| v.parse().ok()).unwrap_or(0);
+    let mut body = bytes.split_off(end + 4);
+    while body.len() < length {
+        if stream.read_buf(&mut body).await? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    }
+    Ok(Answer { status: status.unwrap_or(0), headers, body })
+}
+
+fn header<'a>(answer: &'a Answer, name: &'static str) -> impl Iterator<Item = &'a str> {
+    answer.headers.iter().filter(move |(n, _)| n == name).map(|(_, v)| v.as_str())
+}
+
+fn judge(ledger: &Ledger, id: &str, quote: bool, answer: &Answer) {
+    match answer.status {
+        200 if quote => judge_quote(ledger, id, answer),
+        200 => judge_query(ledger, id, answer),
+        408 | 421 | 429 | 503 if quote => ledger.refused(id),
+        _ => ledger.failed(),
+    }
+}
+
+fn judge_quote(ledger: &Ledger, id: &str, answer: &Answer) {
+    ledger.answered();
+    let stamped = header(answer, wire::STAMP).any(|s| s.ends_with(&format!(".{id}")));
+    if answer.body != format!("quote for {id}").as_bytes() || !stamped {
+        ledger.violation(format!("{id} got an answer that is not its own"));
+    }
+}
+
+fn judge_query(ledger: &Ledger, id: &str, answer: &Answer) {
+    ledger.answered();
+    let stamps = header(answer, wire::PARTS).flat_map(|v| v.split(',')).map(str::trim);
+    let services: Vec<&str> = stamps.filter_map(|s| s.strip_suffix(&format!(".{id}"))).collect();
+    let mut distinct = services.clone();
+    distinct.sort_unstable();
+    distinct.dedup();
+    let missing: usize =
+        header(answer, wire::MISSING).next().and_then(|m| m.parse().ok()).unwrap_or(0);
+    if distinct.len() != services.len() || services.len() + missing != wire::SHARDS {
+        let count = services.len();
+        ledger.violation(format!("{id} names {count} parts and {missing} missing ones"));
+    }
+    let mut records: Vec<[u8; 16]> =
+        services.iter().flat_map(|s| backend::records(s, id)).collect();
+    records.sort_unstable_by(|a, b| b.cmp(a));
+    records.truncate(wire::TOP);
+    if answer.body != records.concat() {
+        ledger.violation(format!("{id} got other records than its parts hold"));
+    }
+}
--- /dev/null
+++ b/crates/soak/src/host.rs
@@ -0,0 +1,85 @@
+//! Processes of chervillink that the soak starts, stops and signals.
+
+use std::fs;
+use std::io;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+
+use rustix::process::Pid;
+use rustix::process::Signal;
+
+/// One process; it is killed when dropped.
+#[derive(Debug)]
+pub struct Host {
+    /// Name in its settings.
+    pub name: String,
+    /// Port for callers.
+    pub port: u16,
+    binary: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl Host {
+    /// Writes the settings and starts the process.
+    pub fn start(
+        name: String,
+        port: u16,
+        binary: &Path,
+        folder: &Path,
+        settings: &str,
+    ) -> io::Result<Host> {
+        let file = folder.join(format!("{name}.toml"));
+        fs::write(&file, settings)?;
+        let log = folder.join(format!("{name}.log"));
+        let binary = binary.to_path_buf();
+        let mut host = Host { name, port, binary, settings: file, log, child: None };
+        host.restart()?;
+        Ok(host)
+    }
+
+    /// Starts the process again.
+    pub fn restart(&mut self) -> io::Result<()> {
+        let log = fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
+        let mut command = Command::new(&self.binary);
+        command.arg("--settings").arg(&self.settings).arg("--metrics").arg("127.0.0.1:0");
+        self.child = Some(command.stdout(Stdio::from(log)).stderr(Stdio::inherit()).spawn()?);
+        Ok(())
+    }
+
+    /// Sends a signal, if the process runs.
+    pub fn signal(&self, signal: Signal) -> io::Result<()> {
+        let Some(child) = &self.child else { return Ok(()) };
+        rustix::process::kill_process(Pid::from_child(child), signal)?;
+        Ok(())
+    }
+
+    /// Whether the process has ended; it is reaped.
+    pub fn has_ended(&mut self) -> io::Result<bool> {
+        let Some(child) = &mut self.child else { return Ok(true) };
+        let ended = child.try_wait()?.is_some();
+        if ended {
+            self.child = None;
+        }
+        Ok(ended)
+    }
+
+    /// Ends the process at once and reaps it.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // The process may have ended by itself.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,94 @@
+//! Command line of the soak.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use chervil_soak::run;
+use chervil_soak::run::Options;
+use pico_args::Arguments;
+
+const USAGE: &str = "
+Runs hosts of chervillink under random faults and checks what callers and
+backend servers see. Exits with 1 if a promise was broken.
+
+Usage:
+    chervil-soak --binary FILE [--seed N] [--count N] [--seconds S] [--hosts N]
+    chervil-soak --help
+
+Options:
+    --binary FILE   Program of a host.
+    --seed N        First seed [default: 1].
+    --count N       Number of seeds, one run each [default: 1].
+    --seconds S     Time during which faults begin [default: 12].
+    --hosts N       Number of hosts [default: 4].
+";
+
+struct Args {
+    binary: PathBuf,
+    seed: u64,
+    count: u64,
+    seconds: u64,
+    hosts: usize,
+}
+
+fn parse(mut args: Arguments) -> Result<Args, pico_args::Error> {
+    Ok(Args {
+        binary: args.value_from_str("--binary")?,
+        seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
+        count: args.opt_value_from_str("--count")?.unwrap_or(1),
+        seconds: args.opt_value_from_str("--seconds")?.unwrap_or(12),
+        hosts: args.opt_value_from_str("--hosts")?.unwrap_or(4),
+    })
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let mut args = Arguments::from_env();
+    if args.contains(["-h", "--help"]) {
+        print!("{USAGE}");
+        return ExitCode::SUCCESS;
+    }
+    let args = match parse(args) {
+        Ok(args) => args,
+        Err(error) => {
+            eprintln!("chervil-soak: {error}; see --help");
+            return ExitCode::from(2);
+        }
+    };
+    let mut broken = 0;
+    for seed in args.seed..args.seed + args.count {
+        let folder =
+            std::env::temp_dir().join(format!("chervil-soak-{}-{seed}", std::process::id()));
+        let options = Options {
+            seed,
+            time: Duration::from_secs(args.seconds),
+            hosts: args.hosts,
+            binary: args.binary.clone(),
+            folder: folder.clone(),
+        };
+        match run::run(&options).await {
+            Ok(sums) => {
+                let count = sums.violations.len();
+                println!(
+                    "seed {seed}: {} answered, {} not, {count} broken",
+                    sums.answered, sums.failed
+                );
+                sums.violations.iter().for_each(|v| println!("    {v}"));
+                broken += count;
+                if count > 0 {
+                    println!("    logs: {}", folder.display());
+                    continue;
+                }
+            }
+            Err(error) => {
+                eprintln!("chervil-soak: {error}");
+                return ExitCode::from(2);
+            }
+        }
+        if let Err(error) = std::fs::remove_dir_all(&folder) {
+            eprintln!("chervil-soak: cannot remove {}: {error}", folder.display());
+        }
+    }
+    ExitCode::from(u8::from(broken > 0))
+}
--- /dev/null
+++ b/crates/soak/src/store.rs
@@ -0,0 +1,270 @@
+//! Stand-in of the platform's store, in memory.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use chervil_base::HashMap;
+use http_body_util::BodyExt as _;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::time;
+
+/// Events that the store remembers.
+const HISTORY: usize = 400;
+
+/// Interval at which a waiting watch looks for events.
+const WATCH_POLL: Duration = Duration::from_millis(10);
+
+/// Trouble of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mood {
+    /// It answers.
+    Well,
+    /// It refuses every call.
+    Busy,
+    /// It carries calls out and closes the connection without an answer.
+    Lossy,
+    /// Each answer takes long.
+    Slow,
+}
+
+#[derive(Debug)]
+struct Data {
+    items: BTreeMap<String, Item>,
+    events: Vec<(u64, Value)>,
+    leases: HashMap<u64, (Instant, Duration)>,
+    revision: u64,
+    floor: u64,
+    mood: Mood,
+}
+
+#[derive(Debug)]
+struct Item {
+    value: Vec<u8>,
+    revision: u64,
+    lease: u64,
+}
+
+/// A handle on the store.
+#[derive(Clone, Debug)]
+pub struct Store {
+    data: Arc<Mutex<Data>>,
+}
+
+impl Store {
+    /// Starts a store and returns its address.
+    pub async fn start() -> std::io::Result<(Store, SocketAddr)> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let data = Data {
+            items: BTreeMap::new(),
+            events: Vec::new(),
+            leases: HashMap::default(),
+            revision: 1,
+            floor: 1,
+            mood: Mood::Well,
+        };
+        let store = Store { data: Arc::new(Mutex::new(data)) };
+        let served = store.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let store = served.clone();
+                let service = service_fn(move |r| store.clone().answer(r));
+                let mut builder = http1::Builder::new();
+                builder.header_read_timeout(None);
+                tokio::spawn(builder.serve_connection(TokioIo::new(stream), service));
+            }
+        });
+        Ok((store, address))
+    }
+
+    fn data(&self) -> MutexGuard<'_, Data> {
+        self.data.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Writes a value.
+    pub fn put(&self, key: &str, value: &Value) {
+        self.data().write(key, value.to_string().into_bytes(), 0);
+    }
+
+    /// Deletes a value.
+    pub fn delete(&self, key: &str) {
+        self.data().delete(key);
+    }
+
+    /// Sets the trouble of the store.
+    pub fn set_mood(&self, mood: Mood) {
+        self.data().mood = mood;
+    }
+
+    /// Drops the history.
+    pub fn compact(&self) {
+        let mut data = self.data();
+        data.events.clear();
+        data.floor = data.revision;
+    }
+
+    async fn answer(
+        self,
+        request: Request<Incoming>,
+    ) -> Result<Response<Full<Bytes>>, std::io::Error> {
+        let mood = self.data().mood;
+        if mood == Mood::Busy {
+            return Ok(response(503, &json!({ "error": "busy" })));
+        }
+        if mood == Mood::Slow {
+            time::sleep(Duration::from_millis(300)).await;
+        }
+        let path = request.uri().path().to_string();
+        let query = request.uri().query().unwrap_or_default().to_string();
+        let body = request.into_body().collect().await.map_err(std::io::Error::other)?.to_bytes();
+        let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
+        let (status, answer) = match path.as_str() {
+            "/kv-watch" => self.watch(&query).await,
+            _ => self.data().call(&path, &query, &body),
+        };
+        if mood == Mood::Lossy {
+            return Err(std::io::Error::other("the answer is lost"));
+        }
+        Ok(response(status, &answer))
+    }
+
+    async fn watch(&self, query: &str) -> (u16, Value) {
+        let after = number(query, "after");
+        let end = time::Instant::now() + Duration::from_millis(number(query, "wait_ms"));
+        loop {
+            {
+                let mut data = self.data();
+                data.expire();
+                if after < data.floor {
+                    return (410, json!({ "error": "history lost" }));
+                }
+                let events: Vec<&Value> =
+                    data.events.iter().filter(|e| e.0 > after).map(|e| &e.1).collect();
+                if !events.is_empty() || time::Instant::now() >= end {
+                    let revision = data.revision;
+                    return (200, json!({ "events": events, "store_revision": revision }));
+                }
+            }
+            time::sleep(WATCH_POLL).await;
+        }
+    }
+}
+
+impl Data {
+    fn call(&mut self, path: &str, query: &str, body: &Value) -> (u16, Value) {
+        self.expire();
+        match path {
+            "/kv-range" => (200, self.range(query)),
+            "/kv-lease" => {
+                self.revision += 1;
+                let ttl = Duration::from_millis(body["ttl_ms"].as_u64().unwrap_or(1_000));
+                self.leases.insert(self.revision, (Instant::now() + ttl, ttl));
+                (200, json!({ "lease": self.revision, "ttl_ms": ttl.as_millis() as u64 }))
+            }
+            "/kv-txn" => self.transact(body),
+            _ => self.keep(path),
+        }
+    }
+
+    fn transact(&mut self, body: &Value) -> (u16, Value) {
+        for write in body["writes"].as_array().into_iter().flatten() {
+            let lease = write["lease"].as_u64().unwrap_or(0);
+            if lease != 0 && !self.leases.contains_key(&lease) {
+                return (404, json!({ "error": "no such lease" }));
+            }
+            let value = STANDARD.decode(write["value"].as_str().unwrap_or_default());
+            self.write(write["key"].as_str().unwrap_or_default(), value.unwrap_or_default(), lease);
+        }
+        (200, json!({ "revision": self.revision }))
+    }
+
+    fn keep(&mut self, path: &str) -> (u16, Value) {
+        let lease = path.rsplit('/').next().and_then(|l| l.parse().ok()).unwrap_or(0);
+        match self.leases.get_mut(&lease) {
+            Some((end, ttl)) => {
+                *end = Instant::now() + *ttl;
+                (200, json!({ "ttl_ms": ttl.as_millis() as u64 }))
+            }
+            None => (404, json!({ "error": "no such lease" })),
+        }
+    }
+
+    fn range(&self, query: &str) -> Value {
+        let prefix = text(query, "path_prefix");
+        let after = text(query, "after");
+        let wanted = self.items.iter().filter(|(k, _)| k.starts_with(prefix) && k.as_str() > after);
+        let items: Vec<Value> = wanted.map(|(k, i)| item(k, i)).collect();
+        json!({ "items": items, "has_more": false, "store_revision": self.revision })
+    }
+
+    fn write(&mut self, key: &str, value: Vec<u8>, lease: u64) {
+        self.revision += 1;
+        let written = Item { value, revision: self.revision, lease };
+        self.remember(item(key, &written));
+        self.items.insert(key.into(), written);
+    }
+
+    fn delete(&mut self, key: &str) {
+        if self.items.remove(key).is_some() {
+            self.revision += 1;
+            let revision = self.revision;
+            self.remember(json!({ "key": key, "revision": revision, "deleted": true }));
+        }
+    }
+
+    fn remember(&mut self, event: Value) {
+        self.events.push((self.revision, event));
+        if self.events.len() > HISTORY {
+            self.floor = self.events.remove(0).0;
+        }
+    }
+
+    fn expire(&mut self) {
+        let now = Instant::now();
+        self.leases.retain(|_, (end, _)| *end > now);
+        let lapsed = |i: &Item| i.lease != 0 && !self.leases.contains_key(&i.lease);
+        let keys: Vec<String> =
+            self.items.iter().filter(|(_, i)| lapsed(i)).map(|(k, _)| k.clone()).collect();
+        keys.iter().for_each(|k| self.delete(k));
+    }
+}
+
+fn item(key: &str, item: &Item) -> Value {
+    json!({ "key": key, "value": STANDARD.encode(&item.value), "revision": item.revision,
+        "created_at": item.revision, "lease": item.lease })
+}
+
+fn text<'a>(query: &'a str, name: &str) -> &'a str {
+    let pairs = query.split('&').filter_map(|p| p.split_once('='));
+    pairs.into_iter().find(|(n, _)| *n == name).map_or("", |(_, v)| v)
+}
+
+fn number(query: &str, name: &str) -> u64 {
+    text(query, name).parse().unwrap_or(0)
+}
+
+fn response(status: u16, body: &Value) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
+    if let Ok(status) = status.try_into() {
+        *response.status_mut() = status;
+    }
+    response
+}
