Do not take time in a queue for slowness

While 14 of 30 backends refused 60 in 100 requests, the sound ones were full; their replies took long, the hosts reported them as trouble and moved to those that refuse. Latency is now judged against the reported queue.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -65,7 +65,8 @@
         let now = self.core.now();
         let mut state = self.core.state();
         let Some(backend) = state.fleet.get_mut(self.choice.key) else { return };
-        if backend.health.finish(self.choice.attempt, self.outcome, now) {
+        let slots = backend.entry.slots;
+        if backend.health.finish(self.choice.attempt, self.outcome, slots, now) {
             self.core.report(&self.choice.id);
         }
     }
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -87,6 +87,7 @@
         streak: u32,
         paused: Option<Instant>,
         load: f64,
+        waiting: f64,
         reported: Instant,
         running: Vec<Running>,
         next: u64,
@@ -110,6 +111,7 @@
             streak: 0,
             paused: None,
             load: 0.0,
+            waiting: 0.0,
             reported: now,
             running: Vec::new(),
             next: 0,
@@ -134,9 +136,9 @@
         attempt
     }
 
-    /// Takes in the end of an attempt; true if it shows trouble of the backend
-    /// server.
-    pub fn finish(&mut self, attempt: Attempt, outcome: Outcome, now: Instant) -> bool {
+    /// Takes in the end of an attempt at a backend server with `slots`; true if
+    /// it shows trouble. Time in a reported queue is load, not slowness.
+    pub fn finish(&mut self, attempt: Attempt, outcome: Outcome, slots: u32, now: Instant) -> bool {
         let Some(at) = self.running.iter().position(|r| r.attempt == attempt) else {
             return false;
         };
@@ -145,7 +147,9 @@
             return false;
         }
         self.decay(now);
-        let ratio = ratio(now.duration_since(run.start), run.expected);
+        let waiting = self.waiting * fade_of(now, self.reported, LOAD_HALF_LIFE);
+        let queue = 1.0 + waiting / f64::from(slots.max(1));
+        let ratio = ratio(now.duration_since(run.start), run.expected) / queue;
         match outcome {
             Outcome::Answered => {
                 self.sample(ratio);
@@ -173,6 +177,7 @@
     /// Takes in the load that the backend server reports with a reply.
     pub fn report(&mut self, load: Load, now: Instant) {
         let own = self.running.len() as u32;
+        self.waiting = f64::from(load.waiting);
         self.load = f64::from((load.running + load.waiting).saturating_sub(own));
         self.reported = now;
     }
--- a/crates/route/tests/fleet.rs
+++ b/crates/route/tests/fleet.rs
@@ -8,6 +8,7 @@
 use chervil_base::HashSet;
 use chervil_route::fleet::Change;
 use chervil_route::fleet::Entry;
+use chervil_route::health::Load;
 use chervil_route::health::Outcome;
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
@@ -63,7 +64,7 @@
     let health = &mut fleet.get_mut(key).unwrap().health;
     for _ in 0..10 {
         let attempt = health.start(EXPECTED, now);
-        health.finish(attempt, Outcome::Unreachable, now);
+        health.finish(attempt, Outcome::Unreachable, 2, now);
     }
 
     assert_eq!(chosen(&fleet, &need(&[]), 1, now).len(), 1);
@@ -80,7 +81,7 @@
     let health = &mut fleet.get_mut(key).unwrap().health;
     for outcome in [Outcome::Failed, Outcome::Answered, Outcome::Failed, Outcome::Failed] {
         let attempt = health.start(EXPECTED, now);
-        health.finish(attempt, outcome, now + EXPECTED);
+        health.finish(attempt, outcome, 2, now + EXPECTED);
     }
 
     let ids = chosen(&fleet, &need(&[]), 50, now + EXPECTED);
@@ -113,7 +114,7 @@
     let health = &mut fleet.get_mut(key).unwrap().health;
     for _ in 0..5 {
         let attempt = health.start(EXPECTED, now);
-        health.finish(attempt, Outcome::Answered, now + EXPECTED * 10);
+        health.finish(attempt, Outcome::Answered, 2, now + EXPECTED * 10);
     }
     let later = now + Duration::from_secs(30);
 
@@ -177,3 +178,25 @@
     assert!(users.values().all(|n| *n <= 120), "{users:?}");
     assert_eq!(users.len(), 3);
 }
+
+/// Guards against a backend server that counts as slow because the others send
+/// it too much: its load is what must keep requests away, for as long as it
+/// lasts.
+#[test]
+fn time_in_a_queue_is_not_slowness() {
+    let now = Instant::now();
+    let mut fleet = fleet(&[entry("a", "north")], now);
+    let key = fleet.choose(&need(&[]), &mut SmallRng::seed_from_u64(1), now).unwrap();
+    let health = &mut fleet.get_mut(key).unwrap().health;
+    let attempt = health.start(EXPECTED, now);
+    let done = now + EXPECTED * 5;
+
+    health.report(Load { running: 2, waiting: 8 }, done);
+    let queued = health.finish(attempt, Outcome::Answered, 2, done);
+    let attempt = health.start(EXPECTED, done);
+    health.report(Load { running: 1, waiting: 0 }, done + EXPECTED * 5);
+    let slow = health.finish(attempt, Outcome::Answered, 2, done + EXPECTED * 5);
+
+    assert!(!queued);
+    assert!(slow);
+}
--- a/crates/soak/src/host.rs
+++ b/crates/soak/src/host.rs
@@ -22,6 +22,8 @@
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
+    /// Number of times that the process was started.
+    pub starts: u32,
 }
 
 impl Host {
@@ -37,7 +39,7 @@
         fs::write(&file, settings)?;
         let log = folder.join(format!("{name}.log"));
         let binary = binary.to_path_buf();
-        let mut host = Host { name, port, binary, settings: file, log, child: None };
+        let mut host = Host { name, port, binary, settings: file, log, child: None, starts: 0 };
         host.restart()?;
         Ok(host)
     }
@@ -48,6 +50,7 @@
         let mut command = Command::new(&self.binary);
         command.arg("--settings").arg(&self.settings).arg("--metrics").arg("127.0.0.1:0");
         self.child = Some(command.stdout(Stdio::from(log)).stderr(Stdio::inherit()).spawn()?);
+        self.starts += 1;
         Ok(())
     }
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -46,6 +46,18 @@
 /// Longest pause between two faults in milliseconds.
 const FAULT_PAUSE_MS: u64 = 500;
 
+/// First port that hosts may get.
+const FIRST_PORT: u16 = 10_000;
+
+/// End of the ports that hosts may get.
+const LAST_PORT: u16 = 32_000;
+
+/// Ports between the first ones of two soaks that run at the same time.
+const PORT_BLOCK: u16 = 300;
+
+/// Number of such blocks.
+const PORT_BLOCKS: u32 = 60;
+
 /// Time for which a stopping host still gets new connections: the balancer
 /// needs two misses.
 const BALANCER_DELAY: Duration = Duration::from_millis(1_500);
@@ -248,14 +260,21 @@
 
     /// Stops a host gracefully and starts it again; it must end in time.
     async fn stop(&self, host: usize) {
-        let port = lock(&self.hosts[host]).port;
+        let (port, starts) = {
+            let host = lock(&self.hosts[host]);
+            (host.port, host.starts)
+        };
         self.signal(host, Signal::TERM);
         time::sleep(BALANCER_DELAY).await;
         self.rotate(port, false);
         let end = Instant::now() + Duration::from_secs(wire::GRACE_S) + BALANCER_DELAY;
         loop {
-            let ended = lock(&self.hosts[host]).has_ended();
-            if matches!(ended, Ok(true)) {
+            // Another fault of the same host may have started it again.
+            let ended = {
+                let mut host = lock(&self.hosts[host]);
+                host.starts != starts || matches!(host.has_ended(), Ok(true))
+            };
+            if ended {
                 break;
             }
             if Instant::now() > end {
@@ -309,9 +328,11 @@
     host.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Ports that are free now.
+/// Ports that are free now, below the range from which outgoing connections
+/// take theirs.
 fn free_ports(count: usize) -> io::Result<Vec<u16>> {
-    let bound = (0..count).map(|_| TcpListener::bind("127.0.0.1:0"));
-    let listeners = bound.collect::<io::Result<Vec<_>>>()?;
-    listeners.iter().map(|l| l.local_addr().map(|a| a.port())).collect()
+    let first = FIRST_PORT + (std::process::id() % PORT_BLOCKS) as u16 * PORT_BLOCK;
+    let free = (first..LAST_PORT).filter(|p| TcpListener::bind(("127.0.0.1", *p)).is_ok());
+    let ports: Vec<u16> = free.take(count).collect();
+    if ports.len() < count { Err(io::ErrorKind::AddrInUse.into()) } else { Ok(ports) }
 }
