State in the request's log line whom it asked, what is missing and why

An on-call engineer could not tell which backend had a request whose outcome is unknown, nor why a part was missing, nor how old the host's view was.

--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -221,7 +221,7 @@
         self.journal.advance(changes.revision);
         self.apply(changes.events, !self.listed);
         self.cursor = Cursor { boot: 0, serial: 0, revision: changes.revision };
-        self.journal.confirm(asked);
+        self.confirm(asked);
         self.listed = true;
     }
 
@@ -309,10 +309,16 @@
         self.listed = true;
         let age = told.age_ms.map(Duration::from_millis);
         if let Some(confirmed) = age.and_then(|a| now.checked_sub(a)) {
-            self.journal.confirm(confirmed);
+            self.confirm(confirmed);
         }
     }
 
+    fn confirm(&self, at: Instant) {
+        self.journal.confirm(at);
+        let mut state = self.core.state();
+        state.confirmed = state.confirmed.max(Some(at));
+    }
+
     fn apply(&mut self, events: Vec<Event>, full: bool) {
         if full {
             self.forget_missing(&events);
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -36,7 +36,7 @@
             body: Vec<u8>,
             /// Proofs of the parts.
             stamps: Vec<hyper::header::HeaderValue>,
-            /// Shards that are missing.
+            /// Shards that are missing, each with the reason.
             missing: Vec<Box<str>>,
             /// Requests beyond the first of each shard.
             extra: u32,
@@ -47,7 +47,7 @@
             ran: bool,
             /// Whether time ran out.
             late: bool,
-            /// Shards that are missing.
+            /// Shards that are missing, each with the reason.
             missing: Vec<Box<str>>,
         },
     }
@@ -261,9 +261,22 @@
         }
     }
 
+    /// Why a part is missing, and which backend servers were asked for it.
+    fn describe(&self, part: &Part) -> Box<str> {
+        let reason = match part {
+            Part { sent: 0, .. } => "no_server",
+            Part { live: 0, .. } => "failed",
+            Part { .. } => "late",
+        };
+        let state = self.core.state();
+        let tried = part.tried.iter().filter_map(|k| state.fleet.get(*k));
+        let ids: Vec<&str> = tried.map(|b| &*b.entry.id).collect();
+        format!("{}:{reason}({})", part.service, ids.join(" ")).into()
+    }
+
     fn finish(mut self, gather: &Gather) -> Gathered {
         let unanswered = self.parts.iter().filter(|p| p.reply.is_none());
-        let missing: Vec<Box<str>> = unanswered.map(|p| p.service.clone()).collect();
+        let missing: Vec<Box<str>> = unanswered.map(|p| self.describe(p)).collect();
         if self.parts.len() - missing.len() < gather.needed() {
             let ran = self.parts.iter().any(|p| p.ran + p.live > 0);
             let late = self.core.now() >= self.plan.deadline;
--- a/crates/front/src/handle.rs
+++ b/crates/front/src/handle.rs
@@ -54,6 +54,7 @@
         outcome: &'static str,
         reason: &'static str,
         missing: Vec<Box<str>>,
+        asked: Vec<Box<str>>,
         extra: u32,
     }
 }
@@ -154,7 +155,9 @@
         let text = "the route has no service with a weight\n";
         return (answer::refusal(text, RETRY_PAUSE), Summary::plain("refused", "no_service"));
     };
-    answer_single(single::run(core, route, &service, plan).await)
+    let ended = single::run(core, route, &service, plan).await;
+    let (answer, summary) = answer_single(ended.single);
+    (answer, Summary { asked: ended.asked, ..summary })
 }
 
 fn answer_gathered(core: &Core, gathered: Gathered) -> (Answer, Summary) {
@@ -162,12 +165,12 @@
         Gathered::Parts { body, stamps, missing, extra } => {
             let answer = answer::gathered(body, &stamps, missing.len(), &core.names);
             let outcome = if missing.is_empty() { "answered" } else { "partial" };
-            (answer, Summary { outcome, reason: "", missing, extra })
+            (answer, Summary { missing, extra, ..Summary::plain(outcome, "") })
         }
         Gathered::TooFew { ran, late, missing } => {
             let answer = failure(ran, late);
             let reason = if late { "deadline" } else { "too_few_parts" };
-            (answer, Summary { outcome: "failed", reason, missing, extra: 0 })
+            (answer, Summary { missing, ..Summary::plain("failed", reason) })
         }
     }
 }
@@ -198,7 +201,7 @@
 
 impl Summary {
     fn plain(outcome: &'static str, reason: &'static str) -> Summary {
-        Summary { outcome, reason, missing: Vec::new(), extra: 0 }
+        Summary { outcome, reason, missing: Vec::new(), asked: Vec::new(), extra: 0 }
     }
 }
 
@@ -229,15 +232,23 @@
         ms = took.as_secs_f64() * 1e3,
         extra = summary.extra,
         missing = summary.missing.join(",").as_str(),
-        backends = core.state().fleet.len(),
+        asked = summary.asked.join(" ").as_str(),
+        news_ms = news_age(core, now),
     });
 }
 
+/// Age of what the host believes of the registry, in milliseconds.
+fn news_age(core: &Core, now: Instant) -> u64 {
+    let confirmed = core.state().confirmed;
+    confirmed.map_or(u64::MAX, |c| now.duration_since(c).as_millis() as u64)
+}
+
 fn note_no_route(core: &Core, headers: &HeaderMap, config: &Config, now: Instant) {
     if core.log.allows(Weight::Notable, now) {
         spdlog::info!("request", kv: {
             id = request_id(core, headers),
             version = config.version,
+            news_ms = news_age(core, now),
             outcome = "no_route",
             status = 404,
         });
--- a/crates/front/src/single.rs
+++ b/crates/front/src/single.rs
@@ -43,6 +43,16 @@
     }
 }
 
+value! {
+    /// The end of a request and the backend servers that were asked.
+    pub struct Ended {
+        /// How it ended.
+        pub single: Single,
+        /// Ids of the backend servers, in order.
+        pub asked: Vec<Box<str>>,
+    }
+}
+
 type Finished = Option<Result<(Instant, Result<Reply, Failure>), JoinError>>;
 
 struct Call<'a> {
@@ -51,6 +61,7 @@
     service: &'a str,
     plan: Plan,
     tried: Vec<BackendKey>,
+    asked: Vec<Box<str>>,
     tasks: JoinSet<(Instant, Result<Reply, Failure>)>,
     sent: u32,
     ran: u32,
@@ -59,7 +70,7 @@
 }
 
 /// Runs a request; dropping the future ends its attempts.
-pub async fn run(core: &Arc<Core>, route: &Route, service: &str, plan: Plan) -> Single {
+pub async fn run(core: &Arc<Core>, route: &Route, service: &str, plan: Plan) -> Ended {
     let (delay, expected) = {
         let mut state = core.state();
         state.budget(service).earn();
@@ -68,8 +79,9 @@
     };
     let search = core.now() + route.aim.mul_f64(SEARCH_SHARE);
     let hedge = (plan.idempotent).then(|| core.now() + delay);
-    let call = Call::new(core, route, service, plan, expected);
-    call.run(search, hedge).await
+    let mut call = Call::new(core, route, service, plan, expected);
+    let single = call.run(search, hedge).await;
+    Ended { single, asked: call.asked }
 }
 
 impl<'a> Call<'a> {
@@ -86,6 +98,7 @@
             service,
             plan,
             tried: Vec::new(),
+            asked: Vec::new(),
             tasks: JoinSet::new(),
             sent: 0,
             ran: 0,
@@ -94,7 +107,7 @@
         }
     }
 
-    async fn run(mut self, search: Instant, mut hedge: Option<Instant>) -> Single {
+    async fn run(&mut self, search: Instant, mut hedge: Option<Instant>) -> Single {
         let mut misses = 0;
         while !self.send() {
             if self.core.now() >= search {
@@ -161,6 +174,7 @@
             return false;
         };
         self.tried.push(choice.key);
+        self.asked.push(choice.id.clone());
         self.sent += 1;
         let attempt = attempt::run(self.core.clone(), choice, self.plan.clone());
         self.tasks.spawn(async move { (now, attempt.await) });
@@ -179,8 +193,8 @@
         self.send()
     }
 
-    fn end(self, late: bool) -> Single {
-        match self.failed {
+    fn end(&mut self, late: bool) -> Single {
+        match self.failed.take() {
             Some(reply) => Single::Answered(reply),
             None if self.ran == 0 && self.tasks.is_empty() => Single::NotRun,
             None => Single::Unknown { late },
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -62,6 +62,8 @@
     pub config: Option<Arc<Config>>,
     /// Hosts of the deployment.
     pub sources: Sources,
+    /// Time at which what the host believes was known to be all.
+    pub confirmed: Option<Instant>,
     /// Backend servers.
     pub fleet: Fleet,
     /// Requests that may crash backend servers.
@@ -87,6 +89,7 @@
         State {
             config: None,
             sources,
+            confirmed: None,
             fleet: Fleet::new(rng.random()),
             suspects: Suspects::default(),
             zone,
--- a/crates/soak/src/backend.rs
+++ b/crates/soak/src/backend.rs
@@ -138,7 +138,7 @@
         };
         // A body that ends early shows as a failure at the caller.
         let _ = request.into_body().collect().await;
-        if manner == Manner::Full && turn % 2 == 0 {
+        if manner == Manner::Full && turn.is_multiple_of(2) {
             let mut refusal = plain(503, &id, Bytes::new());
             refusal.headers_mut().insert(wire::REFUSED, hyper::header::HeaderValue::from(1));
             return Ok(refusal);
@@ -147,7 +147,7 @@
         self.ledger.ran(&id, &self.id);
         let work = if manner == Manner::Slow { WORK * 20 } else { WORK };
         time::sleep(work.min(Duration::from_millis(deadline))).await;
-        if manner == Manner::Cut && turn % 2 == 0 {
+        if manner == Manner::Cut && turn.is_multiple_of(2) {
             return Err(io::Error::other("the answer is cut"));
         }
         Ok(self.success(&id))
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -74,7 +74,7 @@
     pub fn configure(&self) {
         let mut version = self.version.lock().unwrap_or_else(PoisonError::into_inner);
         *version += 3;
-        let quotes = if *version % 2 == 0 { "quote-a" } else { "quote-b" };
+        let quotes = if version.is_multiple_of(2) { "quote-a" } else { "quote-b" };
         self.store.put("op/config", &wire::config(*version, quotes));
     }
 
