--- a/tools/imports/src/main.rs
+++ b/tools/imports/src/main.rs
@@ -36,6 +36,10 @@
         print!("{USAGE}");
         return ExitCode::from(u8::from(dirs.is_empty()) * 2);
     }
+    if let Some(option) = dirs.iter().find(|d| d.starts_with('-')) {
+        eprintln!("chervil-imports: {option} is not an option; see --help");
+        return ExitCode::from(2);
+    }
     match run(&dirs) {
         Ok(findings) if findings.is_empty() => ExitCode::SUCCESS,
         Ok(findings) => {
