--- a/crates/route/src/trouble.rs
+++ b/crates/route/src/trouble.rs
@@ -61,9 +61,4 @@
         }
         tell
     }
-
-    /// Forgets a backend server that is gone.
-    pub fn forget(&mut self, id: &str) {
-        self.servers.remove(id);
-    }
 }
