Do not call a request to a silent backend refused

An idempotent request on a connection that acknowledged nothing was counted as not sent, so that it could be answered 503, though the backend may have run it. It is asked elsewhere as before, but the outcome is unknown.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -44,6 +44,9 @@
         /// No connection was free, or the backend server left meanwhile;
         /// nothing was sent.
         NotSent,
+        /// The request was sent and nothing was acknowledged: most likely it did
+        /// not run, but it may have.
+        Silent,
         /// The backend server states that it did not run the request.
         Refused,
         /// The request was sent, and it is unknown whether it ran.
@@ -99,7 +102,7 @@
     match result {
         Ok(_) => Outcome::Answered,
         Err(Failure::NotSent) => Outcome::Canceled,
-        Err(Failure::Unreachable | Failure::Lost) => Outcome::Unreachable,
+        Err(Failure::Unreachable | Failure::Silent | Failure::Lost) => Outcome::Unreachable,
         Err(Failure::Refused) => Outcome::Refused,
         Err(Failure::Failed(_)) => Outcome::Failed,
     }
@@ -122,7 +125,7 @@
         Err(error) => {
             core.metrics.broken(matches!(error, ExchangeError::Spoilt { .. }));
             let silent = plan.idempotent && error.is_silence();
-            return Err(if silent { Failure::Unreachable } else { Failure::Lost });
+            return Err(if silent { Failure::Silent } else { Failure::Lost });
         }
     };
     take_in(core, choice.key, &reply);
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -62,6 +62,7 @@
     again: Option<Instant>,
     reply: Option<Reply>,
     lost: bool,
+    silent: bool,
 }
 
 struct Event {
@@ -247,6 +248,11 @@
                 part.sent -= 1;
                 self.again(event.part);
             }
+            Err(Failure::Silent) => {
+                part.silent = true;
+                part.sent -= 1;
+                self.again(event.part);
+            }
             Err(Failure::Refused) => self.again(event.part),
             Err(Failure::Lost | Failure::Failed(_)) => {
                 part.ran += 1;
@@ -278,7 +284,7 @@
         let unanswered = self.parts.iter().filter(|p| p.reply.is_none());
         let missing: Vec<Box<str>> = unanswered.map(|p| self.describe(p)).collect();
         if self.parts.len() - missing.len() < gather.needed() {
-            let ran = self.parts.iter().any(|p| p.ran + p.live > 0);
+            let ran = self.parts.iter().any(|p| p.silent || p.ran + p.live > 0);
             let late = self.core.now() >= self.plan.deadline;
             return Gathered::TooFew { ran, late, missing };
         }
@@ -301,6 +307,7 @@
             again: None,
             reply: None,
             lost: false,
+            silent: false,
         }
     }
 }
--- a/crates/front/src/single.rs
+++ b/crates/front/src/single.rs
@@ -65,6 +65,7 @@
     tasks: JoinSet<(Instant, Result<Reply, Failure>)>,
     sent: u32,
     ran: u32,
+    silent: bool,
     failed: Option<Box<Reply>>,
     expected: Duration,
 }
@@ -102,6 +103,7 @@
             tasks: JoinSet::new(),
             sent: 0,
             ran: 0,
+            silent: false,
             failed: None,
             expected,
         }
@@ -137,7 +139,8 @@
                     self.core.state().pace(self.route).record(latency);
                     return Single::Answered(Box::new(reply));
                 }
-                Err(Failure::Unreachable | Failure::NotSent) => {
+                Err(failure @ (Failure::Unreachable | Failure::NotSent | Failure::Silent)) => {
+                    self.silent |= failure == Failure::Silent;
                     misses += 1;
                     self.sent -= 1;
                     if self.tasks.is_empty() && (misses >= SEARCH_LIMIT || !self.send()) {
@@ -196,7 +199,7 @@
     fn end(&mut self, late: bool) -> Single {
         match self.failed.take() {
             Some(reply) => Single::Answered(reply),
-            None if self.ran == 0 && self.tasks.is_empty() => Single::NotRun,
+            None if self.ran == 0 && !self.silent && self.tasks.is_empty() => Single::NotRun,
             None => Single::Unknown { late },
         }
     }
