Shorten the path of one part of a query

Change: the head of a reply is kept as bytes and its headers are built only where the reply is passed on; attempts are futures of their query instead of tasks with a channel; sent requests are counted without formatting a metric; the merge sorts only the records that it keeps; figures that are zero are not faded; the deadline of a query ends its attempts without a timer for each.

--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -37,12 +37,11 @@
 
 /// A backend server's reply, passed on unchanged.
 pub fn passed_on(reply: Reply) -> Answer {
+    let headers = reply.headers();
     let mut answer = Response::new(Full::new(reply.body));
     // The parser accepts codes of three digits only.
     *answer.status_mut() = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    for (name, value) in reply.headers {
-        answer.headers_mut().append(name, value);
-    }
+    *answer.headers_mut() = headers;
     answer
 }
 
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -93,14 +93,11 @@
     pub idempotent: bool,
 }
 
-/// Sends a request to the chosen backend server.
+/// Sends a request to the chosen backend server. The caller of this function
+/// drops the future when the request ends, at its deadline at the latest.
 pub async fn run(core: Arc<Core>, choice: Choice, plan: Plan) -> Result<Reply, Failure> {
     let mut guard = Guard { core: core.clone(), choice, outcome: Outcome::Abandoned };
-    let limit = plan.deadline.saturating_duration_since(core.now());
-    let timed = time::timeout(limit, attempt(&core, &guard.choice, &plan)).await;
-    let Ok(result) = timed else {
-        return Err(Failure::Lost);
-    };
+    let result = attempt(&core, &guard.choice, &plan).await;
     guard.outcome = outcome(&result);
     result
 }
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -15,6 +15,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use chervil_route::health::Load;
+use hyper::header;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 use snafu::ResultExt as _;
@@ -24,6 +25,7 @@
 use tokio::net::TcpStream;
 
 use crate::names::HeaderNames;
+use crate::outgoing::KEEP_ALIVE;
 use crate::outgoing::Outgoing;
 use crate::reply::Reply;
 
@@ -34,7 +36,7 @@
 const BODY_LIMIT: usize = 8 * 1024 * 1024;
 
 /// Most headers of a reply.
-const HEADER_LIMIT: usize = 64;
+pub const HEADER_LIMIT: usize = 64;
 
 /// Late replies to earlier requests that are skipped before a connection is
 /// given up.
@@ -183,8 +185,8 @@
         names: &HeaderNames,
     ) -> Result<Head, ExchangeError> {
         loop {
-            if let Some((size, head)) = parse_head(&self.buffer, request, names)? {
-                self.buffer.advance(size);
+            if let Some((size, mut head)) = parse_head(&self.buffer, request, names)? {
+                head.reply.head = self.buffer.split_to(size).freeze();
                 return Ok(head);
             }
             if self.buffer.len() > HEAD_LIMIT {
@@ -275,6 +277,7 @@
     }
 }
 
+/// Parses the head at the start of a buffer; none where it is not complete.
 fn parse_head(
     buffer: &[u8],
     request: &Outgoing,
@@ -287,36 +290,14 @@
         Ok(httparse::Status::Partial) => return Ok(None),
         Err(_) => return Err(ExchangeError::Spoilt { reason: "the head cannot be parsed" }),
     };
-    let status = parsed.code.unwrap_or_default();
-    let mut reply = empty_reply(status);
+    let mut reply = Reply::new(parsed.code.unwrap_or_default());
     reply.closing = parsed.version == Some(0);
-    let mut length = None;
-    let mut chunked = false;
-    let mut matches = true;
+    let mut fields = Fields { reply, length: None, chunked: false, matches: true };
     for header in parsed.headers.iter() {
-        let name = HeaderName::from_bytes(header.name.as_bytes());
-        let Ok(name) = name else { continue };
-        let text = str::from_utf8(header.value).unwrap_or_default().trim();
-        match name.as_str() {
-            "content-length" => {
-                let size = text.parse::<usize>().ok();
-                if size.is_none() || length.is_some_and(|l| Some(l) != size) {
-                    return Err(ExchangeError::Spoilt { reason: "the length is not a number" });
-                }
-                length = size;
-            }
-            "transfer-encoding" => chunked = text.eq_ignore_ascii_case("chunked"),
-            "connection" => reply.closing |= has_token(text, "close"),
-            "keep-alive" => reply.keep = keep_alive(text),
-            "content-encoding" => reply.encoded = !text.eq_ignore_ascii_case("identity"),
-            _ => {
-                if name == names.request {
-                    matches = header.value == &*request.id;
-                }
-                take_header(&mut reply, name, header.value, text, names)?;
-            }
-        }
+        fields.take(header, request, names)?;
     }
+    let Fields { reply, length, chunked, matches } = fields;
+    let status = reply.status;
     let framing = if request.bodiless || status < 200 || status == 204 || status == 304 {
         Framing::Empty
     } else if chunked {
@@ -327,41 +308,52 @@
     Ok(Some((size, Head { reply, framing, matches })))
 }
 
-fn empty_reply(status: u16) -> Reply {
-    Reply {
-        status,
-        stamp: None,
-        refused: false,
-        load: None,
-        warmup: None,
-        encoded: false,
-        closing: false,
-        keep: None,
-        headers: Vec::new(),
-        body: Bytes::new(),
-    }
+/// What the headers of a reply say.
+struct Fields {
+    reply: Reply,
+    length: Option<usize>,
+    chunked: bool,
+    matches: bool,
 }
 
-fn take_header(
-    reply: &mut Reply,
-    name: HeaderName,
-    raw: &[u8],
-    text: &str,
-    names: &HeaderNames,
-) -> Result<(), ExchangeError> {
-    let value = HeaderValue::from_bytes(raw).ok();
-    let value = value.ok_or(ExchangeError::Spoilt { reason: "a header is not text" })?;
-    if name == names.stamp {
-        reply.stamp = Some(value.clone());
-    } else if name == names.refused {
-        reply.refused = true;
-    } else if name == names.load {
-        reply.load = parse_load(text);
-    } else if name == names.warmup {
-        reply.warmup = text.parse().ok().map(Duration::from_millis);
+impl Fields {
+    fn take(
+        &mut self,
+        header: &httparse::Header<'_>,
+        request: &Outgoing,
+        names: &HeaderNames,
+    ) -> Result<(), ExchangeError> {
+        let is = |name: &HeaderName| header.name.eq_ignore_ascii_case(name.as_str());
+        let text = || str::from_utf8(header.value).unwrap_or_default().trim();
+        let reply = &mut self.reply;
+        if is(&names.request) {
+            self.matches = header.value == &*request.id;
+        } else if is(&names.stamp) {
+            let stamp = HeaderValue::from_bytes(header.value).ok();
+            reply.stamp = Some(stamp.ok_or(ExchangeError::Spoilt { reason: "no proof" })?);
+        } else if is(&names.load) {
+            reply.load = parse_load(text());
+        } else if is(&header::CONTENT_LENGTH) {
+            let size = text().parse::<usize>().ok();
+            if size.is_none() || self.length.is_some_and(|l| Some(l) != size) {
+                return Err(ExchangeError::Spoilt { reason: "the length is not a number" });
+            }
+            self.length = size;
+        } else if is(&header::TRANSFER_ENCODING) {
+            self.chunked = text().eq_ignore_ascii_case("chunked");
+        } else if is(&header::CONNECTION) {
+            reply.closing |= has_token(text(), "close");
+        } else if is(&KEEP_ALIVE) {
+            reply.keep = keep_alive(text());
+        } else if is(&names.refused) {
+            reply.refused = true;
+        } else if is(&names.warmup) {
+            reply.warmup = text().parse().ok().map(Duration::from_millis);
+        } else if is(&header::CONTENT_ENCODING) {
+            reply.encoded = !text().eq_ignore_ascii_case("identity");
+        }
+        Ok(())
     }
-    reply.headers.push((name, value));
-    Ok(())
 }
 
 fn has_token(list: &str, token: &str) -> bool {
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -9,8 +9,10 @@
 use chervil_route::config::Route;
 use chervil_route::fleet::BackendKey;
 use chervil_route::merge;
-use tokio::sync::mpsc;
-use tokio::task::AbortHandle;
+use futures::FutureExt as _;
+use futures::StreamExt as _;
+use futures::future::BoxFuture;
+use futures::stream::FuturesUnordered;
 use tokio::time;
 
 use crate::attempt;
@@ -76,44 +78,20 @@
     result: Result<Reply, Failure>,
 }
 
+/// Attempts that run; they end when dropped.
+type Attempts = FuturesUnordered<BoxFuture<'static, Event>>;
+
 struct Query<'a> {
     core: &'a Arc<Core>,
     route: &'a Route,
     plan: Plan,
     parts: Vec<Part>,
-    tasks: Tasks,
-    sender: mpsc::UnboundedSender<Event>,
+    attempts: Attempts,
     delay: Duration,
     expected: Duration,
     extra: u32,
 }
 
-/// Ends the attempts of a query with the query, unless they may linger.
-#[derive(Default)]
-struct Tasks(Vec<AbortHandle>);
-
-impl Drop for Tasks {
-    fn drop(&mut self) {
-        for task in &self.0 {
-            task.abort();
-        }
-    }
-}
-
-impl Tasks {
-    fn linger(&mut self) {
-        let mut tasks = Tasks(std::mem::take(&mut self.0));
-        tasks.0.retain(|t| !t.is_finished());
-        if tasks.0.is_empty() {
-            return;
-        }
-        tokio::spawn(async move {
-            time::sleep(LINGER).await;
-            drop(tasks);
-        });
-    }
-}
-
 /// Runs a query. From `soft` on it ends as soon as enough parts are in.
 pub async fn run(
     core: &Arc<Core>,
@@ -123,8 +101,7 @@
     soft: Instant,
 ) -> Gathered {
     let hard = plan.deadline;
-    let (sender, mut events) = mpsc::unbounded_channel();
-    let mut query = Query::new(core, route, gather, plan, sender);
+    let mut query = Query::new(core, route, gather, plan);
     for part in 0..query.parts.len() {
         query.first(part);
     }
@@ -138,12 +115,7 @@
         }
         let wake = query.wake().min(if enough { soft } else { hard });
         tokio::select! {
-            Some(event) = events.recv() => {
-                query.take_in(event);
-                while let Ok(event) = events.try_recv() {
-                    query.take_in(event);
-                }
-            }
+            Some(event) = query.attempts.next() => query.take_in(event),
             () = time::sleep_until(wake.into()) => query.search(core.now()),
         }
     }
@@ -151,20 +123,14 @@
 }
 
 impl<'a> Query<'a> {
-    fn new(
-        core: &'a Arc<Core>,
-        route: &'a Route,
-        gather: &Gather,
-        plan: Plan,
-        sender: mpsc::UnboundedSender<Event>,
-    ) -> Query<'a> {
+    fn new(core: &'a Arc<Core>, route: &'a Route, gather: &Gather, plan: Plan) -> Query<'a> {
         let mut state = core.state();
         let pace = state.pace(route);
         let (delay, expected) = (pace.hedge_delay(), pace.median());
         drop(state);
         let parts = gather.shards.iter().map(|s| Part::new(s.clone())).collect();
-        let tasks = Tasks::default();
-        Query { core, route, plan, parts, tasks, sender, delay, expected, extra: 0 }
+        let attempts = Attempts::new();
+        Query { core, route, plan, parts, attempts, delay, expected, extra: 0 }
     }
 
     fn done(&self) -> usize {
@@ -179,8 +145,7 @@
     }
 
     fn first(&mut self, part: usize) {
-        let service = self.parts[part].service.clone();
-        self.core.state().earn(&service, self.core.now());
+        self.core.state().earn(&self.parts[part].service, self.core.now());
         self.send(part);
     }
 
@@ -199,13 +164,9 @@
         part.live += 1;
         part.sent += 1;
         part.again = Some(now + self.delay);
-        let (core, plan, sender) = (self.core.clone(), self.plan.clone(), self.sender.clone());
-        let task = tokio::spawn(async move {
-            let result = attempt::run(core, choice, plan).await;
-            // The query may have been answered meanwhile.
-            let _ = sender.send(Event { part: index, started: now, result });
-        });
-        self.tasks.0.push(task.abort_handle());
+        let attempt = attempt::run(self.core.clone(), choice, self.plan.clone());
+        let event = async move { Event { part: index, started: now, result: attempt.await } };
+        self.attempts.push(event.boxed());
         true
     }
 
@@ -294,7 +255,7 @@
             let late = self.core.now() >= self.plan.deadline;
             return Gathered::TooFew { ran, late, missing };
         }
-        self.tasks.linger();
+        linger(std::mem::take(&mut self.attempts));
         let replies: Vec<&Reply> = self.parts.iter().filter_map(|p| p.reply.as_ref()).collect();
         let stamps = replies.iter().filter_map(|r| r.stamp.clone()).collect();
         let body = merge::merge(replies.iter().map(|r| &*r.body), gather.top);
@@ -302,6 +263,18 @@
     }
 }
 
+/// Awaits late replies for a while.
+fn linger(mut attempts: Attempts) {
+    if attempts.is_empty() {
+        return;
+    }
+    tokio::spawn(async move {
+        let rest = async { while attempts.next().await.is_some() {} };
+        // What has not come by then is dropped.
+        let _ = time::timeout(LINGER, rest).await;
+    });
+}
+
 impl Part {
     fn new(service: Box<str>) -> Part {
         Part {
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -7,6 +7,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicI64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use cadence::Counted as _;
@@ -26,10 +28,13 @@
 const QUANTILES: [(&str, f64); 4] = [("p50", 0.5), ("p90", 0.9), ("p99", 0.99), ("max", 1.0)];
 
 /// Metrics of a host.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Metrics {
-    client: Arc<StatsdClient>,
+    client: StatsdClient,
     totals: Arc<Totals>,
+    /// Requests sent to backend servers since the metrics were last served;
+    /// each query sends many.
+    sent: AtomicI64,
 }
 
 #[derive(Debug, Default)]
@@ -92,7 +97,7 @@
     fn default() -> Metrics {
         let totals = Arc::new(Totals::default());
         let client = StatsdClient::from_sink("chervil", Sink(totals.clone()));
-        Metrics { client: Arc::new(client), totals }
+        Metrics { client, totals, sent: AtomicI64::new(0) }
     }
 }
 
@@ -114,7 +119,7 @@
 
     /// Counts a request sent to a backend server.
     pub fn sent(&self) {
-        self.count("attempts.sent");
+        self.sent.fetch_add(1, Ordering::Relaxed);
     }
 
     /// Counts a reply that did not come or could not be read.
@@ -134,6 +139,8 @@
 
     /// All metrics, one a line.
     pub fn text(&self) -> String {
+        // The sink cannot fail.
+        let _ = self.client.count("attempts.sent", self.sent.swap(0, Ordering::Relaxed));
         let mut text = String::new();
         for (name, value) in lock(&self.totals.counters).iter() {
             let _ = writeln!(text, "{name} {value}");
--- a/crates/front/src/outgoing.rs
+++ b/crates/front/src/outgoing.rs
@@ -12,10 +12,13 @@
 
 use crate::names::HeaderNames;
 
+/// Time that the other end keeps an idle connection.
+pub const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
 /// Headers that concern one connection only.
 const CONNECTION_HEADERS: [HeaderName; 8] = [
     header::CONNECTION,
-    HeaderName::from_static("keep-alive"),
+    KEEP_ALIVE,
     header::PROXY_AUTHENTICATE,
     header::PROXY_AUTHORIZATION,
     header::TE,
--- a/crates/front/src/reply.rs
+++ b/crates/front/src/reply.rs
@@ -5,9 +5,14 @@
 use bytes::Bytes;
 use chervil_base::value;
 use chervil_route::health::Load;
+use hyper::HeaderMap;
+use hyper::header;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 
+use crate::exchange::HEADER_LIMIT;
+use crate::outgoing::KEEP_ALIVE;
+
 value! {
     /// A complete reply.
     pub struct Reply {
@@ -27,17 +32,65 @@
         pub closing: bool,
         /// Time that the backend server keeps an idle connection.
         pub keep: Option<Duration>,
-        /// End-to-end headers.
-        pub headers: Vec<(HeaderName, HeaderValue)>,
+        /// Status line and headers as they came.
+        pub head: Bytes,
         /// Body.
         pub body: Bytes,
     }
 }
 
+/// Headers that concern the connection to the backend server, or say that the
+/// body is as it is.
+const OWN_HEADERS: [HeaderName; 5] = [
+    header::CONTENT_LENGTH,
+    header::CONTENT_ENCODING,
+    header::TRANSFER_ENCODING,
+    header::CONNECTION,
+    KEEP_ALIVE,
+];
+
 /// Status by which a backend server says that another one was expected.
 pub const MISDIRECTED: u16 = 421;
 
 impl Reply {
+    /// A reply without headers and body.
+    pub fn new(status: u16) -> Reply {
+        Reply {
+            status,
+            stamp: None,
+            refused: false,
+            load: None,
+            warmup: None,
+            encoded: false,
+            closing: false,
+            keep: None,
+            head: Bytes::new(),
+            body: Bytes::new(),
+        }
+    }
+
+    /// End-to-end headers. Those of parts of a query are never looked at.
+    pub fn headers(&self) -> HeaderMap {
+        let mut headers = [httparse::EMPTY_HEADER; HEADER_LIMIT];
+        let mut parsed = httparse::Response::new(&mut headers);
+        let mut all = HeaderMap::new();
+        // The head was parsed before, when it came.
+        if parsed.parse(&self.head).is_err() {
+            return all;
+        }
+        for header in parsed.headers.iter() {
+            let name = HeaderName::from_bytes(header.name.as_bytes());
+            let value = HeaderValue::from_bytes(header.value);
+            if let (Ok(name), Ok(value)) = (name, value) {
+                all.append(name, value);
+            }
+        }
+        for name in OWN_HEADERS {
+            all.remove(name);
+        }
+        all
+    }
+
     /// Whether the reply says that the request was not run.
     pub fn not_run(&self) -> bool {
         self.refused || self.status == MISDIRECTED
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -149,7 +149,7 @@
             return false;
         }
         self.decay(now);
-        let waiting = self.waiting * fade_of(now, self.reported, LOAD_HALF_LIFE);
+        let waiting = faded(self.waiting, now, self.reported, LOAD_HALF_LIFE);
         let queue = 1.0 + waiting / f64::from(slots.max(1));
         let ratio = ratio(now.duration_since(run.start), run.expected) / queue;
         match outcome {
@@ -186,20 +186,19 @@
     /// Estimated time until an answer, in milliseconds, with failures and
     /// pauses as surcharges.
     pub fn cost(&self, expected: Duration, slots: u32, now: Instant) -> f64 {
-        let fade = fade(now.duration_since(self.seen), SLOWNESS_HALF_LIFE);
-        let mut slowness = (self.slowness * fade).exp();
+        let mut slowness = faded(self.slowness, now, self.seen, SLOWNESS_HALF_LIFE).exp();
         for run in &self.running {
             let ratio = ratio(now.duration_since(run.start), run.expected);
             if ratio > OVERDUE_RATIO {
                 slowness = slowness.max(ratio);
             }
         }
-        let other = self.load * fade_of(now, self.reported, LOAD_HALF_LIFE);
+        let other = faded(self.load, now, self.reported, LOAD_HALF_LIFE);
         let present = self.running.len() as f64 + other;
         let slots = f64::from(slots.max(1));
         let queue = (present + 1.0 - slots).max(0.0) / slots;
         let sharing = SHARING_FACTOR * present / slots;
-        let failure = self.failure * fade_of(now, self.seen, FAILURE_HALF_LIFE);
+        let failure = faded(self.failure, now, self.seen, FAILURE_HALF_LIFE);
         let success = 1.0 - failure.min(FAILURE_LIMIT);
         let pause = if self.is_paused(now) { PAUSE_FACTOR } else { 1.0 };
         expected.as_secs_f64() * 1e3 * slowness * (1.0 + queue + sharing) * pause
@@ -207,9 +206,8 @@
     }
 
     fn decay(&mut self, now: Instant) {
-        let age = now.duration_since(self.seen);
-        self.slowness *= fade(age, SLOWNESS_HALF_LIFE);
-        self.failure *= fade(age, FAILURE_HALF_LIFE);
+        self.slowness = faded(self.slowness, now, self.seen, SLOWNESS_HALF_LIFE);
+        self.failure = faded(self.failure, now, self.seen, FAILURE_HALF_LIFE);
         self.seen = now;
     }
 
@@ -233,10 +231,11 @@
     elapsed.as_secs_f64() / expected.as_secs_f64().max(1e-4)
 }
 
-fn fade(age: Duration, half_life: Duration) -> f64 {
-    0.5f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
-}
-
-fn fade_of(now: Instant, since: Instant, half_life: Duration) -> f64 {
-    fade(now.duration_since(since), half_life)
+/// What is left of a value from the time `since`.
+fn faded(value: f64, now: Instant, since: Instant, half_life: Duration) -> f64 {
+    if value == 0.0 {
+        return 0.0;
+    }
+    let age = now.duration_since(since);
+    value * (-age.as_secs_f64() / half_life.as_secs_f64()).exp2()
 }
--- a/crates/route/src/merge.rs
+++ b/crates/route/src/merge.rs
@@ -13,7 +13,10 @@
     for part in parts {
         records.extend(part.as_chunks::<RECORD>().0);
     }
-    records.sort_unstable_by(|a, b| b.cmp(a));
+    if records.len() > top && top > 0 {
+        records.select_nth_unstable_by(top - 1, |a, b| b.cmp(a));
+    }
     records.truncate(top);
+    records.sort_unstable_by(|a, b| b.cmp(a));
     records.into_iter().flatten().collect()
 }
