Block a request only after confirmed crashes, take over entries, connect ahead

Cause 1: a request whose answer was lost three times in a row was refused for two minutes as one that crashes backend servers, and with it every request of the same path and body, whoever sent it. The refusal was not logged. Change: a loss counts only if the backend server then refuses connections, and the caller's address belongs to the request's identity.

Cause 2: each restart of a host created a lease and an entry, two calls of the store. Change: a host that restarts before its entry lapses takes it over.

Cause 3: the first query of a restarted host, or after a change of the shards, opens dozens of connections at once. Change: they are opened ahead.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt at one backend server.
 
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -58,6 +59,9 @@
         Refused,
         /// The request was sent, and it is unknown whether it ran.
         Lost,
+        /// The connection broke before a reply came, as it does when the backend
+        /// server at this address crashes.
+        Broken(SocketAddr),
         /// The backend server ran the request and answered with a failure.
         Failed(Box<Reply>),
     }
@@ -102,12 +106,33 @@
     result
 }
 
+/// Opens a connection to the chosen backend server for later requests, unless
+/// one is free. True if it was opened.
+pub async fn connect(core: &Arc<Core>, choice: Choice) -> bool {
+    let mut guard = Guard { core: core.clone(), choice, outcome: Outcome::Canceled };
+    if core.pools().has_idle(guard.choice.key) {
+        return false;
+    }
+    match connection(core, &guard.choice, false).await {
+        Ok(connection) => {
+            core.pools().put(guard.choice.key, connection);
+            true
+        }
+        Err(failure) => {
+            guard.outcome = outcome(&Err(failure));
+            false
+        }
+    }
+}
+
 fn outcome(result: &Result<Reply, Failure>) -> Outcome {
     match result {
         Ok(_) => Outcome::Answered,
         Err(Failure::NotSent) => Outcome::Canceled,
         Err(Failure::Crowded) => Outcome::Crowded,
-        Err(Failure::Unreachable | Failure::Silent | Failure::Lost) => Outcome::Unreachable,
+        Err(Failure::Unreachable | Failure::Silent | Failure::Lost | Failure::Broken(_)) => {
+            Outcome::Unreachable
+        }
         Err(Failure::Refused) => Outcome::Refused,
         Err(Failure::Failed(_)) => Outcome::Failed,
     }
@@ -132,8 +157,11 @@
             if connection.is_new && error.is_reset() {
                 core.pools().crowded(core.now());
             }
-            let silent = plan.idempotent && error.is_silence();
-            return Err(if silent { Failure::Silent } else { Failure::Lost });
+            return Err(match error {
+                error if plan.idempotent && error.is_silence() => Failure::Silent,
+                error if error.is_break() => Failure::Broken(choice.address),
+                _ => Failure::Lost,
+            });
         }
     };
     connection.is_new = false;
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -73,6 +73,11 @@
         source.kind() == io::ErrorKind::TimedOut
     }
 
+    /// Whether the other end broke the connection off.
+    pub fn is_break(&self) -> bool {
+        self.is_reset() || matches!(self, ExchangeError::Ended)
+    }
+
     /// Whether the other end reset the connection.
     pub fn is_reset(&self) -> bool {
         let ExchangeError::Broken { source } = self else { return false };
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -7,9 +7,9 @@
 use std::time::Instant;
 
 use chervil_base::HashSet;
+use chervil_route::config::Config;
 use chervil_route::fleet::Change;
 use chervil_route::fleet::Entry;
-use chervil_route::sources::Peer;
 use tokio::time;
 
 use crate::core::Core;
@@ -22,9 +22,9 @@
 use crate::peers::Told;
 use crate::registry::Changes;
 use crate::registry::Event;
-use crate::registry::Presence;
 use crate::registry::Registry;
 use crate::registry::RegistryError;
+use crate::warm;
 
 /// Time that one call to the registry waits for a change.
 const REGISTRY_WAIT: Duration = Duration::from_millis(300);
@@ -67,15 +67,6 @@
 /// Pause between two rounds over the seeds.
 const SEED_PAUSE: Duration = Duration::from_millis(60);
 
-/// Time that the entry of a host lasts without renewal.
-const PRESENCE_TTL: Duration = Duration::from_secs(30);
-
-/// Interval at which the entry of a host is renewed.
-const PRESENCE_RENEWAL: Duration = Duration::from_secs(10);
-
-/// Pause before a failed entry or renewal is tried again.
-const PRESENCE_PAUSE: Duration = Duration::from_secs(2);
-
 /// Interval at which the registry is asked for changes, as a share of the time
 /// within which a change must be in force.
 const READ_SHARE: f64 = 0.2;
@@ -113,6 +104,10 @@
     hold: Option<Instant>,
     leaving: HashSet<Box<str>>,
     leading: bool,
+    /// Version of the configuration whose shards have connections, and these
+    /// shards; none where no traffic is to be expected yet.
+    warm: Option<(u64, HashSet<Box<str>>)>,
+    bootstrap: bool,
 }
 
 impl Follower {
@@ -146,6 +141,8 @@
             hold: None,
             leaving: HashSet::default(),
             leading: true,
+            warm: None,
+            bootstrap: settings.bootstrap,
         }
     }
 
@@ -333,10 +330,28 @@
                 hosts = state.sources.count(),
             });
         }
-        let state = self.core.state();
-        if state.config.is_some() && !state.fleet.is_empty() {
+        let config = self.core.state().config.clone();
+        if let Some(config) = config.filter(|_| !self.core.state().fleet.is_empty()) {
             self.lifecycle.begin();
+            self.warm_up(&config);
+        }
+    }
+
+    /// Opens connections to the shards that a configuration adds. At the first
+    /// start of a deployment they would be idle for too long.
+    fn warm_up(&mut self, config: &Config) {
+        if self.warm.as_ref().is_some_and(|(version, _)| *version == config.version) {
+            return;
+        }
+        let shards = warm::shards(config);
+        let known = self.warm.take().map(|(_, shards)| shards);
+        let skipped = known.is_none() && self.bootstrap;
+        let known = known.unwrap_or_default();
+        let added: Vec<Box<str>> = shards.difference(&known).cloned().collect();
+        if !skipped && !added.is_empty() {
+            tokio::spawn(warm::connect(self.core.clone(), added));
         }
+        self.warm = Some((config.version, shards));
     }
 
     /// Treats what a full list lacks as gone.
@@ -479,29 +494,6 @@
     }
 }
 
-/// Keeps the entry of this host in the registry.
-pub async fn keep_presence(registry: Arc<dyn Registry>, host: Box<str>, peer: Peer) {
-    let mut presence: Option<Presence> = None;
-    loop {
-        let result = match presence {
-            Some(held) => registry.renew(held).await,
-            None => registry.announce(&host, peer, PRESENCE_TTL).await.map(|p| presence = Some(p)),
-        };
-        match result {
-            Ok(()) => time::sleep(PRESENCE_RENEWAL).await,
-            Err(error) => {
-                let lapsed = error == RegistryError::Lapsed;
-                let error = error.to_string();
-                spdlog::warn!("entry of this host not kept", kv: { error = error.as_str() });
-                if lapsed {
-                    presence = None;
-                }
-                time::sleep(PRESENCE_PAUSE).await;
-            }
-        }
-    }
-}
-
 /// Closes connections that have been idle for too long.
 pub async fn prune_connections(core: Arc<Core>) {
     loop {
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -1,5 +1,6 @@
 //! A query over all shards of a route.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -53,6 +54,8 @@
             ran: bool,
             /// Whether time ran out.
             late: bool,
+            /// Backend server that broke a connection off, if one did.
+            broken: Option<SocketAddr>,
             /// Shards that are missing, each with the reason.
             missing: Vec<Box<str>>,
         },
@@ -90,6 +93,7 @@
     delay: Duration,
     expected: Duration,
     extra: u32,
+    broken: Option<SocketAddr>,
 }
 
 /// Runs a query. From `soft` on it ends as soon as enough parts are in.
@@ -130,7 +134,7 @@
         drop(state);
         let parts = gather.shards.iter().map(|s| Part::new(s.clone())).collect();
         let attempts = Attempts::new();
-        Query { core, route, plan, parts, attempts, delay, expected, extra: 0 }
+        Query { core, route, plan, parts, attempts, delay, expected, extra: 0, broken: None }
     }
 
     fn done(&self) -> usize {
@@ -221,8 +225,11 @@
                 self.again(event.part);
             }
             Err(Failure::Refused) => self.again(event.part),
-            Err(Failure::Lost | Failure::Failed(_)) => {
+            Err(failure @ (Failure::Lost | Failure::Broken(_) | Failure::Failed(_))) => {
                 part.ran += 1;
+                if let Failure::Broken(address) = failure {
+                    self.broken = Some(address);
+                }
                 self.again(event.part);
             }
         }
@@ -253,7 +260,7 @@
         if self.parts.len() - missing.len() < gather.needed() {
             let ran = self.parts.iter().any(|p| p.silent || p.ran + p.live > 0);
             let late = self.core.now() >= self.plan.deadline;
-            return Gathered::TooFew { ran, late, missing };
+            return Gathered::TooFew { ran, late, broken: self.broken, missing };
         }
         linger(std::mem::take(&mut self.attempts));
         let replies: Vec<&Reply> = self.parts.iter().filter_map(|p| p.reply.as_ref()).collect();
--- a/crates/front/src/handle.rs
+++ b/crates/front/src/handle.rs
@@ -2,6 +2,9 @@
 
 use std::hash::Hash as _;
 use std::hash::Hasher as _;
+use std::io::ErrorKind;
+use std::net::IpAddr;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -19,6 +22,8 @@
 use hyper::body::Incoming;
 use hyper::header;
 use rustc_hash::FxHasher;
+use tokio::net::TcpStream;
+use tokio::time;
 
 use crate::answer;
 use crate::answer::Answer;
@@ -48,6 +53,13 @@
 /// configuration yet.
 const START_PAUSE: Duration = Duration::from_millis(500);
 
+/// Time after which a backend server that broke a connection off is looked at:
+/// a crashed one has closed its port by then, and takes seconds to return.
+const CRASH_DELAY: Duration = Duration::from_millis(50);
+
+/// Longest time that this look takes.
+const CRASH_TIMEOUT: Duration = Duration::from_millis(250);
+
 value! {
     /// How a request ended, for its log line.
     struct Summary {
@@ -56,11 +68,22 @@
         missing: Vec<Box<str>>,
         asked: Vec<Box<str>>,
         extra: u32,
+        /// Backend server that broke a connection off, if one did.
+        broken: Option<SocketAddr>,
     }
 }
 
-/// Answers a request; `opened` says whether it is the first on its connection.
-pub async fn handle(core: Arc<Core>, request: Request<Incoming>, opened: bool) -> Answer {
+/// Where a request comes from.
+#[derive(Clone, Copy, Debug)]
+pub struct Origin {
+    /// Address of the caller.
+    pub caller: IpAddr,
+    /// Whether it is the first request on its connection.
+    pub opened: bool,
+}
+
+/// Answers a request.
+pub async fn handle(core: Arc<Core>, request: Request<Incoming>, origin: Origin) -> Answer {
     let start = core.now();
     let config = core.state().config.clone();
     let Some(config) = config else {
@@ -81,17 +104,19 @@
     };
     let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
     let outgoing = Outgoing::new(&head.method, path, &head.headers, body, &core.names);
-    let digest = digest(&outgoing);
+    let digest = digest(&outgoing, origin.caller);
     if core.state().suspects.is_blocked(digest, start) {
-        core.metrics.count("requests.suspect");
-        return answer::refusal("the request has crashed backend servers\n", RETRY_PAUSE);
+        let answer = answer::refusal("the request has crashed backend servers\n", RETRY_PAUSE);
+        let summary = Summary::plain("refused", "suspect");
+        note(&core, &head.headers, &config, route, &answer, &summary, start);
+        return answer;
     }
     let plan = Plan {
         deadline: deadline(&core, &head.headers, route, start),
         request: Arc::new(outgoing),
         idempotent: route.idempotent,
     };
-    let soft = start + route.aim.saturating_sub(way(opened));
+    let soft = start + route.aim.saturating_sub(way(origin.opened));
     let (answer, summary) = dispatch(&core, route, plan, soft).await;
     judge(&core, digest, &summary);
     note(&core, &head.headers, &config, route, &answer, &summary, start);
@@ -119,23 +144,34 @@
 }
 
 /// Identifies a request that comes again: same path, caller and body.
-fn digest(outgoing: &Outgoing) -> u64 {
+fn digest(outgoing: &Outgoing, caller: IpAddr) -> u64 {
     let mut hasher = FxHasher::default();
+    caller.hash(&mut hasher);
     let line = outgoing.head.split(|b| *b == b'\r').next().unwrap_or_default();
     line.hash(&mut hasher);
     outgoing.body.hash(&mut hasher);
     hasher.finish()
 }
 
-/// Remembers requests whose answers break off, which may crash backend servers.
-fn judge(core: &Core, digest: u64, summary: &Summary) {
-    let now = core.now();
-    match summary.outcome {
-        "answered" | "partial" => core.state().suspects.cleared(digest),
-        "unknown" | "failed" if summary.reason != "deadline" => {
-            core.state().suspects.lost(digest, now);
-        }
-        _ => {}
+/// Remembers requests that crash backend servers.
+fn judge(core: &Arc<Core>, digest: u64, summary: &Summary) {
+    if matches!(summary.outcome, "answered" | "partial") {
+        core.state().suspects.cleared(digest);
+    } else if let Some(address) = summary.broken {
+        tokio::spawn(confirm_crash(core.clone(), digest, address));
+    }
+}
+
+/// Counts a crash if the backend server that broke a connection off accepts no
+/// new one. Answers are lost for many other reasons.
+async fn confirm_crash(core: Arc<Core>, digest: u64, address: SocketAddr) {
+    time::sleep(CRASH_DELAY).await;
+    let connected = time::timeout(CRASH_TIMEOUT, TcpStream::connect(address)).await;
+    let refused = matches!(connected, Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused);
+    if refused {
+        core.state().suspects.lost(digest, core.now());
+        let address = address.to_string();
+        spdlog::warn!("backend crashed by a request", kv: { digest, address = address.as_str() });
     }
 }
 
@@ -167,10 +203,10 @@
             let outcome = if missing.is_empty() { "answered" } else { "partial" };
             (answer, Summary { missing, extra, ..Summary::plain(outcome, "") })
         }
-        Gathered::TooFew { ran, late, missing } => {
+        Gathered::TooFew { ran, late, broken, missing } => {
             let answer = failure(ran, late);
             let reason = if late { "deadline" } else { "too_few_parts" };
-            (answer, Summary { missing, ..Summary::plain("failed", reason) })
+            (answer, Summary { missing, broken, ..Summary::plain("failed", reason) })
         }
     }
 }
@@ -184,9 +220,9 @@
             (answer::passed_on(*reply), Summary::plain(outcome, reason))
         }
         Single::NotRun => (failure(false, false), Summary::plain("refused", "no_backend")),
-        Single::Unknown { late } => {
+        Single::Unknown { late, broken } => {
             let reason = if late { "deadline" } else { "connection_lost" };
-            (failure(true, late), Summary::plain("unknown", reason))
+            (failure(true, late), Summary { broken, ..Summary::plain("unknown", reason) })
         }
     }
 }
@@ -201,7 +237,7 @@
 
 impl Summary {
     fn plain(outcome: &'static str, reason: &'static str) -> Summary {
-        Summary { outcome, reason, missing: Vec::new(), asked: Vec::new(), extra: 0 }
+        Summary { outcome, reason, missing: Vec::new(), asked: Vec::new(), extra: 0, broken: None }
     }
 }
 
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -27,6 +27,7 @@
 use crate::metrics::Metrics;
 use crate::names::HeaderNames;
 use crate::peers;
+use crate::presence;
 use crate::ready;
 use crate::registry::Registry;
 use crate::state::Bounds;
@@ -116,7 +117,13 @@
     );
     tokio::spawn(peers::serve(others, core.clone(), journal));
     tokio::spawn(follower.run());
-    tokio::spawn(follow::keep_presence(registry, settings.name.clone(), settings.peer));
+    tokio::spawn(presence::keep(
+        core.clone(),
+        registry,
+        settings.name.clone(),
+        settings.peer,
+        settings.bootstrap,
+    ));
     tokio::spawn(follow::prune_connections(core.clone()));
     tokio::spawn(ready::serve_ready(probes, lifecycle.clone()));
     tokio::spawn(ready::serve_metrics(scrapes, core.clone()));
--- a/crates/front/src/listen.rs
+++ b/crates/front/src/listen.rs
@@ -1,6 +1,7 @@
 //! Connections of callers, and the graceful shutdown of a host.
 
 use std::convert::Infallible;
+use std::net::IpAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -25,6 +26,7 @@
 
 use crate::core::Core;
 use crate::handle;
+use crate::handle::Origin;
 
 /// Idle time of a connection before a configuration is known.
 const DEFAULT_IDLE: Duration = Duration::from_secs(15);
@@ -123,26 +125,27 @@
 pub async fn serve(listener: TcpListener, core: Arc<Core>, lifecycle: Arc<Lifecycle>) {
     loop {
         // Accepting fails when descriptors run out; the next call waits for one.
-        let Ok((stream, _)) = listener.accept().await else { continue };
+        let Ok((stream, caller)) = listener.accept().await else { continue };
         // A connection that is broken already fails at its first read.
         let _ = stream.set_nodelay(true);
-        tokio::spawn(connection(stream, core.clone(), lifecycle.clone()));
+        tokio::spawn(connection(stream, caller.ip(), core.clone(), lifecycle.clone()));
     }
 }
 
-async fn connection(stream: TcpStream, core: Arc<Core>, lifecycle: Arc<Lifecycle>) {
+async fn connection(stream: TcpStream, caller: IpAddr, core: Arc<Core>, lifecycle: Arc<Lifecycle>) {
     lifecycle.open.fetch_add(1, Ordering::Relaxed);
     let activity = Activity {
         running: AtomicUsize::new(0),
         served: AtomicUsize::new(0),
         last: Mutex::new(core.now()),
     };
-    converse(stream, &core, &lifecycle, &Arc::new(activity)).await;
+    converse(stream, caller, &core, &lifecycle, &Arc::new(activity)).await;
     lifecycle.open.fetch_sub(1, Ordering::Relaxed);
 }
 
 async fn converse(
     stream: TcpStream,
+    caller: IpAddr,
     core: &Arc<Core>,
     lifecycle: &Arc<Lifecycle>,
     activity: &Arc<Activity>,
@@ -152,7 +155,7 @@
         async move {
             activity.running.fetch_add(1, Ordering::Relaxed);
             let opened = activity.served.fetch_add(1, Ordering::Relaxed) == 0;
-            let mut answer = handle::handle(core.clone(), request, opened).await;
+            let mut answer = handle::handle(core.clone(), request, Origin { caller, opened }).await;
             activity.touch(core.now());
             activity.running.fetch_sub(1, Ordering::Relaxed);
             if matches!(*lifecycle.stage.borrow(), Stage::Stopping | Stage::Closing) {
--- a/crates/front/src/single.rs
+++ b/crates/front/src/single.rs
@@ -1,6 +1,7 @@
 //! A request to one backend server of a service.
 
 use std::future;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -39,6 +40,8 @@
         Unknown {
             /// Whether time ran out.
             late: bool,
+            /// Backend server that broke a connection off, if one did.
+            broken: Option<SocketAddr>,
         },
     }
 }
@@ -66,6 +69,7 @@
     sent: u32,
     ran: u32,
     silent: bool,
+    broken: Option<SocketAddr>,
     failed: Option<Box<Reply>>,
     expected: Duration,
 }
@@ -104,6 +108,7 @@
             sent: 0,
             ran: 0,
             silent: false,
+            broken: None,
             failed: None,
             expected,
         }
@@ -157,7 +162,10 @@
                         return self.end(false);
                     }
                 }
-                Err(Failure::Lost) => {
+                Err(failure @ (Failure::Lost | Failure::Broken(_))) => {
+                    if let Failure::Broken(address) = failure {
+                        self.broken = Some(address);
+                    }
                     self.ran += 1;
                     if !self.plan.idempotent || (!self.extend() && self.tasks.is_empty()) {
                         return self.end(false);
@@ -205,7 +213,7 @@
         match self.failed.take() {
             Some(reply) => Single::Answered(reply),
             None if self.ran == 0 && !self.silent && self.tasks.is_empty() => Single::NotRun,
-            None => Single::Unknown { late },
+            None => Single::Unknown { late, broken: self.broken },
         }
     }
 }
--- a/crates/front/tests/follow.rs
+++ b/crates/front/tests/follow.rs
@@ -59,7 +59,7 @@
         zone: "north".into(),
         listen: ADDRESS,
         ready: ADDRESS,
-        peer: Peer { address: peer, power: 10 },
+        peer: Peer { address: peer, power: 10, lease: 0 },
         seeds,
         bootstrap: false,
         metrics: ADDRESS,
@@ -175,8 +175,8 @@
 }
 
 fn listed(address: SocketAddr, extra: Vec<Event>) -> Result<Changes, RegistryError> {
-    let leader = Event::Host("leader".into(), Peer { address, power: 500 });
-    let own = Event::Host("own".into(), Peer { address: ADDRESS, power: 10 });
+    let leader = Event::Host("leader".into(), Peer { address, power: 500, lease: 0 });
+    let own = Event::Host("own".into(), Peer { address: ADDRESS, power: 10, lease: 0 });
     let mut events = vec![configured(3), server("a"), leader, own];
     events.extend(extra);
     changes(5, events)
@@ -284,7 +284,7 @@
     core.state().adopt(config(4, Vec::new()));
     core.state().fleet.upsert(cold, now);
     core.state().fleet.set_evacuated(HashSet::from_iter(["south".into()]));
-    core.state().sources.insert("own".into(), Peer { address: ADDRESS, power: 1 });
+    core.state().sources.insert("own".into(), Peer { address: ADDRESS, power: 1, lease: 0 });
 
     let texts = core.state().snapshot(now + Duration::from_secs(4));
 
--- a/crates/front/tests/single.rs
+++ b/crates/front/tests/single.rs
@@ -11,6 +11,7 @@
 use crate::support::Act;
 use crate::support::Backend;
 use crate::support::Host;
+use crate::support::crashing;
 use crate::support::crowded;
 use crate::support::entry;
 use crate::support::header;
@@ -283,3 +284,41 @@
     assert_eq!(status(&answer), 503);
     assert!(header(&answer, "retry-after").is_some());
 }
+
+/// Guards against refusing a request, as one that crashes backend servers, after
+/// answers to requests like it were lost by servers that run on.
+#[tokio::test]
+async fn request_with_lost_answers_is_no_suspect() {
+    let server = Backend::start(vec![Act::Reset; 6]).await;
+    let host = quotes(false, &[&server]).await;
+    for _ in 0..5 {
+        host.ask("POST", "/q/1", "rope").await;
+        // Time in which a crash would be confirmed.
+        time::sleep(Duration::from_millis(100)).await;
+    }
+
+    let answer = host.ask("POST", "/q/1", "rope").await;
+
+    assert_eq!(status(&answer), 502);
+    assert_eq!(server.seen().len(), 6);
+}
+
+/// Guards against sending a request on that has crashed three backend servers.
+#[tokio::test]
+async fn request_that_crashes_servers_is_refused() {
+    let servers = [crashing().await, crashing().await, crashing().await, crashing().await];
+    let entries = servers.iter().enumerate();
+    let entries = entries.map(|(i, a)| entry(&format!("i-{i}"), "quote", *a)).collect();
+    let host = host(vec![route("/q/", Target::One("quote".into()), false)], entries).await;
+    for _ in 0..3 {
+        let answer = host.ask("POST", "/q/1", "rope").await;
+        assert_eq!(status(&answer), 502);
+        time::sleep(Duration::from_millis(200)).await;
+    }
+
+    let again = host.ask("POST", "/q/1", "rope").await;
+    let other = host.ask("POST", "/q/2", "rope").await;
+
+    assert_eq!(status(&again), 503);
+    assert_eq!(status(&other), 502, "the fourth server crashes by another request");
+}
--- a/crates/front/tests/support/mod.rs
+++ b/crates/front/tests/support/mod.rs
@@ -145,6 +145,19 @@
     address
 }
 
+/// Address of a backend server that crashes by the first request that it reads.
+pub async fn crashing() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        drop(listener);
+        read_message(&mut stream).await;
+        reset(&stream);
+    });
+    address
+}
+
 fn reset(stream: &TcpStream) {
     #[expect(deprecated, reason = "a reset is what is tested")]
     stream.set_linger(Some(Duration::ZERO)).unwrap();
--- a/crates/route/src/sources.rs
+++ b/crates/route/src/sources.rs
@@ -30,6 +30,10 @@
         pub address: SocketAddr,
         /// Thousandths of a core that it may use.
         pub power: u32,
+        /// Lease under which its entry stands in the registry; 0 in what the
+        /// host states itself.
+        #[serde(default)]
+        pub lease: u64,
     }
 }
 
@@ -79,6 +83,14 @@
         self.known.retain(|_, k| k.lapsed.is_none_or(|l| now.duration_since(l) < MEMORY));
     }
 
+    /// Lease under which the entry of this host stands, if it is in force and
+    /// states the same as `peer`.
+    pub fn own_lease(&self, peer: Peer) -> Option<u64> {
+        let known = self.known.get(&self.own).filter(|k| k.lapsed.is_none())?;
+        let lease = known.peer.lease;
+        (lease != 0 && known.peer == Peer { lease, ..peer }).then_some(lease)
+    }
+
     /// Number of hosts.
     pub fn count(&self) -> u32 {
         self.known.len() as u32
--- a/crates/route/src/suspects.rs
+++ b/crates/route/src/suspects.rs
@@ -1,4 +1,4 @@
-//! Requests that may crash the backend servers that run them.
+//! Requests that crash the backend servers that run them.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -6,17 +6,17 @@
 use chervil_base::HashMap;
 use chervil_base::value;
 
-/// Lost connections after which a request is no longer sent.
+/// Crashed backend servers after which a request is no longer sent.
 const LOST_LIMIT: u32 = 3;
 
-/// Time after which a loss is forgotten.
+/// Time after which a crash is forgotten.
 const RETENTION: Duration = Duration::from_secs(120);
 
 /// Digests that are remembered; the oldest goes first.
 const CAPACITY: usize = 4_096;
 
 value! {
-    /// Digests of requests that broke connections to backend servers.
+    /// Digests of requests that crashed backend servers.
     #[derive(Default)]
     pub struct Suspects {
         lost: HashMap<u64, Loss>,
--- a/crates/route/tests/routes.rs
+++ b/crates/route/tests/routes.rs
@@ -43,7 +43,7 @@
 }
 
 fn peer(power: u32) -> Peer {
-    Peer { address: "127.0.0.1:7000".parse().unwrap(), power }
+    Peer { address: "127.0.0.1:7000".parse().unwrap(), power, lease: 0 }
 }
 
 /// Guards against a request on the wrong route.
