--- a/crates/front/tests/support/mod.rs
+++ b/crates/front/tests/support/mod.rs
@@ -325,6 +325,10 @@
     pub lists: Mutex<Vec<Result<Changes, RegistryError>>>,
     pub changes: Mutex<Vec<Result<Changes, RegistryError>>>,
     pub calls: Mutex<u32>,
+    /// Times that the host announced itself.
+    pub announced: Mutex<u32>,
+    /// Leases that were renewed.
+    pub renewed: Mutex<Vec<u64>>,
 }
 
 fn next(results: &Mutex<Vec<Result<Changes, RegistryError>>>) -> Result<Changes, RegistryError> {
@@ -351,10 +355,12 @@
         _peer: Peer,
         _ttl: Duration,
     ) -> Result<Presence, RegistryError> {
+        *self.announced.lock().unwrap() += 1;
         Ok(Presence { lease: 1 })
     }
 
-    async fn renew(&self, _presence: Presence) -> Result<(), RegistryError> {
+    async fn renew(&self, presence: Presence) -> Result<(), RegistryError> {
+        self.renewed.lock().unwrap().push(presence.lease);
         Ok(())
     }
 }
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -6,22 +6,33 @@
 use chervil_soak::run;
 use chervil_soak::run::Options;
 
-/// Seeds that failed once, with their cause, and the usual ones.
-const SEEDS: [u64; 2] = [1, 2];
+/// One run of the soak.
+struct Case {
+    seed: u64,
+    /// Seconds during which faults begin.
+    seconds: u64,
+    hosts: usize,
+}
 
-/// Time during which faults begin.
-const TIME: Duration = Duration::from_secs(5);
+/// The usual runs, and each one that failed once with its cause.
+const CASES: [Case; 3] = [
+    Case { seed: 1, seconds: 5, hosts: 3 },
+    Case { seed: 2, seconds: 5, hosts: 3 },
+    // Requests were refused for two minutes after three lost answers to
+    // requests with the same path and body.
+    Case { seed: 53, seconds: 12, hosts: 4 },
+];
 
 /// Guards against wrong, doubled or untruly refused answers while links,
 /// processes, backend servers and the store fail.
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_under_faults() {
     let binary = binary();
-    for seed in SEEDS {
+    for Case { seed, seconds, hosts } in CASES {
         let folder =
             std::env::temp_dir().join(format!("chervil-soak-{}-{seed}", std::process::id()));
-        let options =
-            Options { seed, time: TIME, hosts: 3, binary: binary.clone(), folder: folder.clone() };
+        let time = Duration::from_secs(seconds);
+        let options = Options { seed, time, hosts, binary: binary.clone(), folder: folder.clone() };
 
         let sums = run::run(&options).await.unwrap();
 
