--- a/crates/front/src/listen.rs
+++ b/crates/front/src/listen.rs
@@ -31,6 +31,12 @@
 /// Idle time of a connection before a configuration is known.
 const DEFAULT_IDLE: Duration = Duration::from_secs(15);
 
+/// Bytes of the largest head before a configuration is known.
+const DEFAULT_HEAD: usize = 16 * 1024;
+
+/// Least bound that the HTTP library takes.
+const LEAST_HEAD: usize = 8 * 1024;
+
 /// Share of the configured idle time by which this host waits longer than the
 /// callers, so that it does not close a connection that is about to be used.
 const IDLE_SHARE: f64 = 1.1;
@@ -166,7 +172,7 @@
         }
     });
     let mut builder = http1::Builder::new();
-    builder.header_read_timeout(None);
+    builder.header_read_timeout(None).max_buf_size(head_limit(core));
     let mut running = pin!(builder.serve_connection(TokioIo::new(stream), service));
     let mut stage = lifecycle.stage.subscribe();
     loop {
@@ -186,6 +192,12 @@
     }
 }
 
+/// Bytes that the head of a request may have; larger ones are answered 431.
+fn head_limit(core: &Core) -> usize {
+    let configured = core.state().config.as_ref().map(|c| c.limits.head);
+    configured.unwrap_or(DEFAULT_HEAD).max(LEAST_HEAD)
+}
+
 /// Time until an idle connection is closed; the full time while a request
 /// runs.
 fn idle_left(core: &Core, activity: &Activity) -> Duration {
--- a/crates/front/tests/single.rs
+++ b/crates/front/tests/single.rs
@@ -322,3 +322,16 @@
     assert_eq!(status(&again), 503);
     assert_eq!(status(&other), 502, "the fourth server crashes by another request");
 }
+
+/// Guards against heads of any size in the memory of a small host.
+#[tokio::test]
+async fn oversized_head_is_refused() {
+    let server = Backend::start(vec![Act::Send(reply(200, "fine"))]).await;
+    let host = quotes(true, &[&server]).await;
+    let path = format!("/q/{}", "x".repeat(20_000));
+
+    let answer = host.ask("GET", &path, "").await;
+
+    assert!(matches!(status(&answer), 414 | 431), "{answer}");
+    assert!(server.seen().is_empty());
+}
