Open no connections ahead

Trial: 144 hosts that start together after a loss of power meet backends whose limits are taken up by connections of the former processes, and then leave them alone for longer.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -106,25 +106,6 @@
     result
 }
 
-/// Opens a connection to the chosen backend server for later requests, unless
-/// one is free. True if it was opened.
-pub async fn connect(core: &Arc<Core>, choice: Choice) -> bool {
-    let mut guard = Guard { core: core.clone(), choice, outcome: Outcome::Canceled };
-    if core.pools().has_idle(guard.choice.key) {
-        return false;
-    }
-    match connection(core, &guard.choice, false).await {
-        Ok(connection) => {
-            core.pools().put(guard.choice.key, connection);
-            true
-        }
-        Err(failure) => {
-            guard.outcome = outcome(&Err(failure));
-            false
-        }
-    }
-}
-
 fn outcome(result: &Result<Reply, Failure>) -> Outcome {
     match result {
         Ok(_) => Outcome::Answered,
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -7,7 +7,6 @@
 use std::time::Instant;
 
 use chervil_base::HashSet;
-use chervil_route::config::Config;
 use chervil_route::fleet::Change;
 use chervil_route::fleet::Entry;
 use tokio::time;
@@ -24,7 +23,6 @@
 use crate::registry::Event;
 use crate::registry::Registry;
 use crate::registry::RegistryError;
-use crate::warm;
 
 /// Time that one call to the registry waits for a change.
 const REGISTRY_WAIT: Duration = Duration::from_millis(300);
@@ -104,10 +102,6 @@
     hold: Option<Instant>,
     leaving: HashSet<Box<str>>,
     leading: bool,
-    /// Version of the configuration whose shards have connections, and these
-    /// shards; none where no traffic is to be expected yet.
-    warm: Option<(u64, HashSet<Box<str>>)>,
-    bootstrap: bool,
 }
 
 impl Follower {
@@ -141,8 +135,6 @@
             hold: None,
             leaving: HashSet::default(),
             leading: true,
-            warm: None,
-            bootstrap: settings.bootstrap,
         }
     }
 
@@ -330,30 +322,12 @@
                 hosts = state.sources.count(),
             });
         }
-        let config = self.core.state().config.clone();
-        if let Some(config) = config.filter(|_| !self.core.state().fleet.is_empty()) {
+        let state = self.core.state();
+        if state.config.is_some() && !state.fleet.is_empty() {
             self.lifecycle.begin();
-            self.warm_up(&config);
         }
     }
 
-    /// Opens connections to the shards that a configuration adds. At the first
-    /// start of a deployment they would be idle for too long.
-    fn warm_up(&mut self, config: &Config) {
-        if self.warm.as_ref().is_some_and(|(version, _)| *version == config.version) {
-            return;
-        }
-        let shards = warm::shards(config);
-        let known = self.warm.take().map(|(_, shards)| shards);
-        let skipped = known.is_none() && self.bootstrap;
-        let known = known.unwrap_or_default();
-        let added: Vec<Box<str>> = shards.difference(&known).cloned().collect();
-        if !skipped && !added.is_empty() {
-            tokio::spawn(warm::connect(self.core.clone(), added));
-        }
-        self.warm = Some((config.version, shards));
-    }
-
     /// Treats what a full list lacks as gone.
     fn forget_missing(&mut self, events: &[Event]) {
         let now = self.core.now();
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -25,4 +25,3 @@
 pub mod reply;
 pub mod single;
 pub mod state;
-pub mod warm;
