Share which backends are at their limit, keep no idle connections to them

Cause: hosts outnumber the connections that a backend accepts. Those that hold idle ones do not notice that others get none, above all when two of a shard's three backends are lost, or when connections of hosts that lost power still count. A shard needs about eight connections at a time for its load.

Change: a host reports a backend that reset a new connection to the host that it follows. All hosts then close idle connections to it, and for 1.5 s close each one after its reply; it is told again while it stays crowded.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -81,7 +81,7 @@
         let Some(backend) = state.fleet.get_mut(self.choice.key) else { return };
         let slots = backend.entry.slots;
         if backend.health.finish(self.choice.attempt, self.outcome, slots, now) {
-            self.core.report(&self.choice.id);
+            self.core.report_trouble(&self.choice.id);
         }
     }
 }
@@ -137,6 +137,7 @@
             core.metrics.broken(matches!(error, ExchangeError::Spoilt { .. }));
             if connection.is_new && error.is_reset() {
                 core.pools().crowded(core.now());
+                core.report_crowded(&choice.id);
             }
             return Err(match error {
                 error if plan.idempotent && error.is_silence() => Failure::Silent,
@@ -147,8 +148,10 @@
     };
     connection.is_new = false;
     take_in(core, choice.key, &reply);
-    if !reply.closing && connection.is_clean() {
-        connection.idle = core.now();
+    let now = core.now();
+    let keeps = !reply.closing && !core.state().fleet.is_crowded(choice.key, now);
+    if keeps && connection.is_clean() {
+        connection.idle = now;
         connection.keep = reply.keep.or(connection.keep);
         core.pools().put(choice.key, connection);
     }
@@ -212,6 +215,7 @@
         return Ok(connection);
     }
     core.pools().crowded(core.now());
+    core.report_crowded(&choice.id);
     Err(Failure::Crowded)
 }
 
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -9,6 +9,7 @@
 
 use chervil_base::HashSet;
 use chervil_base::clock::Clock;
+use chervil_base::message;
 use chervil_route::fleet::BackendKey;
 
 use crate::logs::Log;
@@ -18,6 +19,23 @@
 use crate::state::Choice;
 use crate::state::State;
 
+message! {
+    /// What a host has seen of backend servers, by id.
+    #[derive(Default)]
+    pub struct Reports {
+        /// Attempts at them failed or took long.
+        pub trouble: HashSet<Box<str>>,
+        /// They reset new connections.
+        pub crowded: HashSet<Box<str>>,
+    }
+}
+
+fn note(ids: &mut HashSet<Box<str>>, id: &str) {
+    if !ids.contains(id) {
+        ids.insert(id.into());
+    }
+}
+
 /// Shared parts of a host.
 pub struct Core {
     /// Header names.
@@ -29,7 +47,7 @@
     clock: Arc<dyn Clock>,
     state: Mutex<State>,
     pools: Mutex<Pools>,
-    reports: Mutex<HashSet<Box<str>>>,
+    reports: Mutex<Reports>,
 }
 
 impl Core {
@@ -47,16 +65,31 @@
     }
 
     /// Notes a backend server that was seen in trouble.
-    pub fn report(&self, id: &str) {
-        let mut reports = self.reports.lock().unwrap_or_else(PoisonError::into_inner);
-        if !reports.contains(id) {
-            reports.insert(id.into());
-        }
+    pub fn report_trouble(&self, id: &str) {
+        note(&mut self.reports().trouble, id);
     }
 
-    /// Takes the backend servers that were seen in trouble since the last call.
-    pub fn take_reports(&self) -> HashSet<Box<str>> {
-        std::mem::take(&mut self.reports.lock().unwrap_or_else(PoisonError::into_inner))
+    /// Notes a backend server that reset a new connection.
+    pub fn report_crowded(&self, id: &str) {
+        note(&mut self.reports().crowded, id);
+    }
+
+    /// Takes what was noted since the last call.
+    pub fn take_reports(&self) -> Reports {
+        std::mem::take(&mut *self.reports())
+    }
+
+    fn reports(&self) -> MutexGuard<'_, Reports> {
+        self.reports.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in that a backend server is crowded; true if that is news.
+    pub fn crowd(&self, id: &str) -> bool {
+        let key = self.state().crowd(id, self.now());
+        if let Some(key) = key {
+            self.pools().close_idle(key);
+        }
+        key.is_some()
     }
 
     /// Monotonic time.
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -374,6 +374,11 @@
                 self.core.state().avoid(&id, self.core.now());
                 self.tell(&Event::Trouble(id));
             }
+            Event::Crowded(id) => {
+                if self.core.crowd(&id) {
+                    self.tell(&Event::Crowded(id));
+                }
+            }
             Event::Unreadable { key, reason } => {
                 spdlog::warn!("registry value unreadable", kv: { key = &*key, reason = &*reason });
             }
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -10,7 +10,6 @@
 
 use bytes::Bytes;
 use chervil_base::HashMap;
-use chervil_base::HashSet;
 use chervil_base::message;
 use chervil_route::trouble::Trouble;
 use http_body_util::BodyExt as _;
@@ -31,6 +30,7 @@
 use crate::answer::Answer;
 use crate::client::Client;
 use crate::core::Core;
+use crate::core::Reports;
 use crate::journal::Cursor;
 use crate::journal::Journal;
 use crate::journal::News;
@@ -44,8 +44,8 @@
 /// Path of the call for news.
 const NEWS_PATH: &str = "/news";
 
-/// Path of the call that reports backend servers in trouble.
-const TROUBLE_PATH: &str = "/trouble";
+/// Path of the call that reports what a host has seen of backend servers.
+const REPORT_PATH: &str = "/reports";
 
 /// Time over which reports are collected.
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
@@ -121,16 +121,17 @@
     let mut peers = Peers::default();
     loop {
         time::sleep(REPORT_INTERVAL).await;
-        let ids = desk.core.take_reports();
-        if ids.is_empty() {
+        let reports = desk.core.take_reports();
+        if reports == Reports::default() {
             continue;
         }
         let followed = desk.core.state().sources.best(desk.core.now()).map(|(_, p)| p.address);
         let Some(address) = followed else {
-            desk.take_reports(&ids);
+            desk.take_reports(&reports);
             continue;
         };
-        let call = peers.client(address).call::<_, bool>(Method::POST, TROUBLE_PATH, Some(&ids));
+        let client = peers.client(address);
+        let call = client.call::<_, bool>(Method::POST, REPORT_PATH, Some(&reports));
         if !matches!(time::timeout(REPORT_TIMEOUT, call).await, Ok(Ok(_))) {
             desk.core.metrics.count("reports.lost");
         }
@@ -158,10 +159,16 @@
 }
 
 impl Desk {
-    fn take_reports(&self, ids: &HashSet<Box<str>>) {
+    fn take_reports(&self, reports: &Reports) {
         let now = self.core.now();
+        for id in &reports.crowded {
+            if self.core.crowd(id) {
+                spdlog::info!("backend crowded", kv: { id = &**id });
+                self.journal.push(&Event::Crowded(id.clone()));
+            }
+        }
         let mut trouble = self.trouble.lock().unwrap_or_else(PoisonError::into_inner);
-        for id in ids {
+        for id in &reports.trouble {
             if trouble.report(id, now) {
                 spdlog::info!("backend in trouble", kv: { id = &**id });
                 self.core.state().avoid(id, now);
@@ -172,16 +179,16 @@
 }
 
 async fn answer(desk: &Desk, request: Request<Incoming>) -> Answer {
-    let reports = request.uri().path() == TROUBLE_PATH;
+    let reports = request.uri().path() == REPORT_PATH;
     let (core, journal) = (&desk.core, &desk.journal);
     let Ok(body) = request.into_body().collect().await else {
         return answer::own(StatusCode::BAD_REQUEST, "the question cannot be read\n");
     };
     if reports {
-        let Ok(ids) = serde_json::from_slice::<HashSet<Box<str>>>(&body.to_bytes()) else {
+        let Ok(reports) = serde_json::from_slice::<Reports>(&body.to_bytes()) else {
             return answer::own(StatusCode::BAD_REQUEST, "the report is malformed\n");
         };
-        desk.take_reports(&ids);
+        desk.take_reports(&reports);
         return answer::own(StatusCode::OK, "true\n");
     }
     let Ok(question) = serde_json::from_slice::<Question>(&body.to_bytes()) else {
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -84,6 +84,13 @@
         }
     }
 
+    /// Closes the idle connections of a backend server that has too many.
+    pub fn close_idle(&mut self, key: BackendKey) {
+        if let Some(pool) = self.pools.get_mut(&key) {
+            pool.idle.clear();
+        }
+    }
+
     /// Closes the idle connections of a backend server that is gone.
     pub fn remove(&mut self, key: BackendKey) {
         self.pools.remove(&key);
--- a/crates/front/src/registry.rs
+++ b/crates/front/src/registry.rs
@@ -30,6 +30,8 @@
         HostGone(Box<str>),
         /// A backend server that hosts have seen in trouble.
         Trouble(Box<str>),
+        /// A backend server that has as many connections as it accepts.
+        Crowded(Box<str>),
         /// A value that cannot be used.
         Unreadable {
             /// Key of the value.
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -31,6 +31,10 @@
 /// Time for which a backend server in trouble is avoided.
 const AVOID_TIME: Duration = Duration::from_secs(4);
 
+/// Time for which no idle connection to a crowded backend server is kept; it is
+/// told again while it stays crowded.
+const CROWDED_TIME: Duration = Duration::from_millis(1_500);
+
 value! {
     /// Bounds that hold for all hosts together.
     #[derive(Copy)]
@@ -123,6 +127,12 @@
         self.fleet.avoid(id, now + AVOID_TIME.mul_f64(spread));
     }
 
+    /// Keeps no idle connection to a crowded backend server for a while. None if
+    /// it is not known, or was crowded before.
+    pub fn crowd(&mut self, id: &str, now: Instant) -> Option<BackendKey> {
+        self.fleet.crowd(id, now, now + CROWDED_TIME)
+    }
+
     /// Everything that the host believes of the registry, as events for another host.
     pub fn snapshot(&self, now: Instant) -> Vec<Arc<str>> {
         let mut events = Vec::new();
--- a/crates/front/tests/follow.rs
+++ b/crates/front/tests/follow.rs
@@ -205,6 +205,26 @@
     assert_eq!(registry_calls(&host), 1);
 }
 
+/// Guards against hosts that go on holding idle connections to a backend server
+/// which has no room for those of another host.
+#[tokio::test]
+async fn crowded_server_is_told_to_the_other_hosts() {
+    let source = Script::default();
+    source.lists.lock().unwrap().push(changes(5, vec![configured(3), server("a")]));
+    source.changes.lock().unwrap().push(changes(5, vec![]));
+    let (leader, address) = leader(source).await;
+    let registry = Script::default();
+    registry.lists.lock().unwrap().push(listed(address, vec![]));
+    registry.changes.lock().unwrap().push(changes(5, vec![]));
+    let host = follow(registry, &settings("own", ADDRESS, Vec::new()), journal(), core());
+    until(|| leader.lifecycle.is_ready() && host.lifecycle.is_ready()).await;
+
+    leader.core.report_crowded("a");
+
+    let crowded = |core: &Core| core.state().fleet.iter().any(|b| b.crowded.is_some());
+    until(|| crowded(&leader.core) && crowded(&host.core)).await;
+}
+
 /// Guards against a host that trusts another one which no longer reaches the
 /// registry.
 #[tokio::test]
--- a/crates/front/tests/gather.rs
+++ b/crates/front/tests/gather.rs
@@ -152,3 +152,24 @@
     assert_eq!(status(&answer), 200);
     assert_eq!(header(&answer, "x-missing").as_deref(), Some("0"));
 }
+
+/// Guards against an idle connection to a backend server that has no room for
+/// those of other hosts.
+#[tokio::test]
+async fn connection_to_a_crowded_server_is_closed_after_use() {
+    let backend = part(HIGH).await;
+    let routes = vec![route("/all/", gather(&["a"], 1.0), true)];
+    let host = host(routes, vec![entry("i-0", "a", backend.address)]).await;
+    host.ask("GET", "/all/1", "").await;
+    let kept = host.core.pools().idle();
+    let later = host.core.now() + Duration::from_secs(60);
+    let now = host.core.now();
+
+    let key = host.core.state().fleet.crowd("i-0", now, later).unwrap();
+    host.core.pools().close_idle(key);
+    let answer = host.ask("GET", "/all/1", "").await;
+
+    assert_eq!(kept, 1);
+    assert_eq!(status(&answer), 200);
+    assert_eq!(host.core.pools().idle(), 0);
+}
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -88,6 +88,8 @@
         pub replaced: bool,
         /// Time until which the hosts avoid it.
         pub avoided: Option<Instant>,
+        /// Time until which the hosts keep no idle connection to it.
+        pub crowded: Option<Instant>,
     }
 
     /// What matters for a choice.
@@ -167,8 +169,14 @@
         let mut warmup = Warmup::new(phase);
         warmup.set(entry.warmup, now);
         let (id, service) = (entry.id.clone(), entry.service.clone());
-        let backend =
-            Backend { entry, health: Health::new(now), warmup, replaced: false, avoided: None };
+        let backend = Backend {
+            entry,
+            health: Health::new(now),
+            warmup,
+            replaced: false,
+            avoided: None,
+            crowded: None,
+        };
         let key = self.arena.insert(backend);
         self.ids.insert(id, key);
         self.services.entry(service).or_default().push(key);
@@ -196,6 +204,20 @@
         }
     }
 
+    /// Keeps no idle connection to a backend server until a time. None if it is
+    /// not known, or was crowded before.
+    pub fn crowd(&mut self, id: &str, now: Instant, until: Instant) -> Option<BackendKey> {
+        let key = *self.ids.get(id)?;
+        let fresh = !self.is_crowded(key, now);
+        self.arena.get_mut(key)?.crowded = Some(until);
+        fresh.then_some(key)
+    }
+
+    /// Whether a backend server refuses connections for their number.
+    pub fn is_crowded(&self, key: BackendKey, now: Instant) -> bool {
+        self.arena.get(key).is_some_and(|b| b.crowded.is_some_and(|c| c > now))
+    }
+
     /// Takes in the availability zones that get no new requests.
     pub fn set_evacuated(&mut self, zones: HashSet<Box<str>>) {
         self.evacuated = zones;
