Pause before a lapsed entry is announced again

The move into presence.rs lost the pause of 2 s that the loop had after every error. A store that answers each announcement with 404 would have been called without a break.

--- a/crates/front/src/presence.rs
+++ b/crates/front/src/presence.rs
@@ -44,11 +44,10 @@
         };
         match result {
             Ok(()) => time::sleep(RENEWAL).await,
-            Err(RegistryError::Lapsed) => {
-                spdlog::warn!("entry of this host lapsed; announcing it again");
-                presence = None;
-            }
             Err(error) => {
+                if error == RegistryError::Lapsed {
+                    presence = None;
+                }
                 let error = error.to_string();
                 spdlog::warn!("entry of this host not kept", kv: { error = error.as_str() });
                 time::sleep(RETRY_PAUSE).await;
