--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -27,6 +27,8 @@
 use crate::registry::Changes;
 use crate::registry::Registry;
 use crate::registry::RegistryError;
+use crate::replica::Batch;
+use crate::replica::REGISTRY;
 use crate::replica::Replica;
 
 /// Time that the registry holds a poll open until there is a change.
@@ -250,7 +252,12 @@
 
     fn apply_changes(&mut self, changes: Changes, polled_at: Instant) {
         self.journal.advance(changes.revision);
-        self.replica.apply_events(changes.events, !self.has_state);
+        self.replica.apply_events(Batch {
+            source: REGISTRY.into(),
+            revision: changes.revision,
+            events: changes.events,
+            full: !self.has_state,
+        });
         self.cursor = Cursor { boot: 0, serial: 0, revision: changes.revision };
         self.applied = self.applied.max(changes.revision);
         self.mark_synced(polled_at);
@@ -288,13 +295,15 @@
         let result = self.request_events(upstream.address, wait, stale).await;
         let now = self.core.now();
         let (problem, pause) = match result {
-            Ok(reply) if self.is_fresh(&reply, stale) => match self.apply_reply(reply, now) {
-                Ok(()) => {
-                    self.followed = Some(upstream.host.clone());
-                    return if is_followed { UPSTREAM_POLL_PAUSE } else { Duration::ZERO };
+            Ok(reply) if self.is_fresh(&reply, stale) => {
+                match self.apply_reply(&upstream.host, reply, now) {
+                    Ok(()) => {
+                        self.followed = Some(upstream.host.clone());
+                        return if is_followed { UPSTREAM_POLL_PAUSE } else { Duration::ZERO };
+                    }
+                    Err(_) => ("unreadable", FAILED_UPSTREAM_PAUSE),
                 }
-                Err(_) => ("unreadable", FAILED_UPSTREAM_PAUSE),
-            },
+            }
             Ok(_) => ("old news", STALE_UPSTREAM_PAUSE),
             Err(RegistryError::Refused { .. }) => ("busy", BUSY_UPSTREAM_PAUSE),
             Err(_) => ("no answer", FAILED_UPSTREAM_PAUSE),
@@ -319,11 +328,12 @@
                     && (self.is_fresh(&reply, stale) || self.retry_at.is_some()) =>
             {
                 let age = reply.age_ms.map_or("unknown".into(), |a| a.to_string());
+                let seed = address.to_string();
                 spdlog::info!("registry state loaded from a seed host", kv: {
-                    seed = address.to_string().as_str(),
+                    seed = seed.as_str(),
                     age_ms = age.as_str(),
                 });
-                match self.apply_reply(reply, now) {
+                match self.apply_reply(&seed, reply, now) {
                     Ok(()) => Duration::ZERO,
                     Err(_) => SEED_PAUSE,
                 }
@@ -366,7 +376,12 @@
 
     /// Applies the events of another host. Nothing is applied if one cannot be
     /// decoded.
-    fn apply_reply(&mut self, reply: SyncReply, now: Instant) -> Result<(), PackedError> {
+    fn apply_reply(
+        &mut self,
+        source: &str,
+        reply: SyncReply,
+        now: Instant,
+    ) -> Result<(), PackedError> {
         let events = packed::unpack_list(reply.events).inspect_err(|error| {
             let error = error.to_string();
             spdlog::error!(
@@ -377,7 +392,9 @@
         self.journal.advance(reply.cursor.revision);
         self.cursor = reply.cursor;
         self.applied = self.applied.max(reply.cursor.revision);
-        let is_complete = self.replica.apply_events(events, reply.full);
+        let revision = reply.cursor.revision;
+        let batch = Batch { source: source.into(), revision, events, full: reply.full };
+        let is_complete = self.replica.apply_events(batch);
         self.has_state = true;
         if !is_complete {
             // The next poll requests the full state.
--- a/crates/front/src/replica.rs
+++ b/crates/front/src/replica.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use chervil_base::HashSet;
+use chervil_base::value;
 use chervil_route::config::Config;
 use chervil_route::config::ConfigDelta;
 use chervil_route::fleet::BackendEntry;
@@ -21,6 +22,23 @@
 /// register again within two seconds.
 const REMOVAL_HOLD: Duration = Duration::from_millis(2_300);
 
+/// Source of events that this host reads itself.
+pub const REGISTRY: &str = "registry";
+
+value! {
+    /// Events from one source.
+    pub struct Batch {
+        /// Host that sent them, or [`REGISTRY`].
+        pub source: Box<str>,
+        /// Registry revision up to which they reach.
+        pub revision: u64,
+        /// Events, oldest first.
+        pub events: Vec<Event>,
+        /// Whether they are the complete state.
+        pub full: bool,
+    }
+}
+
 /// Applies events to the state of a host.
 pub struct Replica {
     core: Arc<Core>,
@@ -33,6 +51,12 @@
     held_removals: HashSet<Box<str>>,
     /// Whether all events of the current list could be applied.
     is_complete: bool,
+    /// Whether a full state was applied before the current list.
+    has_state: bool,
+    /// Host that sent the current list, or [`REGISTRY`]; for the log.
+    source: Box<str>,
+    /// Registry revision of the current list; for the log.
+    revision: u64,
 }
 
 impl Replica {
@@ -51,6 +75,9 @@
             hold_until: None,
             held_removals: HashSet::default(),
             is_complete: true,
+            has_state: false,
+            source: REGISTRY.into(),
+            revision: 0,
         }
     }
 
@@ -58,6 +85,10 @@
     /// outage.
     pub fn hold_removals(&mut self) {
         self.hold_until = Some(self.core.now() + REMOVAL_HOLD);
+        spdlog::info!(
+            "holding back removals of backend servers after an outage of the registry",
+            kv: { ms = REMOVAL_HOLD.as_millis() as u64, held = self.held_removals.len() }
+        );
     }
 
     /// Ends the hold on removals when it is over, removes hosts whose entries lapsed long
@@ -65,7 +96,9 @@
     pub fn expire(&mut self, now: Instant) {
         if self.hold_until.is_some_and(|until| until <= now) {
             self.hold_until = None;
-            for id in std::mem::take(&mut self.held_removals) {
+            let held = std::mem::take(&mut self.held_removals);
+            spdlog::info!("applying held removals of backend servers", kv: { held = held.len() });
+            for id in held {
                 self.remove_server(id);
             }
         }
@@ -74,11 +107,21 @@
         state.update_division(self.min_hosts);
     }
 
-    /// Applies events; `full` means that they are the complete state. The host
-    /// starts to serve once it has a configuration and a backend server. Returns false
-    /// if an event builds on a state that this host does not have, so that it needs the
-    /// full one.
-    pub fn apply_events(&mut self, events: Vec<Event>, full: bool) -> bool {
+    /// Applies events of `source` up to a registry revision; `full` means that they are the
+    /// complete state. The host starts to serve once it has a configuration and a backend
+    /// server. Returns false if an event builds on a state that this host does not have, so
+    /// that it needs the full one.
+    pub fn apply_events(&mut self, batch: Batch) -> bool {
+        let Batch { source, revision, events, full } = batch;
+        if *source != *self.source {
+            spdlog::info!("registry data from another source", kv: {
+                source = &*source,
+                previous = &*self.source,
+                revision,
+                full,
+            });
+        }
+        (self.source, self.revision) = (source, revision);
         if full {
             self.remove_unlisted(&events);
         }
@@ -93,6 +136,7 @@
                 hosts = state.peers.count(),
             });
         }
+        self.has_state = true;
         let state = self.core.state();
         if state.config.is_some() && !state.fleet.is_empty() {
             self.lifecycle.start_serving();
@@ -198,15 +242,29 @@
         self.held_removals.remove(&entry.id);
         let now = self.core.now();
         let change = self.core.state().fleet.upsert(entry.clone(), now);
+        let (id, draining) = (&*entry.id, entry.draining);
         match change {
             Change::Unchanged => return,
-            Change::Replaced(old) => self.core.pools().remove(old),
-            Change::Added(_) | Change::Updated => {}
+            Change::Replaced(old) => {
+                self.core.pools().remove(old);
+                self.log_addition("backend replaced", id, draining);
+            }
+            Change::Added(_) => self.log_addition("backend added", id, draining),
+            Change::Updated => spdlog::debug!("backend entry changed", kv: { id, draining }),
         }
-        spdlog::debug!("backend entry changed", kv: { id = &*entry.id, draining = entry.draining });
         self.journal.push(&Event::Server(Box::new(entry)));
     }
 
+    /// Logs a backend server that was not in use before. The first full state is logged
+    /// as a whole.
+    fn log_addition(&self, payload: &'static str, id: &str, draining: bool) {
+        if !self.has_state {
+            return;
+        }
+        let source = &*self.source;
+        spdlog::info!("{payload}", kv: { id, draining, source, revision = self.revision });
+    }
+
     fn set_evacuated(&mut self, zone: Box<str>, evacuated: bool) {
         let mut state = self.core.state();
         let mut zones = state.fleet.evacuated_zones().clone();
