Name a revision to other hosts only once its state is complete

Callers' requests reached backend servers 3.2 to 3.4 s after the registry had confirmed that they were gone (DRAIN, bound 3.0 s).

Cause: a host that returns from an outage of the registry holds removals back for 2.3 s, because live servers register again within two seconds. It named the newest revision to the hosts that poll it all the same. Those had read the removals from another host meanwhile, took the returning host for up to date, and got the entries of removed servers again from its changes. Class: data that claim a version whose state they don't contain.

Ruled out: hosts that missed the removal (each logs it twice), and full states with held removals (none was loaded; the same fault would follow).

Cursors name the latter, so that hosts that are ahead use another source, as they do with a host that is behind for any other reason.

Test: returning_host_does_not_bring_back_a_removed_server failed 3 of 3 times before (the removed server is back) and passes 3 of 3 after. The fixture gave all journals the same boot id, which hid such faults: a cursor of one host passed for one of another.

--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -414,11 +414,14 @@
         state.synced_at = state.synced_at.max(Some(at));
     }
 
-    /// Lets the replica expire what is over, and stops recording events when no other
-    /// host polls this one any more.
+    /// Lets the replica expire what is over, settles the revision if nothing is held back,
+    /// and stops recording events when no other host polls this one any more.
     fn expire(&mut self) {
         let now = self.core.now();
         self.replica.expire(now);
+        if self.replica.is_settled() {
+            self.journal.settle(self.applied);
+        }
         if now >= self.journal_check_at {
             self.journal_check_at = now + JOURNAL_CHECK_INTERVAL;
             self.has_followers = self.journal.is_polled(now);
--- a/crates/front/src/journal.rs
+++ b/crates/front/src/journal.rs
@@ -46,7 +46,10 @@
 struct Inner {
     records: VecDeque<Record>,
     serial: u64,
+    /// Revision of the latest batch of events.
     revision: u64,
+    /// Highest revision whose state this host has in full.
+    settled: u64,
     /// Hosts that poll for events.
     followers: Followers,
     /// Whether events are recorded.
@@ -85,6 +88,7 @@
             records: VecDeque::new(),
             serial: 0,
             revision: 0,
+            settled: 0,
             followers: Followers::default(),
             recording: false,
             complete_from: u64::MAX,
@@ -147,12 +151,19 @@
         self.changes.send_modify(|c| *c += 1);
     }
 
-    /// Starts a batch of events that brings the host to `revision`.
+    /// Starts a batch of events up to `revision`.
     pub fn advance(&self, revision: u64) {
         let mut inner = self.inner();
         inner.revision = inner.revision.max(revision);
     }
 
+    /// Records that this host's state is that of the registry at `revision`. Until then,
+    /// cursors name an earlier revision, and hosts that are ahead of it use other sources.
+    pub fn settle(&self, revision: u64) {
+        let mut inner = self.inner();
+        inner.settled = inner.settled.max(revision);
+    }
+
     /// Records that this host was in sync with the registry at `at`, and wakes the
     /// subscribers.
     pub fn mark_synced(&self, at: Instant) {
@@ -185,7 +196,7 @@
             None
         };
         let age = inner.synced_at.map(|at| now.duration_since(at));
-        let cursor = Cursor { boot: self.boot, serial: inner.serial, revision: inner.revision };
+        let cursor = Cursor { boot: self.boot, serial: inner.serial, revision: inner.settled };
         Delta { events, cursor, age }
     }
 }
--- a/crates/front/src/replica.rs
+++ b/crates/front/src/replica.rs
@@ -91,6 +91,12 @@
         );
     }
 
+    /// Whether the state of this host is that of the registry at the revision of the latest
+    /// events: no removal is held back, and all events could be applied.
+    pub fn is_settled(&self) -> bool {
+        self.hold_until.is_none() && self.is_complete
+    }
+
     /// Ends the hold on removals when it is over, removes hosts whose entries lapsed long
     /// ago, and updates the division of limits among the hosts.
     pub fn expire(&mut self, now: Instant) {
--- a/crates/front/tests/follow.rs
+++ b/crates/front/tests/follow.rs
@@ -472,3 +472,46 @@
     assert_eq!(host.core.state().config.as_ref().unwrap().version, 4);
     assert!(host.core.state().fleet.evacuated_zones().contains("south"));
 }
+
+/// Guards against a host that returns from an outage of its own and passes the entry of a
+/// removed server on while it holds the removal back.
+#[tokio::test]
+async fn returning_host_does_not_bring_back_a_removed_server() {
+    let returning = ScriptedRegistry::default();
+    returning.lists.lock().unwrap().push(changes(5, vec![configuration(3), server("a")]));
+    returning.changes.lock().unwrap().extend([
+        unreachable(),
+        changes(9, vec![server("gone"), Event::ServerRemoved("gone".into())]),
+        changes(12, vec![server("later")]),
+    ]);
+    let steady = ScriptedRegistry::default();
+    let state = vec![configuration(3), server("a"), server("steady")];
+    steady.lists.lock().unwrap().push(changes(9, state));
+    steady.changes.lock().unwrap().push(changes(9, vec![]));
+    let (returning, first) = start_upstream(returning).await;
+    let (_steady, second) = start_upstream(steady).await;
+    let registry = ScriptedRegistry::default();
+    let hosts = vec![
+        configuration(3),
+        server("a"),
+        Event::Host("returning".into(), peer(first, 500)),
+        Event::Host("steady".into(), peer(second, 499)),
+        Event::Host("own".into(), peer(ADDRESS, 10)),
+    ];
+    registry.lists.lock().unwrap().push(changes(5, hosts));
+    registry.changes.lock().unwrap().push(unreachable());
+    let host = start(registry, &settings("own", ADDRESS, Vec::new()), journal(), core());
+    until(|| host.core.state().synced_at.is_some()).await;
+    let now = host.core.now();
+    host.core.state().peers.avoid("returning", now + Duration::from_secs(60));
+    until(|| registry_calls(&returning) > 4 && ids(&host.core).contains("steady")).await;
+
+    host.core.state().peers.avoid("returning", now);
+
+    let mut seen = HashSet::default();
+    while !seen.contains("later") {
+        seen.extend(ids(&host.core));
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    assert!(!seen.contains("gone"));
+}
--- a/crates/front/tests/support/mod.rs
+++ b/crates/front/tests/support/mod.rs
@@ -6,6 +6,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -382,8 +384,10 @@
     }
 }
 
+/// The journal of another process than all other journals.
 pub fn journal() -> Arc<Journal> {
-    Arc::new(Journal::new(1))
+    static BOOT: AtomicU64 = AtomicU64::new(1);
+    Arc::new(Journal::new(BOOT.fetch_add(1, Ordering::Relaxed)))
 }
 
 /// Polls a condition every 5 ms until it holds. Has no timeout.
