Refuse the state of a seed that is behind this host

A host that had lost its place in the registry's changes asked a seed for the full state while the registry failed, and took any, also one older than its own: a removed backend server was in use again.

Change: the revision is compared for seeds as for upstreams; a stale age is still accepted while the registry is failing.

--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -295,7 +295,7 @@
         let result = self.request_events(upstream.address, wait, stale).await;
         let now = self.core.now();
         let (problem, pause) = match result {
-            Ok(reply) if self.is_fresh(&reply, stale) => {
+            Ok(reply) if is_recent(&reply, stale) && self.is_not_behind(&reply) => {
                 match self.apply_reply(&upstream.host, reply, now) {
                     Ok(()) => {
                         self.followed = Some(upstream.host.clone());
@@ -316,8 +316,8 @@
         Duration::ZERO
     }
 
-    /// Requests the full state from a seed. While the registry is failing, a
-    /// stale state is accepted too, since it is better than none.
+    /// Requests the full state from a seed. While the registry is failing, a stale state is
+    /// accepted too, since it is better than none, but not one that is behind this host's.
     async fn poll_seed(&mut self, address: SocketAddr) -> Duration {
         let stale = self.stale_after(0);
         let result = self.request_events(address, Duration::ZERO, stale).await;
@@ -325,7 +325,8 @@
         match result {
             Ok(reply)
                 if !reply.events.is_empty()
-                    && (self.is_fresh(&reply, stale) || self.retry_at.is_some()) =>
+                    && self.is_not_behind(&reply)
+                    && (is_recent(&reply, stale) || self.retry_at.is_some()) =>
             {
                 let age = reply.age_ms.map_or("unknown".into(), |a| a.to_string());
                 let seed = address.to_string();
@@ -368,10 +369,9 @@
         reply
     }
 
-    /// Whether a reply is neither stale nor older than this host's state.
-    fn is_fresh(&self, reply: &SyncReply, stale: Duration) -> bool {
-        let recent = reply.age_ms.is_some_and(|a| Duration::from_millis(a) < stale);
-        recent && reply.cursor.revision >= self.applied
+    /// Whether a reply does not take this host back to an earlier revision.
+    fn is_not_behind(&self, reply: &SyncReply) -> bool {
+        reply.cursor.revision >= self.applied
     }
 
     /// Applies the events of another host. Nothing is applied if one cannot be
@@ -432,6 +432,10 @@
     }
 }
 
+fn is_recent(reply: &SyncReply, stale: Duration) -> bool {
+    reply.age_ms.is_some_and(|a| Duration::from_millis(a) < stale)
+}
+
 fn timed_out(timeout: Duration) -> RegistryError {
     let reason = format!("no reply within {} ms", timeout.as_millis());
     RegistryError::Unreachable { reason: reason.into() }
--- a/crates/front/tests/follow.rs
+++ b/crates/front/tests/follow.rs
@@ -515,3 +515,28 @@
     }
     assert!(!seen.contains("gone"));
 }
+
+/// Guards against a host that has lost its place in the changes and, while the registry is
+/// down, takes up the older state of a seed.
+#[tokio::test]
+async fn seed_that_is_behind_does_not_bring_back_a_removed_server() {
+    let seed_registry = ScriptedRegistry::default();
+    seed_registry.lists.lock().unwrap().push(changes(5, vec![configuration(3), server("gone")]));
+    seed_registry.changes.lock().unwrap().push(changes(5, vec![]));
+    let (seed, address) = start_upstream(seed_registry).await;
+    until(|| seed.lifecycle.is_ready()).await;
+    let registry = ScriptedRegistry::default();
+    let lists = [changes(9, vec![configuration(4), server("a")]), unreachable(), unreachable()];
+    registry.lists.lock().unwrap().extend(lists);
+    registry.lists.lock().unwrap().push(changes(12, vec![configuration(4), server("later")]));
+    registry.changes.lock().unwrap().push(Err(RegistryError::HistoryLost));
+    let host = start(registry, &settings("own", ADDRESS, vec![address]), journal(), core());
+
+    let mut seen = HashSet::default();
+    while !seen.contains("later") {
+        seen.extend(ids(&host.core));
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+
+    assert!(!seen.contains("gone"));
+}
