Hold removals back only after an outage in which entries can expire

One failed call to the registry made a host hold back removals of backend servers for 2.3 s. With the poll that follows, servers that had left got requests for over 3 s, also from the hosts that poll this one.

Change: removals are held only if the host's data were older than two heartbeats of a backend server (the settings state the interval) when the registry came back. An entry lives for three, and the last heartbeat may have come one before the outage.

Test: removals_are_not_held_back_after_one_failed_call failed with the condition taken out (the server is still in use) and passes with it; removals_are_held_back_after_an_outage passes unchanged, its fixture states a heartbeat of 10 ms.

--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -98,6 +98,11 @@
 /// Interval at which idle connections to backend servers are pruned.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Heartbeats of a backend server that must fail to reach the registry before its entry can
+/// expire. The last one may have come a heartbeat before the outage, and entries live for
+/// three of them.
+const EXPIRY_HEARTBEATS: u32 = 2;
+
 /// Where the next events come from.
 enum Source {
     Registry,
@@ -119,6 +124,7 @@
     seeds_first_until: Option<Instant>,
     seed_index: usize,
     propagation_limit: Duration,
+    heartbeat: Duration,
     replica: Replica,
     cursor: Cursor,
     /// Highest registry revision that this host has applied. Older data of other hosts
@@ -162,6 +168,7 @@
             seeds,
             seed_index: 0,
             propagation_limit: settings.propagation_limit,
+            heartbeat: settings.heartbeat,
             cursor: Cursor::default(),
             applied: 0,
             has_state: false,
@@ -231,7 +238,7 @@
         let result = time::timeout(timeout, call).await;
         match result.unwrap_or_else(|_| Err(timed_out(timeout))) {
             Ok(changes) => {
-                self.registry_recovered();
+                self.registry_recovered(polled_at);
                 self.apply_changes(changes, polled_at);
                 self.propagation_limit.mul_f64(POLL_FRACTION)
             }
@@ -276,10 +283,19 @@
         self.backoff = (self.backoff * 2).min(max_backoff);
     }
 
-    fn registry_recovered(&mut self) {
+    /// Removals are held back only after an outage in which entries can have expired: a
+    /// single failed call must not delay the news of a server that leaves. While any host on
+    /// the way of this one's data reaches the registry, there is no outage.
+    fn registry_recovered(&mut self, polled_at: Instant) {
         self.backoff = INITIAL_BACKOFF;
-        if self.retry_at.take().is_some() {
-            spdlog::info!("registry back", kv: { revision = self.cursor.revision });
+        if self.retry_at.take().is_none() {
+            return;
+        }
+        let synced_at = self.core.state().synced_at;
+        let outage = synced_at.map_or(Duration::MAX, |at| polled_at.duration_since(at));
+        let ms = u64::try_from(outage.as_millis()).unwrap_or(u64::MAX);
+        spdlog::info!("registry back", kv: { revision = self.cursor.revision, outage_ms = ms });
+        if outage >= self.heartbeat * EXPIRY_HEARTBEATS {
             self.replica.hold_removals();
         }
     }
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -59,6 +59,8 @@
         pub metrics: SocketAddr,
         /// Time within which a change in the registry must take effect.
         pub propagation_limit: Duration,
+        /// Interval at which backend servers renew their registry entries; zero if unknown.
+        pub heartbeat: Duration,
         /// Time from the stop signal to the exit of the process.
         pub grace: Duration,
         /// Limits for the whole deployment.
--- a/crates/front/tests/follow.rs
+++ b/crates/front/tests/follow.rs
@@ -72,6 +72,7 @@
         bootstrap: false,
         metrics: ADDRESS,
         propagation_limit: Duration::from_millis(500),
+        heartbeat: Duration::from_millis(10),
         grace: Duration::from_secs(1),
         bounds: BOUNDS,
     }
@@ -181,6 +182,23 @@
     assert_eq!(ids(&host.core), HashSet::from_iter(["b".into()]));
 }
 
+/// Guards against using a server that has left for seconds because one call to the registry
+/// failed shortly before: no entry can have expired in that time.
+#[tokio::test]
+async fn removals_are_not_held_back_after_one_failed_call() {
+    let registry = ScriptedRegistry::default();
+    registry.lists.lock().unwrap().push(changes(5, vec![configuration(3), server("a")]));
+    let removal = changes(9, vec![Event::ServerRemoved("a".into()), server("b")]);
+    registry.changes.lock().unwrap().extend([unreachable(), removal, changes(9, vec![])]);
+    let settings =
+        HostSettings { heartbeat: Duration::from_secs(60), ..settings("own", ADDRESS, Vec::new()) };
+
+    let host = start(registry, &settings, journal(), core());
+
+    until(|| ids(&host.core).contains("b")).await;
+    assert!(!ids(&host.core).contains("a"));
+}
+
 fn registry_calls(host: &ReplicaHost) -> u32 {
     *host.registry.calls.lock().unwrap()
 }
