--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -193,6 +193,14 @@
         state.choose(service, tried, expected, &self.pools(), now)
     }
 
+    /// Spends one extra request of the retry budget of a service. Returns false if the
+    /// budget is exhausted.
+    pub fn try_spend_retry(&self, service: &str) -> bool {
+        let spent = self.state().try_spend_retry(service, self.now());
+        self.metrics.count(if spent { "retries.granted" } else { "retries.denied" });
+        spent
+    }
+
     /// Locks the connection pools. The guard must not be held across an await.
     pub fn pools(&self) -> MutexGuard<'_, Pools> {
         self.pools.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/front/src/exposition.rs
+++ b/crates/front/src/exposition.rs
@@ -100,6 +100,8 @@
         "chervil.relay.lost" => "Queries whose outcome a relay did not return",
         "chervil.relay.served" => "Queries gathered for other hosts",
         "chervil.relay.silent" => "Offers that a relay did not answer",
+        "chervil.retries.denied" => "Retries and hedges that the budget of a service denied",
+        "chervil.retries.granted" => "Retries and hedges that the budget of a service granted",
         "chervil.reports.lost" => "Reports that the upstream did not take",
         "chervil.request" => "Time to answer a request",
         "chervil.requests.answered" => "Requests answered in full",
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -268,7 +268,7 @@
             return;
         }
         let allowed = shard.executed + shard.in_flight < self.route.max_attempts;
-        if allowed && self.core.state().try_spend_retry(&shard.service, self.core.now()) {
+        if allowed && self.core.try_spend_retry(&shard.service) {
             if self.send(index) {
                 self.extra += 1;
             } else {
--- a/crates/front/src/single.rs
+++ b/crates/front/src/single.rs
@@ -231,7 +231,7 @@
             return false;
         }
         let is_extra = self.sent > 0;
-        if is_extra && !self.core.state().try_spend_retry(self.service, self.core.now()) {
+        if is_extra && !self.core.try_spend_retry(self.service) {
             return false;
         }
         let sent = self.send();
