Let a new process earn its retries instead of starting with a share

Backend servers got more repeats than allowed (BUDGET): service dock-desk~6, 477 arrivals beyond the first in 10 s, allowed 471.

Cause: each host counts its extra requests for itself and forgets them when its process ends. A new process got three quarters of its share of the slack again, and a full window's worth of credit. When all processes are killed in a time of many retries, a window holds what both have spent. Class: limits over all hosts kept by counters that end with the process.

Evidence: the window reported begins 7 s before all processes are killed and ends 2 s after they are back.

Change: the budget is a token bucket. Requests earn tokens, half of the slack is a reserve that can be saved, the other half comes back evenly over the window. A new process has only what the 12% of the limit that running hosts leave free gives it. In any window the sum over all hosts and processes stays within the reserve, the refill and the ratio.

Tests: restarts_do_not_add_extra_requests failed before (632 extra, 504 allowed) and passes. exhausted_budget_is_available_again_after_a_window asserted that nothing comes back within half a window, which is how the old counter kept the slack; it now asserts the slack itself over the window, and as before that a window later as much is available.

--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -273,7 +273,7 @@
                 self.extra += 1;
             } else {
                 let service = &self.shards[index].service;
-                self.core.state().refund_retry(service, self.core.now());
+                self.core.state().refund_retry(service);
             }
         } else if shard.in_flight == 0 {
             shard.exhausted = true;
--- a/crates/front/src/single.rs
+++ b/crates/front/src/single.rs
@@ -236,7 +236,7 @@
         }
         let sent = self.send();
         if is_extra && !sent {
-            self.core.state().refund_retry(self.service, self.core.now());
+            self.core.state().refund_retry(self.service);
         }
         sent
     }
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -323,9 +323,9 @@
     }
 
     /// Gives back an extra request that was spent but not sent.
-    pub fn refund_retry(&mut self, service: &str, now: Instant) {
+    pub fn refund_retry(&mut self, service: &str) {
         if let Some(budget) = self.budgets.get_mut(service) {
-            budget.refund(now);
+            budget.refund();
         }
     }
 
--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -1,27 +1,29 @@
 //! Budget of extra requests (retries and hedges) to a service.
 //!
-//! In any time window, all hosts together may send a service extra requests up
-//! to a fixed ratio of its requests plus a fixed number. Each host spends a fixed
-//! share of that number, so that hosts need not coordinate.
+//! In any time window, all hosts together may send a service extra requests up to a fixed
+//! ratio of its requests plus a fixed number. Each host has a fixed share of that number,
+//! so that hosts need not coordinate.
+//!
+//! Load pattern: a part of the backend servers is slow or silent, so that hosts spend all
+//! they have, and hosts are killed and start again within the window. A new process does
+//! not know what the one before it has spent. It therefore starts with little and
+//! earns what it spends, which bounds the sum over processes as well as over hosts.
 
 use std::time::Duration;
 use std::time::Instant;
 
 use chervil_base::value;
 
-/// Fraction of the limit that is spent. The rest covers a host that restarts and
-/// gets a new share within the same window.
-const LIMIT_UTILIZATION: f64 = 0.92;
-
-/// Fraction of its share that a host may spend in the first window after its
-/// start.
-const FIRST_WINDOW_SHARE: f64 = 0.75;
+/// Fraction of the limit that running hosts spend. The rest is what processes start with, so
+/// that the first failed requests after a start can be sent again.
+const LIMIT_UTILIZATION: f64 = 0.88;
 
-/// Number of slots in a window.
-const WINDOW_SLOTS: usize = 10;
+/// Fraction of a host's share of the slack that it can save up for a burst. It gets the
+/// rest evenly over the window.
+const BURST_FRACTION: f64 = 0.5;
 
-/// Shortest slot.
-const MIN_SLOT: Duration = Duration::from_millis(1);
+/// Shortest window.
+const MIN_WINDOW: Duration = Duration::from_millis(10);
 
 value! {
     /// Limit on extra requests to one service, over all hosts.
@@ -35,103 +37,75 @@
         pub window: Duration,
     }
 
-    /// Extra requests that one host may send to one service.
+    /// Extra requests that one host may send to one service, as a token bucket.
+    ///
+    /// In any window, a host spends at most what it had saved, the rest of its slack, and
+    /// what the requests of that window have earned.
     pub struct RetryBudget {
-        /// Share of this host in the slack of the limit.
-        share: f64,
+        tokens: f64,
+        updated_at: Instant,
+        /// Tokens earned by a request.
         ratio: f64,
-        slot_length: Duration,
-        start: Instant,
-        /// Number of the current slot, counted from `start`.
-        slot: u64,
-        /// Ring buffer of the current slot and the slots younger than a window.
-        /// It has one slot more than a window, since the current slot is still
-        /// incomplete.
-        counts: [Counts; WINDOW_SLOTS + 1],
-    }
-
-    #[derive(Copy, Default)]
-    struct Counts {
-        requests: u32,
-        extra: u32,
+        /// Tokens earned in a second.
+        refill: f64,
+        /// Most tokens that can be saved.
+        capacity: f64,
     }
 }
 
 impl RetryBudget {
-    /// The budget of a host that may spend the fraction `share` of the slack.
+    /// The budget of a process that has just started, on a host that may spend the
+    /// fraction `share` of the slack.
     pub fn new(limit: RetryLimit, share: f64, now: Instant) -> RetryBudget {
-        RetryBudget {
-            share: host_slack(limit, share),
+        let mut budget = RetryBudget {
+            tokens: limit.slack * share * (1.0 - LIMIT_UTILIZATION),
+            updated_at: now,
             ratio: limit.ratio * LIMIT_UTILIZATION,
-            slot_length: (limit.window / WINDOW_SLOTS as u32).max(MIN_SLOT),
-            start: now,
-            slot: 0,
-            counts: [Counts::default(); WINDOW_SLOTS + 1],
-        }
+            refill: 0.0,
+            capacity: 0.0,
+        };
+        budget.resize(limit, share);
+        budget
     }
 
     /// Changes the fraction of the slack that this host may spend.
     pub fn resize(&mut self, limit: RetryLimit, share: f64) {
-        self.share = host_slack(limit, share);
+        let slack = limit.slack * share * LIMIT_UTILIZATION;
+        let window = limit.window.max(MIN_WINDOW).as_secs_f64();
+        self.refill = slack * (1.0 - BURST_FRACTION) / window;
+        // With less than one token, a host could never spend what it earns.
+        self.capacity = (slack * BURST_FRACTION).max(1.0);
+        self.tokens = self.tokens.min(self.capacity);
     }
 
-    /// Counts a first request to the service, which adds `ratio` extra requests to
-    /// the budget.
+    /// Counts a first request to the service, which earns `ratio` extra requests.
     pub fn record_request(&mut self, now: Instant) {
-        self.current(now).requests += 1;
+        self.advance(now);
+        self.earn(self.ratio);
     }
 
     /// Spends one extra request. Returns false if the budget is exhausted.
     pub fn try_spend(&mut self, now: Instant) -> bool {
         self.advance(now);
-        let share =
-            if self.slot < WINDOW_SLOTS as u64 { FIRST_WINDOW_SHARE } else { 1.0 } * self.share;
-        let requests: u32 = self.counts.iter().map(|c| c.requests).sum();
-        let extra: u32 = self.counts.iter().map(|c| c.extra).sum();
-        // The oldest slot may lie partly outside the window that ends now.
-        let oldest = self.counts[self.index(self.slot + 1)].requests;
-        let allowed = share + self.ratio * f64::from(requests - oldest);
-        let available = f64::from(extra) + 1.0 <= allowed;
+        let available = self.tokens >= 1.0;
         if available {
-            self.current(now).extra += 1;
+            self.tokens -= 1.0;
         }
         available
     }
 
     /// Gives back an extra request that was spent but not sent.
-    pub fn refund(&mut self, now: Instant) {
-        let counts = self.current(now);
-        counts.extra = counts.extra.saturating_sub(1);
+    pub fn refund(&mut self) {
+        self.earn(1.0);
     }
 
-    /// Counts of the current slot.
-    fn current(&mut self, now: Instant) -> &mut Counts {
-        self.advance(now);
-        let index = self.index(self.slot);
-        &mut self.counts[index]
-    }
-
-    /// Moves on to the slot of `now` and clears the slots that began since the
-    /// last call.
     fn advance(&mut self, now: Instant) {
-        let elapsed = now.saturating_duration_since(self.start).as_nanos();
-        let slot = u64::try_from(elapsed / self.slot_length.as_nanos()).unwrap_or(u64::MAX);
-        let begun = slot.saturating_sub(self.slot).min(self.counts.len() as u64);
-        for step in 0..begun {
-            let index = self.index(slot - step);
-            self.counts[index] = Counts::default();
-        }
-        self.slot = self.slot.max(slot);
+        let elapsed = now.saturating_duration_since(self.updated_at);
+        self.updated_at = self.updated_at.max(now);
+        self.earn(self.refill * elapsed.as_secs_f64());
     }
 
-    /// Position of a slot in the ring buffer.
-    fn index(&self, slot: u64) -> usize {
-        (slot % self.counts.len() as u64) as usize
+    fn earn(&mut self, tokens: f64) {
+        self.tokens = (self.tokens + tokens).min(self.capacity);
     }
 }
-
-/// Extra requests per window that a host with this share may send regardless of the
-/// ratio.
-fn host_slack(limit: RetryLimit, share: f64) -> f64 {
-    limit.slack * LIMIT_UTILIZATION * share
-}
--- a/crates/route/tests/limits.rs
+++ b/crates/route/tests/limits.rs
@@ -113,8 +113,8 @@
     assert!((spent as f64) < RETRY_LIMIT.slack / 12.0);
 }
 
-/// The slack applies to each window, so an exhausted budget must be available
-/// again one window later.
+/// The slack applies to each window: an exhausted budget must be available again one window
+/// later, and what comes back before must not add up to more than the slack.
 #[test]
 fn exhausted_budget_is_available_again_after_a_window() {
     let start = Instant::now();
@@ -122,12 +122,15 @@
     let spend = |budget: &mut RetryBudget, at| {
         std::iter::from_fn(|| budget.try_spend(at).then_some(())).count()
     };
-    let first = spend(&mut budget, start);
+    let saved = start + WINDOW * 10;
+    let first = spend(&mut budget, saved);
 
-    let early = spend(&mut budget, start + WINDOW / 2);
-    let later = spend(&mut budget, start + WINDOW * 2);
+    let early = spend(&mut budget, saved + WINDOW / 2);
+    let end = spend(&mut budget, saved + WINDOW);
+    let later = spend(&mut budget, saved + WINDOW * 2);
 
-    assert_eq!(early, 0);
+    let in_window = (first + early + end) as f64;
+    assert!(in_window <= RETRY_LIMIT.slack / 12.0, "{in_window} in a window");
     assert!(first > 0 && later >= first, "{first} first, {later} later");
 }
 
@@ -188,3 +191,51 @@
 
     assert!(!tracker.is_blocked(9, now));
 }
+
+/// Guards against hosts that forget, when they are restarted, which extra requests they
+/// have sent. Load pattern: one backend server of three has gone silent, so that about
+/// every third request wants extra ones, and the processes of some or all hosts are killed at
+/// any time, more than once.
+#[test]
+fn restarts_do_not_add_extra_requests() {
+    const HOSTS: usize = 12;
+    const STEP: Duration = Duration::from_millis(5);
+    for restarted in [1, 4, HOSTS] {
+        for first_restart in (100..3_000).step_by(300) {
+            let mut now = Instant::now();
+            let share = 1.0 / HOSTS as f64;
+            let mut budgets = vec![RetryBudget::new(RETRY_LIMIT, share, now); HOSTS];
+            let (mut requests, mut extra) = (Vec::new(), Vec::new());
+
+            for step in 0..6_000 {
+                now += STEP;
+                let silent = step >= 2_000;
+                if step >= 2_000 + first_restart && (step - first_restart) % 700 == 0 {
+                    budgets[..restarted].fill(RetryBudget::new(RETRY_LIMIT, share, now));
+                }
+                let budget = &mut budgets[step % HOSTS];
+                budget.record_request(now);
+                requests.push(now);
+                while silent && step % 7 < 3 && budget.try_spend(now) {
+                    extra.push(now);
+                }
+            }
+
+            let count = |times: &[Instant], from: Instant| {
+                let end = times.partition_point(|t| *t < from + WINDOW);
+                (end - times.partition_point(|t| *t < from)) as f64
+            };
+            for first in &extra {
+                let earlier = [Duration::ZERO, WINDOW / 2, WINDOW];
+                let asked = earlier.map(|e| count(&requests, *first - e));
+                let asked = asked.into_iter().fold(0.0, f64::max);
+                let allowed = RETRY_LIMIT.ratio * asked + RETRY_LIMIT.slack;
+                let sent = count(&extra, *first);
+                assert!(
+                    sent <= allowed,
+                    "{restarted} hosts restarted: {sent} extra, {allowed} allowed"
+                );
+            }
+        }
+    }
+}
