Let a backend server of the soak name a rate limit

Restarts, kills, pauses and changes of the configuration overlap there, with real processes. One backend server names 4 requests/s all the time; the soak checks the sum over all hosts over 4 s while the bounds on planned changes apply, from 8 s after the limit was first named.

--- a/crates/soak/src/backend.rs
+++ b/crates/soak/src/backend.rs
@@ -1,6 +1,7 @@
 //! Stand-in of a backend server that answers queries and quotes and injects
 //! faults of its own.
 
+use std::collections::VecDeque;
 use std::hash::BuildHasher as _;
 use std::io;
 use std::net::SocketAddr;
@@ -39,6 +40,13 @@
 /// still arrive.
 const IN_FLIGHT_ALLOWANCE: Duration = Duration::from_millis(400);
 
+/// Window over which the requests to a backend server that names a limit are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+
+/// Requests that the window may contain: a multiple of what the limit allows, and a number
+/// on top of that.
+const LIMIT_BOUND: (f64, f64) = (1.5, 5.0);
+
 /// Fault of a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BackendMode {
@@ -60,6 +68,18 @@
     /// Time at which the store recorded that it drains or was removed; `None`
     /// while it is registered as ready.
     withdrawn_at: Option<Instant>,
+    limit: Option<Limit>,
+}
+
+/// A rate limit that a backend server names.
+#[derive(Debug)]
+struct Limit {
+    /// Requests per second from all hosts.
+    rate: f64,
+    /// Time at which it was first named.
+    named_at: Instant,
+    /// Arrivals in the last window.
+    arrivals: VecDeque<Instant>,
 }
 
 /// Handle on a backend server; clones share its state.
@@ -107,6 +127,7 @@
                 mode: BackendMode::Healthy,
                 request_count: 0,
                 withdrawn_at: None,
+                limit: None,
             })),
             recorder,
         };
@@ -134,6 +155,13 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner).withdrawn_at = withdrawn_at;
     }
 
+    /// Sets the rate limit that the backend server names, in requests per second, or ends it.
+    pub fn set_limit(&self, rate: Option<f64>) {
+        let named_at = Instant::now();
+        let limit = rate.map(|rate| Limit { rate, named_at, arrivals: VecDeque::new() });
+        self.state.lock().unwrap_or_else(PoisonError::into_inner).limit = limit;
+    }
+
     async fn handle(self, request: Request<Incoming>) -> Reply {
         let header = |name: &str| {
             let value = request.headers().get(name).and_then(|v| v.to_str().ok());
@@ -159,6 +187,7 @@
             return Ok(refusal);
         }
         self.check_withdrawn(withdrawn_at, &id);
+        self.check_limit();
         self.recorder.record_run(&id, &self.id);
         let service_time =
             if mode == BackendMode::Slow { SERVICE_TIME * SLOW_FACTOR } else { SERVICE_TIME };
@@ -183,6 +212,25 @@
         }
     }
 
+    /// Records a violation if more requests arrive than a limit allows that has been named
+    /// for long enough.
+    fn check_limit(&self) {
+        let now = Instant::now();
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(limit) = &mut state.limit else { return };
+        limit.arrivals.push_back(now);
+        limit.arrivals.retain(|at| now.duration_since(*at) < LIMIT_WINDOW);
+        let allowed = LIMIT_BOUND.0 * limit.rate * LIMIT_WINDOW.as_secs_f64() + LIMIT_BOUND.1;
+        let is_settled = now.duration_since(limit.named_at) > LIMIT_WINDOW * 2;
+        let count = limit.arrivals.len();
+        if count as f64 > allowed && is_settled && self.recorder.bounds_apply(now) {
+            self.recorder.record_violation(format!(
+                "{} got {count} requests in {LIMIT_WINDOW:?}, its limit allows {allowed}",
+                self.id
+            ));
+        }
+    }
+
     fn success(&self, id: &str) -> Response<Full<Bytes>> {
         let body = if self.service.starts_with("quote") {
             Bytes::from(format!("quote for {id}"))
@@ -193,6 +241,11 @@
         if let Ok(stamp) = stamp(&self.service, id).try_into() {
             response.headers_mut().insert(platform::RESPONSE_STAMP, stamp);
         }
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let rate = state.limit.as_ref().map(|limit| limit.rate.to_string().try_into());
+        if let Some(Ok(rate)) = rate {
+            response.headers_mut().insert(platform::SERVER_LIMIT, rate);
+        }
         response
     }
 }
--- a/crates/soak/src/platform.rs
+++ b/crates/soak/src/platform.rs
@@ -22,6 +22,9 @@
 /// Header: states that the backend server did not run the request.
 pub const NOT_EXECUTED: &str = "not-executed";
 
+/// Header: requests per second that the backend server takes from all hosts together.
+pub const SERVER_LIMIT: &str = "server-limit";
+
 /// Header: comma-separated stamps of the parts that an answer was merged from.
 pub const PART_STAMPS: &str = "part-stamps";
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -39,6 +39,9 @@
 /// CPU share of the other hosts.
 const SMALL_CPU_SHARE: f64 = 0.4;
 
+/// Rate limit that one backend server names, in requests per second.
+const LIMITED_RATE: f64 = 4.0;
+
 /// Number of concurrent callers.
 const CALLERS: usize = 16;
 
@@ -214,10 +217,14 @@
         callers
     }
 
-    /// Injects faults that may overlap: planned changes only in the first half of
-    /// the time, any faults in the second one. Returns when all have ended.
+    /// Injects faults that may overlap: planned changes only in the first half of the time,
+    /// any faults in the second one. One backend server names a limit all the time. Returns
+    /// when all faults have ended.
     async fn inject_faults(self: &Arc<Harness>, options: &Options, rng: &mut SmallRng) {
         let (start, mut running) = (Instant::now(), JoinSet::new());
+        // Not drawn from `rng`, so that earlier seeds keep their sequence of faults.
+        let limited = options.seed as usize % self.operator.replicas.len();
+        self.operator.replicas[limited].backend.set_limit(Some(LIMITED_RATE));
         while start.elapsed() < options.fault_time {
             let (hosts, backends) = (self.hosts.len(), self.operator.replicas.len());
             let planned_only = start.elapsed() < options.fault_time / 2;
@@ -370,6 +377,7 @@
         for replica in &self.operator.replicas {
             replica.proxy.set_mode(LinkMode::Open);
             replica.backend.set_mode(BackendMode::Healthy);
+            replica.backend.set_limit(None);
             self.operator.restore(replica);
         }
         for index in 0..self.hosts.len() {
