--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -44,7 +44,7 @@
         pub limits: HashMap<Box<str>, f64>,
         /// Backend servers whose limits have ended.
         #[serde(default)]
-        pub unlimited: HashSet<Box<str>>,
+        pub ended_limits: HashSet<Box<str>>,
     }
 }
 
@@ -121,7 +121,7 @@
         if self.state().name_limit(id, rate, now) {
             spdlog::info!("backend names a limit", kv: { id, rate });
         }
-        if self.announced().is_due(id, rate, now) {
+        if self.announced().announce(id, rate, now) {
             self.reports().limits.insert(id.into(), rate);
         }
     }
@@ -138,7 +138,7 @@
         drop(state);
         spdlog::info!("backend names no limit any more", kv: { id = &*id });
         self.announced().forget(&id);
-        self.reports().unlimited.insert(id);
+        self.reports().ended_limits.insert(id);
     }
 
     fn announced(&self) -> MutexGuard<'_, Announcements> {
@@ -150,7 +150,7 @@
         let mut own = self.reports();
         reports.degraded.iter().for_each(|id| insert_id(&mut own.degraded, id));
         reports.at_limit.iter().for_each(|id| insert_id(&mut own.at_limit, id));
-        reports.unlimited.iter().for_each(|id| insert_id(&mut own.unlimited, id));
+        reports.ended_limits.iter().for_each(|id| insert_id(&mut own.ended_limits, id));
         own.limits.extend(reports.limits.iter().map(|(id, rate)| (id.clone(), *rate)));
     }
 
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -236,13 +236,13 @@
         let mut announced = self.announced.lock().unwrap_or_else(PoisonError::into_inner);
         // A limit that is both named and ended in one interval stays, until an answer shows
         // again that it has ended.
-        for id in &reports.unlimited {
+        for id in &reports.ended_limits {
             announced.forget(id);
             core.state().end_limit(id);
             self.journal.push(&Event::ServerLimitEnded(id.clone()));
         }
         for (id, rate) in &reports.limits {
-            if announced.is_due(id, *rate, now) {
+            if announced.announce(id, *rate, now) {
                 core.state().name_limit(id, *rate, now);
                 self.journal.push(&Event::ServerLimit { id: id.clone(), rate: *rate });
             }
--- a/crates/route/src/server_limit.rs
+++ b/crates/route/src/server_limit.rs
@@ -62,9 +62,9 @@
 }
 
 impl Announcements {
-    /// Whether to pass on that the backend server with this id has named a limit: it is
+    /// Whether to pass on now that the backend server with this id has named a limit: it is
     /// new, has changed or was last passed on a while ago.
-    pub fn is_due(&mut self, id: &str, rate: f64, now: Instant) -> bool {
+    pub fn announce(&mut self, id: &str, rate: f64, now: Instant) -> bool {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < REFRESH;
         if self.last.get(id).is_some_and(|(r, at)| *r == rate && is_recent(*at)) {
             return false;
--- a/crates/route/tests/server_limit.rs
+++ b/crates/route/tests/server_limit.rs
@@ -284,7 +284,7 @@
 fn limit_is_announced_when_it_is_new_changed_or_a_second_old() {
     let start = Instant::now();
     let mut announcements = Announcements::default();
-    let mut due = |rate, ms| announcements.is_due("a", rate, start + Duration::from_millis(ms));
+    let mut due = |rate, ms| announcements.announce("a", rate, start + Duration::from_millis(ms));
 
     let announced = [due(10.0, 0), due(10.0, 200), due(8.0, 300), due(8.0, 900), due(8.0, 1_300)];
 
