--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -397,7 +397,7 @@
     /// Whether a reply does not take this host back: neither to an earlier revision, nor to
     /// a state from which changes are missing that this host has.
     fn is_not_behind(&self, reply: &SyncReply) -> bool {
-        reply.cursor.revision >= self.applied && reply.settled >= self.settled
+        reply.cursor.revision >= self.applied && settled(reply) >= self.settled
     }
 
     /// Applies the events of another host. Nothing is applied if one cannot be
@@ -408,6 +408,7 @@
         reply: SyncReply,
         now: Instant,
     ) -> Result<(), PackedError> {
+        let settled = settled(&reply);
         let events = packed::unpack_list(reply.events).inspect_err(|error| {
             let error = error.to_string();
             spdlog::error!(
@@ -418,7 +419,7 @@
         self.journal.advance(reply.cursor.revision);
         self.cursor = reply.cursor;
         self.applied = self.applied.max(reply.cursor.revision);
-        self.source_settled = reply.settled;
+        self.source_settled = settled;
         let revision = reply.cursor.revision;
         let batch = Batch { source: source.into(), revision, events, full: reply.full };
         let is_complete = self.replica.apply_events(batch);
@@ -460,6 +461,11 @@
     }
 }
 
+/// Revision whose state the replying host has in full.
+fn settled(reply: &SyncReply) -> u64 {
+    reply.settled.unwrap_or(reply.cursor.revision)
+}
+
 fn is_recent(reply: &SyncReply, stale: Duration) -> bool {
     reply.age_ms.is_some_and(|a| Duration::from_millis(a) < stale)
 }
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -90,8 +90,10 @@
         /// Cursor of the requesting host after these events.
         pub cursor: Cursor,
         /// Highest registry revision whose state the replying host has in full. It is less
-        /// than the revision of the cursor while that host holds removals back.
-        pub settled: u64,
+        /// than the revision of the cursor while that host holds removals back; `None` if the
+        /// host runs a version that does not state it.
+        #[serde(default)]
+        pub settled: Option<u64>,
         /// Milliseconds since the replying host was last in sync with the
         /// registry; `None` if it never was.
         pub age_ms: Option<u64>,
