--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -397,7 +397,7 @@
     /// Whether a reply does not take this host back: neither to an earlier revision, nor to
     /// a state from which changes are missing that this host has.
     fn is_not_behind(&self, reply: &SyncReply) -> bool {
-        reply.cursor.revision >= self.applied && settled(reply) >= self.settled
+        reply.cursor.revision >= self.applied && settled_revision(reply) >= self.settled
     }
 
     /// Applies the events of another host. Nothing is applied if one cannot be
@@ -408,7 +408,7 @@
         reply: SyncReply,
         now: Instant,
     ) -> Result<(), PackedError> {
-        let settled = settled(&reply);
+        let settled = settled_revision(&reply);
         let events = packed::unpack_list(reply.events).inspect_err(|error| {
             let error = error.to_string();
             spdlog::error!(
@@ -461,8 +461,9 @@
     }
 }
 
-/// Revision whose state the replying host has in full.
-fn settled(reply: &SyncReply) -> u64 {
+/// Revision up to which the replying host has the state in full; a version that does not
+/// state it is taken at the revision of its cursor.
+fn settled_revision(reply: &SyncReply) -> u64 {
     reply.settled.unwrap_or(reply.cursor.revision)
 }
 
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -196,13 +196,10 @@
     /// Records that a backend server has named a rate limit. Returns whether there was none
     /// before; unknown ids are ignored.
     pub fn name_limit(&mut self, id: &str, rate: f64, now: Instant) -> bool {
-        let backend = self.fleet.key(id).and_then(|key| self.fleet.get(key));
-        let share = backend.map(|b| self.limit_share(&b.entry.service));
-        let backend = self.fleet.key(id).and_then(|key| self.fleet.get_mut(key));
-        match (backend, share) {
-            (Some(backend), Some(share)) => backend.limit.name(rate, share, now),
-            _ => false,
-        }
+        let Some(key) = self.fleet.key(id) else { return false };
+        let service = self.fleet.get(key).map(|b| &*b.entry.service);
+        let share = service.map_or(0.0, |service| self.limit_share(service));
+        self.fleet.get_mut(key).is_some_and(|b| b.limit.name(rate, share, now))
     }
 
     /// Ends the limit of a backend server; unknown ids are ignored.
--- a/crates/front/tests/follow.rs
+++ b/crates/front/tests/follow.rs
@@ -221,6 +221,31 @@
     changes(5, events)
 }
 
+/// The state of the registry with two hosts that read it, the first one ranking higher.
+fn list_with_readers(
+    revision: u64,
+    first: (&str, SocketAddr),
+    second: (&str, SocketAddr),
+) -> Result<Changes, RegistryError> {
+    let hosts = vec![
+        configuration(3),
+        server("a"),
+        Event::Host(first.0.into(), peer(first.1, 500)),
+        Event::Host(second.0.into(), peer(second.1, 499)),
+        Event::Host("own".into(), peer(ADDRESS, 10)),
+    ];
+    changes(revision, hosts)
+}
+
+/// A registry that lists server "a" at revision 5, fails, and returns with these changes.
+fn registry_after_an_outage(later: Vec<Result<Changes, RegistryError>>) -> ScriptedRegistry {
+    let registry = ScriptedRegistry::default();
+    registry.lists.lock().unwrap().push(changes(5, vec![configuration(3), server("a")]));
+    registry.changes.lock().unwrap().push(unreachable());
+    registry.changes.lock().unwrap().extend(later);
+    registry
+}
+
 /// Guards against every host polling the registry, and against events that do
 /// not reach the hosts that poll an upstream instead.
 #[tokio::test]
@@ -471,14 +496,8 @@
     let (_ahead, first) = start_upstream(ahead).await;
     let (_behind, second) = start_upstream(behind).await;
     let registry = ScriptedRegistry::default();
-    let hosts = vec![
-        configuration(3),
-        server("a"),
-        Event::Host("reader-1".into(), peer(first, 500)),
-        Event::Host("reader-2".into(), peer(second, 499)),
-        Event::Host("own".into(), peer(ADDRESS, 10)),
-    ];
-    registry.lists.lock().unwrap().push(changes(7, hosts));
+    let list = list_with_readers(7, ("reader-1", first), ("reader-2", second));
+    registry.lists.lock().unwrap().push(list);
     registry.changes.lock().unwrap().push(unreachable());
     let host = start(registry, &settings("own", ADDRESS, Vec::new()), journal(), core());
     until(|| host.core.state().config.as_ref().is_some_and(|c| c.version == 4)).await;
@@ -495,10 +514,7 @@
 /// removed server on while it holds the removal back.
 #[tokio::test]
 async fn returning_host_does_not_bring_back_a_removed_server() {
-    let returning = ScriptedRegistry::default();
-    returning.lists.lock().unwrap().push(changes(5, vec![configuration(3), server("a")]));
-    returning.changes.lock().unwrap().extend([
-        unreachable(),
+    let returning = registry_after_an_outage(vec![
         changes(9, vec![server("gone"), Event::ServerRemoved("gone".into())]),
         changes(12, vec![server("later")]),
     ]);
@@ -509,14 +525,8 @@
     let (returning, first) = start_upstream(returning).await;
     let (_steady, second) = start_upstream(steady).await;
     let registry = ScriptedRegistry::default();
-    let hosts = vec![
-        configuration(3),
-        server("a"),
-        Event::Host("returning".into(), peer(first, 500)),
-        Event::Host("steady".into(), peer(second, 499)),
-        Event::Host("own".into(), peer(ADDRESS, 10)),
-    ];
-    registry.lists.lock().unwrap().push(changes(5, hosts));
+    let list = list_with_readers(5, ("returning", first), ("steady", second));
+    registry.lists.lock().unwrap().push(list);
     registry.changes.lock().unwrap().push(unreachable());
     let host = start(registry, &settings("own", ADDRESS, Vec::new()), journal(), core());
     until(|| host.core.state().synced_at.is_some()).await;
@@ -586,10 +596,7 @@
 /// takes up the older full state of another.
 #[tokio::test]
 async fn state_of_a_host_that_holds_removals_is_not_replaced_by_an_older_one() {
-    let returning = ScriptedRegistry::default();
-    returning.lists.lock().unwrap().push(changes(5, vec![configuration(3), server("a")]));
-    returning.changes.lock().unwrap().extend([
-        unreachable(),
+    let returning = registry_after_an_outage(vec![
         changes(9, vec![server("new"), Event::ServerRemoved("a".into())]),
         changes(9, vec![]),
     ]);
@@ -600,14 +607,8 @@
     let (behind, second) = start_upstream(behind).await;
     until(|| behind.lifecycle.is_ready() && ids(&returning.core).contains("new")).await;
     let registry = ScriptedRegistry::default();
-    let hosts = vec![
-        configuration(3),
-        server("a"),
-        Event::Host("returning".into(), peer(first, 500)),
-        Event::Host("behind".into(), peer(second, 499)),
-        Event::Host("own".into(), peer(ADDRESS, 10)),
-    ];
-    registry.lists.lock().unwrap().push(changes(1, hosts));
+    let list = list_with_readers(1, ("returning", first), ("behind", second));
+    registry.lists.lock().unwrap().push(list);
     registry.changes.lock().unwrap().push(unreachable());
     let host = start(registry, &settings("own", ADDRESS, Vec::new()), journal(), core());
     until(|| ids(&host.core).contains("new")).await;
