Decide in route which queries and shards a limit ends

Two decisions on limits stood between I/O in front: when a query is refused and until when, and when a shard is given up. They are functions of route/server_limit.rs now, each with a test; no change of behaviour. A third test shows that a lower limit or share takes back what was saved under a higher one, which no test had covered; it passes on the code before.

--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -14,6 +14,7 @@
 use chervil_route::merge;
 use chervil_route::progress::Progress;
 use chervil_route::progress::Verdict;
+use chervil_route::server_limit;
 use futures::FutureExt as _;
 use futures::StreamExt as _;
 use futures::future::BoxFuture;
@@ -232,9 +233,8 @@
         let choice = self.core.choose(&shard.service, &shard.tried, self.typical_latency);
         let Some(choice) = choice else {
             shard.tried.clear();
-            let is_limited = self.core.state().limit_wait(&shard.service, now).is_some();
-            if is_limited && shard.in_flight == 0 {
-                // Waiting would only take the place of a later query.
+            let limit_wait = self.core.state().limit_wait(&shard.service, now);
+            if server_limit::gives_up_shard(limit_wait, shard.in_flight) {
                 shard.next_send = None;
                 shard.exhausted = true;
                 return false;
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -33,6 +33,7 @@
 use chervil_route::relay::Role;
 use chervil_route::retry_after;
 use chervil_route::round_robin::WeightedRoundRobin;
+use chervil_route::server_limit;
 use chervil_route::warmup::WarmupLimit;
 use rand::RngExt as _;
 use rand::rngs::SmallRng;
@@ -318,12 +319,9 @@
         let Some(set) = gather.shards.first() else { return Ok(()) };
         let rank = self.routes.get(&route.name).map_or(0, |r| r.rank);
         let shards = gather.shards.iter();
-        let mut waits: Vec<Duration> = shards.filter_map(|s| self.limit_wait(s, now)).collect();
-        if waits.len() > spare {
-            // The query can be served when all but `spare` of the limits allow it.
-            waits.sort_unstable();
-            let retry_after =
-                retry_after::after_overload(waits[waits.len() - 1 - spare], rank, &mut self.rng);
+        let waits = shards.filter_map(|s| self.limit_wait(s, now)).collect();
+        if let Some(wait) = server_limit::wait_for_shards(waits, spare) {
+            let retry_after = retry_after::after_overload(wait, rank, &mut self.rng);
             return Err(Refusal { reason: "server_limit", retry_after });
         }
         if !self.admissions.contains_key(set) {
--- a/crates/route/src/server_limit.rs
+++ b/crates/route/src/server_limit.rs
@@ -61,6 +61,19 @@
     }
 }
 
+/// Time until a query that can do without `spare` of its shards can be served, if the limits
+/// allow it no request to too many shards now; `waits` are those of the limited shards.
+pub fn wait_for_shards(mut waits: Vec<Duration>, spare: usize) -> Option<Duration> {
+    waits.sort_unstable();
+    waits.len().checked_sub(spare + 1).map(|last| waits[last])
+}
+
+/// Whether a shard is given up at once because limits allow it no request now: waiting would
+/// only take the place of a later query. A request in flight may still be answered.
+pub fn gives_up_shard(limit_wait: Option<Duration>, in_flight: u32) -> bool {
+    limit_wait.is_some() && in_flight == 0
+}
+
 impl Announcements {
     /// Whether to pass on now that the backend server with this id has named a limit: it is
     /// new, has changed or was last passed on a while ago.
--- a/crates/route/tests/server_limit.rs
+++ b/crates/route/tests/server_limit.rs
@@ -12,6 +12,8 @@
 use chervil_route::relay::Role;
 use chervil_route::server_limit::Announcements;
 use chervil_route::server_limit::ServerLimit;
+use chervil_route::server_limit::gives_up_shard;
+use chervil_route::server_limit::wait_for_shards;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
@@ -290,3 +292,51 @@
 
     assert_eq!(announced, [true, false, true, false, true]);
 }
+
+/// Guards against a query that is sent although too many of its shards get no request, and
+/// against a time to come back that is too early for it.
+#[test]
+fn query_waits_for_the_shards_that_it_cannot_do_without() {
+    let waits = [300, 20, 100].map(Duration::from_millis).to_vec();
+
+    let by_spare: Vec<Option<u128>> = (0..4)
+        .map(|spare| wait_for_shards(waits.clone(), spare).map(|wait| wait.as_millis()))
+        .collect();
+
+    assert_eq!(by_spare, [Some(300), Some(100), Some(20), None]);
+}
+
+/// Guards against a shard that is given up while a request for it is in flight, and against
+/// one that is searched for although no server can take a request.
+#[test]
+fn limited_shard_is_given_up_unless_a_request_is_in_flight() {
+    let wait = Some(Duration::from_millis(40));
+
+    let given_up = [(wait, 0), (wait, 1), (None, 0)].map(|(wait, n)| gives_up_shard(wait, n));
+
+    assert_eq!(given_up, [true, false, false]);
+}
+
+/// Guards against requests saved under a higher limit, or under a larger share before a
+/// change of the configuration or of the hosts, that are sent under the lower one.
+#[test]
+fn lower_limit_or_share_takes_back_what_was_saved() {
+    let start = Instant::now();
+    let saved_at = start + Duration::from_secs(5);
+    let (mut lowered, mut divided) = (ServerLimit::none(0.5, start), ServerLimit::none(0.5, start));
+    lowered.name(400.0, 0.1, start);
+    divided.name(400.0, 0.1, start);
+
+    lowered.name(10.0, 0.1, saved_at);
+
+    let count = |limit: &mut ServerLimit, share: f64| {
+        let mut sent = 0;
+        while limit.may_send(share, saved_at) && sent < 1_000 {
+            limit.record_sent(share, saved_at);
+            sent += 1;
+        }
+        sent
+    };
+    assert!(count(&mut lowered, 0.1) <= 1);
+    assert!(count(&mut divided, 0.0025) <= 1);
+}
