--- a/crates/front/tests/support/mod.rs
+++ b/crates/front/tests/support/mod.rs
@@ -22,6 +22,7 @@
 use chervil_front::metrics::Metrics;
 use chervil_front::names::HeaderNames;
 use chervil_front::registry::Changes;
+use chervil_front::registry::Event;
 use chervil_front::registry::Registration;
 use chervil_front::registry::Registry;
 use chervil_front::registry::RegistryError;
@@ -405,3 +406,20 @@
 pub fn limited_reply(limit: &str, body: &str) -> String {
     reply(200, body).replace("x-stamp", &format!("x-limit: {limit}\r\nx-stamp"))
 }
+
+/// Address of servers and hosts that are never called.
+pub const ADDRESS: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 9);
+
+pub fn peer(address: SocketAddr, cpu_millicores: u32) -> Peer {
+    Peer { address, cpu_millicores, zone: "north".into(), lease: 0 }
+}
+
+pub fn server(id: &str) -> Event {
+    Event::Server(Box::new(entry(id, "quote", ADDRESS)))
+}
+
+pub fn configuration(version: u64) -> Event {
+    let routes = vec![route("/q/", Target::One("quote".into()), false)];
+    Event::Config(Box::new(config(version, routes)))
+}
