Log the era of the registry's history

The store states in each answer how often it was restored from an older copy. Nothing read it, so logs could not tell a registry that is back from one that is back with another history. No decision uses it yet.

--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -8,8 +8,10 @@
 
 use bytes::Bytes;
 use chervil_base::HashMap;
+use chervil_base::value;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
+use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
@@ -35,6 +37,16 @@
     idle: Mutex<Vec<SendRequest<Full<Bytes>>>>,
 }
 
+value! {
+    /// A reply with status 200.
+    pub struct Reply<Body> {
+        /// Headers.
+        pub headers: HeaderMap,
+        /// Decoded body.
+        pub body: Body,
+    }
+}
+
 /// Number of servers to which connections are kept. Hosts that are replaced have new
 /// addresses.
 const MAX_CLIENTS: usize = 256;
@@ -63,17 +75,31 @@
         Client { address, idle: Mutex::new(Vec::new()) }
     }
 
+    /// Like [`Client::exchange`], without the headers of the reply.
+    pub async fn call<Payload, Body>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<&Payload>,
+    ) -> Result<Body, RegistryError>
+    where
+        Payload: Serialize,
+        Body: DeserializeOwned,
+    {
+        self.exchange(method, path, body).await.map(|reply| reply.body)
+    }
+
     /// Sends a request and decodes the body of a reply with status 200. An empty
     /// body counts as JSON `null`.
     ///
     /// Status 410 is reported as [`RegistryError::HistoryLost`]. A connection whose call fails or is
     /// cancelled is not reused.
-    pub async fn call<Payload, Body>(
+    pub async fn exchange<Payload, Body>(
         &self,
         method: Method,
         path: &str,
         body: Option<&Payload>,
-    ) -> Result<Body, RegistryError>
+    ) -> Result<Reply<Body>, RegistryError>
     where
         Payload: Serialize,
         Body: DeserializeOwned,
@@ -89,13 +115,13 @@
             .map_err(|e| unreachable(&e))?;
         let mut sender = self.connection().await?;
         let reply = sender.send_request(request).await.map_err(|e| unreachable(&e))?;
-        let status = reply.status();
-        let body = reply.into_body().collect().await.map_err(|e| unreachable(&e))?.to_bytes();
+        let (head, body) = reply.into_parts();
+        let body = body.collect().await.map_err(|e| unreachable(&e))?.to_bytes();
         self.put_idle(sender);
-        match status {
-            StatusCode::OK => decode(&body),
+        match head.status {
+            StatusCode::OK => decode(&body).map(|body| Reply { headers: head.headers, body }),
             StatusCode::GONE => Err(RegistryError::HistoryLost),
-            _ => Err(RegistryError::Refused { status: status.as_u16() }),
+            status => Err(RegistryError::Refused { status: status.as_u16() }),
         }
     }
 
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -135,6 +135,8 @@
     /// Highest registry revision whose state this host has in full. Data of hosts that have
     /// less are not applied.
     settled: u64,
+    /// Era of the history that the registry stated last; for the log.
+    era: Option<u64>,
     /// Whether polling for changes suffices; otherwise the full state is needed.
     has_state: bool,
     /// Time of the next call to the registry while it is failing.
@@ -178,6 +180,7 @@
             applied: 0,
             source_settled: 0,
             settled: 0,
+            era: None,
             has_state: false,
             retry_at: None,
             backoff: INITIAL_BACKOFF,
@@ -265,6 +268,12 @@
     }
 
     fn apply_changes(&mut self, changes: Changes, polled_at: Instant) {
+        if self.era != Some(changes.era) {
+            let (era, revision) = (changes.era, changes.revision);
+            spdlog::info!("registry history", kv: { era, revision, previous = self.cursor.revision });
+            self.core.metrics.count("registry.eras");
+            self.era = Some(era);
+        }
         self.journal.advance(changes.revision);
         self.replica.apply_events(Batch {
             source: REGISTRY.into(),
--- a/crates/front/src/registry.rs
+++ b/crates/front/src/registry.rs
@@ -67,6 +67,9 @@
         pub events: Vec<Event>,
         /// Revision from which the next call of [`Registry::changes`] continues.
         pub revision: u64,
+        /// Number of times that the registry was restored from an older copy, after which it
+        /// gives out revisions again; 0 if it does not state it.
+        pub era: u64,
     }
 
     /// The entry of this host in the registry. It is removed when its lease
--- a/crates/front/src/replica.rs
+++ b/crates/front/src/replica.rs
@@ -138,6 +138,7 @@
         if full {
             let state = self.core.state();
             spdlog::info!("full registry state applied", kv: {
+                revision = self.revision,
                 backends = state.fleet.len(),
                 hosts = state.peers.count(),
             });
--- a/crates/front/tests/follow.rs
+++ b/crates/front/tests/follow.rs
@@ -32,7 +32,7 @@
 use crate::support::until;
 
 fn changes(revision: u64, events: Vec<Event>) -> Result<Changes, RegistryError> {
-    Ok(Changes { events, revision })
+    Ok(Changes { events, revision, era: 0 })
 }
 
 fn unreachable() -> Result<Changes, RegistryError> {
