Compare positions in the registry's history by era and revision

Cause: a registry that is restored from an older copy gives out revisions a second time. Hosts compared bare revisions, of two histories. Class: an order taken for global that holds within one incarnation of its source only.

Ruled out: that an answer 410 tells hosts of the restore.

Change: a position is an era and a revision, in that order. The registry's era comes with lists and changes; another era than that of the host's state needs the full state, an earlier one is not applied. Journals serve changes by position only within an era. Hosts of the version before state no era; they are not followed while the registry states one.

--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use chervil_route::history::Position;
 use chervil_route::pause;
 use chervil_route::peers::Upstream;
 use tokio::time;
@@ -127,16 +128,14 @@
     heartbeat: Duration,
     replica: Replica,
     cursor: Cursor,
-    /// Highest registry revision that this host has applied. Older data of other hosts
-    /// are not applied, not even as a full state.
-    applied: u64,
-    /// Highest registry revision whose state the source of the latest data has in full.
-    source_settled: u64,
-    /// Highest registry revision whose state this host has in full. Data of hosts that have
-    /// less are not applied.
-    settled: u64,
-    /// Era of the history that the registry stated last; for the log.
-    era: Option<u64>,
+    /// Latest position in the registry's history that this host has applied. Older data are
+    /// not applied, not even as a full state.
+    applied: Position,
+    /// Latest position whose state the source of the latest data has in full.
+    source_settled: Position,
+    /// Latest position whose state this host has in full. Data of hosts that have less are
+    /// not applied.
+    settled: Position,
     /// Whether polling for changes suffices; otherwise the full state is needed.
     has_state: bool,
     /// Time of the next call to the registry while it is failing.
@@ -177,10 +176,9 @@
             propagation_limit: settings.propagation_limit,
             heartbeat: settings.heartbeat,
             cursor: Cursor::default(),
-            applied: 0,
-            source_settled: 0,
-            settled: 0,
-            era: None,
+            applied: Position::default(),
+            source_settled: Position::default(),
+            settled: Position::default(),
             has_state: false,
             retry_at: None,
             backoff: INITIAL_BACKOFF,
@@ -236,10 +234,10 @@
 
     async fn poll_registry(&mut self) -> Duration {
         let polled_at = self.core.now();
-        let revision = self.cursor.revision;
+        let position = self.cursor.position;
         let call = async {
             if self.has_state {
-                self.registry.changes(revision, REGISTRY_WAIT).await
+                self.registry.changes(position.revision, REGISTRY_WAIT).await
             } else {
                 self.registry.list().await
             }
@@ -247,6 +245,19 @@
         let timeout = REGISTRY_WAIT + REGISTRY_TIMEOUT;
         let result = time::timeout(timeout, call).await;
         match result.unwrap_or_else(|_| Err(timed_out(timeout))) {
+            Ok(changes) if changes.position.era < self.applied.era => {
+                let reason = "it states an era before that of this host's state";
+                self.registry_failed(&RegistryError::Unreadable { reason: reason.into() });
+                Duration::ZERO
+            }
+            Ok(changes) if self.has_state && changes.position.era != position.era => {
+                spdlog::warn!(
+                    "registry was restored from an older copy; listing it again",
+                    kv: { era = changes.position.era, previous = position.era }
+                );
+                self.has_state = false;
+                Duration::ZERO
+            }
             Ok(changes) => {
                 self.registry_recovered(polled_at);
                 self.apply_changes(changes, polled_at);
@@ -255,7 +266,7 @@
             Err(RegistryError::HistoryLost) => {
                 spdlog::warn!(
                     "registry no longer keeps changes since this revision; listing it again",
-                    kv: { revision }
+                    kv: { revision = position.revision, era = position.era }
                 );
                 self.has_state = false;
                 Duration::ZERO
@@ -268,26 +279,32 @@
     }
 
     fn apply_changes(&mut self, changes: Changes, polled_at: Instant) {
-        if self.era != Some(changes.era) {
-            let (era, revision) = (changes.era, changes.revision);
-            spdlog::info!("registry history", kv: { era, revision, previous = self.cursor.revision });
-            self.core.metrics.count("registry.eras");
-            self.era = Some(era);
-        }
-        self.journal.advance(changes.revision);
+        let Changes { events, position } = changes;
+        self.advance(REGISTRY, position);
         self.replica.apply_events(Batch {
             source: REGISTRY.into(),
-            revision: changes.revision,
-            events: changes.events,
+            position,
+            events,
             full: !self.has_state,
         });
-        self.cursor = Cursor { boot: 0, serial: 0, revision: changes.revision };
-        self.applied = self.applied.max(changes.revision);
-        self.source_settled = changes.revision;
+        self.cursor = Cursor { boot: 0, serial: 0, position };
+        self.source_settled = position;
         self.mark_synced(polled_at);
         self.has_state = true;
     }
 
+    /// Starts to apply data of a source that reach up to `position`.
+    fn advance(&mut self, source: &str, position: Position) {
+        let Position { era, revision } = position;
+        if era > self.applied.era {
+            let previous = self.applied.revision;
+            spdlog::info!("registry history", kv: { era, revision, previous, source });
+            self.core.metrics.count("registry.eras");
+        }
+        self.journal.advance(position);
+        self.applied = self.applied.max(position);
+    }
+
     fn registry_failed(&mut self, error: &RegistryError) {
         self.core.metrics.count("registry.failed");
         let now = self.core.now();
@@ -312,7 +329,7 @@
         // A host that never had a state has nothing to remove.
         let outage = synced_at.map_or(Duration::ZERO, |at| polled_at.duration_since(at));
         let ms = outage.as_millis() as u64;
-        spdlog::info!("registry back", kv: { revision = self.cursor.revision, outage_ms = ms });
+        spdlog::info!("registry back", kv: { revision = self.cursor.position.revision, outage_ms = ms });
         if synced_at.is_some() && outage >= self.heartbeat * EXPIRY_HEARTBEATS {
             self.replica.hold_removals();
         }
@@ -403,10 +420,10 @@
         reply
     }
 
-    /// Whether a reply does not take this host back: neither to an earlier revision, nor to
+    /// Whether a reply does not take this host back: neither to an earlier position, nor to
     /// a state from which changes are missing that this host has.
     fn is_not_behind(&self, reply: &SyncReply) -> bool {
-        reply.cursor.revision >= self.applied && settled_revision(reply) >= self.settled
+        reply.cursor.position >= self.applied && reply.settled_position() >= self.settled
     }
 
     /// Applies the events of another host. Nothing is applied if one cannot be
@@ -417,7 +434,7 @@
         reply: SyncReply,
         now: Instant,
     ) -> Result<(), PackedError> {
-        let settled = settled_revision(&reply);
+        let settled = reply.settled_position();
         let events = packed::unpack_list(reply.events).inspect_err(|error| {
             let error = error.to_string();
             spdlog::error!(
@@ -425,12 +442,11 @@
                 kv: { error = error.as_str() }
             );
         })?;
-        self.journal.advance(reply.cursor.revision);
+        let position = reply.cursor.position;
+        self.advance(source, position);
         self.cursor = reply.cursor;
-        self.applied = self.applied.max(reply.cursor.revision);
         self.source_settled = settled;
-        let revision = reply.cursor.revision;
-        let batch = Batch { source: source.into(), revision, events, full: reply.full };
+        let batch = Batch { source: source.into(), position, events, full: reply.full };
         let is_complete = self.replica.apply_events(batch);
         self.has_state = true;
         if !is_complete {
@@ -451,7 +467,7 @@
         state.synced_at = state.synced_at.max(Some(at));
     }
 
-    /// Lets the replica expire what is over, settles the revision if nothing is held back,
+    /// Lets the replica expire what is over, settles the position if nothing is held back,
     /// and stops recording events when no other host polls this one any more.
     fn expire(&mut self) {
         let now = self.core.now();
@@ -470,12 +486,6 @@
     }
 }
 
-/// Revision up to which the replying host has the state in full; a version that does not
-/// state it is taken at the revision of its cursor.
-fn settled_revision(reply: &SyncReply) -> u64 {
-    reply.settled.unwrap_or(reply.cursor.revision)
-}
-
 fn is_recent(reply: &SyncReply, stale: Duration) -> bool {
     reply.age_ms.is_some_and(|a| Duration::from_millis(a) < stale)
 }
--- a/crates/front/src/journal.rs
+++ b/crates/front/src/journal.rs
@@ -11,6 +11,7 @@
 use std::time::Instant;
 
 use chervil_base::message;
+use chervil_route::history::Position;
 use chervil_route::peers::Followers;
 use tokio::sync::watch;
 
@@ -28,8 +29,10 @@
         pub boot: u64,
         /// Sequence number of the last event applied from that process.
         pub serial: u64,
-        /// Registry revision up to which events are applied, from any source.
-        pub revision: u64,
+        /// Position in the registry's history up to which events are applied, from any
+        /// source.
+        #[serde(flatten)]
+        pub position: Position,
     }
 }
 
@@ -46,25 +49,25 @@
 struct Inner {
     records: VecDeque<Record>,
     serial: u64,
-    /// Revision of the latest batch of events.
-    revision: u64,
-    /// Highest revision whose state this host has in full.
-    settled: u64,
+    /// Position of the latest batch of events.
+    position: Position,
+    /// Latest position whose state this host has in full.
+    settled: Position,
     /// Hosts that poll for events.
     followers: Followers,
     /// Whether events are recorded.
     recording: bool,
-    /// Lowest revision from which the records are complete; `u64::MAX` while
-    /// nothing is recorded.
-    complete_from: u64,
-    /// Latest time at which `revision` was known to be the newest one.
+    /// Earliest position from which the records are complete for a host that has followed
+    /// another source; `None` while nothing is recorded.
+    complete_from: Option<Position>,
+    /// Latest time at which `position` was known to be the newest one.
     synced_at: Option<Instant>,
 }
 
 #[derive(Clone, Debug)]
 struct Record {
     serial: u64,
-    revision: u64,
+    position: Position,
     json: Arc<str>,
 }
 
@@ -76,8 +79,8 @@
     pub events: Option<Vec<Arc<str>>>,
     /// Cursor of the host after these events.
     pub cursor: Cursor,
-    /// Highest revision whose state this host has in full.
-    pub settled: u64,
+    /// Latest position whose state this host has in full.
+    pub settled: Position,
     /// Time since this host was last in sync with the registry; `None` if it
     /// never was.
     pub age: Option<Duration>,
@@ -89,11 +92,11 @@
         let inner = Inner {
             records: VecDeque::new(),
             serial: 0,
-            revision: 0,
-            settled: 0,
+            position: Position::default(),
+            settled: Position::default(),
             followers: Followers::default(),
             recording: false,
-            complete_from: u64::MAX,
+            complete_from: None,
             synced_at: None,
         };
         Journal { boot, inner: Mutex::new(inner), changes: watch::Sender::new(0) }
@@ -108,10 +111,10 @@
     pub fn admit(&self, host: &str, now: Instant) -> bool {
         let mut inner = self.inner();
         let admitted = inner.followers.admit(host, now);
-        if admitted && !inner.recording && inner.revision > 0 {
+        if admitted && !inner.recording && inner.position > Position::default() {
             inner.recording = true;
-            // Events of the current revision may have been applied before.
-            inner.complete_from = inner.revision + 1;
+            // Events of the current position may have been applied before.
+            inner.complete_from = Some(inner.position.next());
         }
         admitted
     }
@@ -130,7 +133,7 @@
             inner.serial += 1;
             inner.records.clear();
             inner.recording = false;
-            inner.complete_from = u64::MAX;
+            inner.complete_from = None;
         }
     }
 
@@ -143,27 +146,32 @@
         let Some(json) = packed::pack(event) else { return };
         let mut inner = self.inner();
         inner.serial += 1;
-        let record = Record { serial: inner.serial, revision: inner.revision, json };
+        let record = Record { serial: inner.serial, position: inner.position, json };
         inner.records.push_back(record);
         if inner.records.len() > CAPACITY {
-            let dropped = inner.records.pop_front().map_or(0, |r| r.revision);
-            inner.complete_from = inner.complete_from.max(dropped + 1);
+            let dropped = inner.records.pop_front().map(|r| r.position.next());
+            inner.complete_from = inner.complete_from.max(dropped);
         }
         drop(inner);
         self.changes.send_modify(|c| *c += 1);
     }
 
-    /// Starts a batch of events that reaches up to `revision`.
-    pub fn advance(&self, revision: u64) {
+    /// Starts a batch of events that reaches up to `position`.
+    pub fn advance(&self, position: Position) {
         let mut inner = self.inner();
-        inner.revision = inner.revision.max(revision);
+        if inner.recording && position.era > inner.position.era {
+            // The records say what changed in the state of this host. A host with another
+            // state from before the restore needs a snapshot.
+            inner.complete_from = Some(position);
+        }
+        inner.position = inner.position.max(position);
     }
 
-    /// Records that this host's state is that of the registry at `revision`. Until then,
+    /// Records that this host's state is that of the registry at `position`. Until then,
     /// hosts that have this state in full use other sources.
-    pub fn settle(&self, revision: u64) {
+    pub fn settle(&self, position: Position) {
         let mut inner = self.inner();
-        inner.settled = inner.settled.max(revision);
+        inner.settled = inner.settled.max(position);
     }
 
     /// Records that this host was in sync with the registry at `at`, and wakes the
@@ -189,16 +197,18 @@
             None
         } else if same_process && cursor.serial + 1 >= first {
             Some(inner.select(|r| r.serial > cursor.serial))
-        } else if cursor.revision > 0 && cursor.revision >= inner.complete_from {
-            // The cursor is of another process, so only its revision counts. Some
+        } else if cursor.position > Position::default()
+            && inner.complete_from.is_some_and(|from| cursor.position >= from)
+        {
+            // The cursor is of another process, so only its position counts. Some
             // events may be sent twice, which is harmless: each states what holds
             // from then on.
-            Some(inner.select(|r| r.revision >= cursor.revision))
+            Some(inner.select(|r| r.position >= cursor.position))
         } else {
             None
         };
         let age = inner.synced_at.map(|at| now.duration_since(at));
-        let cursor = Cursor { boot: self.boot, serial: inner.serial, revision: inner.revision };
+        let cursor = Cursor { boot: self.boot, serial: inner.serial, position: inner.position };
         Delta { events, cursor, settled: inner.settled, age }
     }
 }
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use chervil_base::message;
 use chervil_route::degradation::DegradationDetector;
+use chervil_route::history::Position;
 use chervil_route::server_limit::Announcements;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
@@ -89,11 +90,14 @@
     pub struct SyncReply {
         /// Cursor of the requesting host after these events.
         pub cursor: Cursor,
-        /// Highest registry revision whose state the replying host has in full. It is less
-        /// than the revision of the cursor while that host holds removals back; `None` if the
+        /// Latest registry revision whose state the replying host has in full. It is before
+        /// the position of the cursor while that host holds removals back; `None` if the
         /// host runs a version that does not state it.
         #[serde(default)]
         pub settled: Option<u64>,
+        /// Era of that revision.
+        #[serde(default)]
+        pub settled_era: u64,
         /// Milliseconds since the replying host was last in sync with the
         /// registry; `None` if it never was.
         pub age_ms: Option<u64>,
@@ -104,6 +108,15 @@
     }
 }
 
+impl SyncReply {
+    /// Position up to which the replying host has the state in full; a version that does not
+    /// state it is taken at the position of its cursor.
+    pub fn settled_position(&self) -> Position {
+        let settled = self.settled.map(|revision| Position { era: self.settled_era, revision });
+        settled.unwrap_or(self.cursor.position)
+    }
+}
+
 /// Connections to other hosts, by address.
 #[derive(Debug, Default)]
 pub struct PeerClients {
@@ -198,7 +211,7 @@
 struct Snapshot {
     taken_at: Instant,
     cursor: Cursor,
-    settled: u64,
+    settled: Position,
     events: Arc<str>,
 }
 
@@ -346,7 +359,8 @@
     // A cursor consists of numbers, which serialise without errors.
     let cursor = serde_json::to_string(&cursor).unwrap_or_default();
     let age = delta.age.map_or("null".into(), |a| (a + extra_age).as_millis().to_string());
+    let Position { era, revision } = settled;
     format!(
-        "{{\"cursor\":{cursor},\"settled\":{settled},\"age_ms\":{age},\"full\":{full},\"events\":{events}}}"
+        "{{\"cursor\":{cursor},\"settled\":{revision},\"settled_era\":{era},\"age_ms\":{age},\"full\":{full},\"events\":{events}}}"
     )
 }
--- a/crates/front/src/registry.rs
+++ b/crates/front/src/registry.rs
@@ -10,6 +10,7 @@
 use chervil_route::config::Config;
 use chervil_route::config::ConfigDelta;
 use chervil_route::fleet::BackendEntry;
+use chervil_route::history::Position;
 use chervil_route::peers::Peer;
 use snafu::Snafu;
 
@@ -61,15 +62,13 @@
 }
 
 value! {
-    /// Events of the registry up to a revision.
+    /// Events of the registry up to a position in its history.
     pub struct Changes {
         /// Events, oldest first.
         pub events: Vec<Event>,
-        /// Revision from which the next call of [`Registry::changes`] continues.
-        pub revision: u64,
-        /// Number of times that the registry was restored from an older copy, after which it
-        /// gives out revisions again; 0 if it does not state it.
-        pub era: u64,
+        /// Position from which the next call of [`Registry::changes`] continues. Events of
+        /// [`Registry::changes`] in another era than before do not continue the state.
+        pub position: Position,
     }
 
     /// The entry of this host in the registry. It is removed when its lease
@@ -116,8 +115,8 @@
     /// The full state of the registry, as events.
     async fn list(&self) -> Result<Changes, RegistryError>;
 
-    /// Changes after `revision`. Waits up to `wait` if there are none yet.
-    /// Fails with [`RegistryError::HistoryLost`] if `revision` is too old.
+    /// Changes after a revision of the present era. Waits up to `wait` if there are none yet.
+    /// Fails with [`RegistryError::HistoryLost`] if the revision is too old.
     async fn changes(&self, revision: u64, wait: Duration) -> Result<Changes, RegistryError>;
 
     /// Creates the entry of this host under a new lease that lasts for `ttl`.
--- a/crates/front/src/replica.rs
+++ b/crates/front/src/replica.rs
@@ -11,6 +11,7 @@
 use chervil_route::config::ConfigDelta;
 use chervil_route::fleet::BackendEntry;
 use chervil_route::fleet::Change;
+use chervil_route::history::Position;
 
 use crate::core::Core;
 use crate::journal::Journal;
@@ -30,8 +31,8 @@
     pub struct Batch {
         /// Host that sent them, or [`REGISTRY`].
         pub source: Box<str>,
-        /// Registry revision up to which they reach.
-        pub revision: u64,
+        /// Position in the registry's history up to which they reach.
+        pub position: Position,
         /// Events, oldest first.
         pub events: Vec<Event>,
         /// Whether they are the complete state.
@@ -55,8 +56,8 @@
     has_state: bool,
     /// Host that sent the current list, or [`REGISTRY`]; for the log.
     source: Box<str>,
-    /// Registry revision of the current list; for the log.
-    revision: u64,
+    /// Position of the current list; for the log.
+    position: Position,
 }
 
 impl Replica {
@@ -77,7 +78,7 @@
             is_complete: true,
             has_state: false,
             source: REGISTRY.into(),
-            revision: 0,
+            position: Position::default(),
         }
     }
 
@@ -113,21 +114,22 @@
         state.update_division(self.min_hosts);
     }
 
-    /// Applies events of `source` up to a registry revision; `full` means that they are the
+    /// Applies events of `source` up to a position; `full` means that they are the
     /// complete state. The host starts to serve once it has a configuration and a backend
     /// server. Returns false if an event builds on a state that this host does not have, so
     /// that it needs the full one.
     pub fn apply_events(&mut self, batch: Batch) -> bool {
-        let Batch { source, revision, events, full } = batch;
+        let Batch { source, position, events, full } = batch;
         if *source != *self.source {
             spdlog::info!("registry data from another source", kv: {
                 source = &*source,
                 previous = &*self.source,
-                revision,
+                revision = position.revision,
+                era = position.era,
                 full,
             });
         }
-        (self.source, self.revision) = (source, revision);
+        (self.source, self.position) = (source, position);
         if full {
             self.remove_unlisted(&events);
         }
@@ -138,7 +140,8 @@
         if full {
             let state = self.core.state();
             spdlog::info!("full registry state applied", kv: {
-                revision = self.revision,
+                revision = self.position.revision,
+                era = self.position.era,
                 backends = state.fleet.len(),
                 hosts = state.peers.count(),
             });
@@ -280,7 +283,7 @@
             return;
         }
         let source = &*self.source;
-        spdlog::info!("{payload}", kv: { id, draining, source, revision = self.revision });
+        spdlog::info!("{payload}", kv: { id, draining, source, revision = self.position.revision });
     }
 
     fn set_evacuated(&mut self, zone: Box<str>, evacuated: bool) {
--- a/crates/front/tests/follow.rs
+++ b/crates/front/tests/follow.rs
@@ -10,10 +10,7 @@
 
 use chervil_base::HashSet;
 use chervil_front::core::Core;
-use chervil_front::follow::Follower;
 use chervil_front::host::HostSettings;
-use chervil_front::journal::Journal;
-use chervil_front::listen::Lifecycle;
 use chervil_front::peers;
 use chervil_front::registry::Changes;
 use chervil_front::registry::Event;
@@ -21,70 +18,23 @@
 use tokio::net::TcpListener;
 
 use crate::support::ADDRESS;
-use crate::support::BOUNDS;
 use crate::support::ScriptedRegistry;
 use crate::support::configuration;
 use crate::support::core;
 use crate::support::journal;
-use crate::support::location;
 use crate::support::peer;
+use crate::support::replica::ReplicaHost;
+use crate::support::replica::changes;
+use crate::support::replica::ids;
+use crate::support::replica::registry_calls;
+use crate::support::replica::settings;
+use crate::support::replica::start;
+use crate::support::replica::start_alone;
+use crate::support::replica::start_upstream;
+use crate::support::replica::unreachable;
 use crate::support::server;
 use crate::support::until;
 
-fn changes(revision: u64, events: Vec<Event>) -> Result<Changes, RegistryError> {
-    Ok(Changes { events, revision, era: 0 })
-}
-
-fn unreachable() -> Result<Changes, RegistryError> {
-    Err(RegistryError::Unreachable { reason: "test".into() })
-}
-
-fn settings(name: &str, peer: SocketAddr, seeds: Vec<SocketAddr>) -> HostSettings {
-    HostSettings {
-        name: name.into(),
-        location: location(),
-        listen: ADDRESS,
-        ready: ADDRESS,
-        peer: self::peer(peer, 10),
-        seeds,
-        bootstrap: false,
-        metrics: ADDRESS,
-        propagation_limit: Duration::from_millis(500),
-        heartbeat: Duration::from_millis(10),
-        grace: Duration::from_secs(1),
-        bounds: BOUNDS,
-    }
-}
-
-/// A host that replicates the registry.
-struct ReplicaHost {
-    core: Arc<Core>,
-    lifecycle: Arc<Lifecycle>,
-    registry: Arc<ScriptedRegistry>,
-}
-
-fn start(
-    registry: ScriptedRegistry,
-    settings: &HostSettings,
-    journal: Arc<Journal>,
-    core: Arc<Core>,
-) -> ReplicaHost {
-    let lifecycle = Arc::new(Lifecycle::default());
-    let registry = Arc::new(registry);
-    let follower =
-        Follower::new(core.clone(), registry.clone(), lifecycle.clone(), journal, settings, 12);
-    tokio::spawn(follower.run());
-    ReplicaHost { core, lifecycle, registry }
-}
-
-fn start_alone(registry: ScriptedRegistry) -> ReplicaHost {
-    start(registry, &settings("own", ADDRESS, Vec::new()), journal(), core())
-}
-
-fn ids(core: &Core) -> HashSet<Box<str>> {
-    core.state().fleet.ids().map(Box::from).collect()
-}
-
 /// Guards against a host that accepts requests before it can route them. Here
 /// its first call to the registry fails.
 #[tokio::test]
@@ -177,19 +127,6 @@
     assert!(!ids(&host.core).contains("a"));
 }
 
-fn registry_calls(host: &ReplicaHost) -> u32 {
-    *host.registry.calls.lock().unwrap()
-}
-
-/// A host that serves its events to other hosts, and its address for them.
-async fn start_upstream(registry: ScriptedRegistry) -> (ReplicaHost, SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let (journal, core) = (journal(), core());
-    tokio::spawn(peers::serve(listener, core.clone(), journal.clone(), Arc::default()));
-    (start(registry, &settings("upstream", address, Vec::new()), journal, core), address)
-}
-
 /// The state of the registry with the upstream at `address`.
 fn full_list(address: SocketAddr, extra: Vec<Event>) -> Result<Changes, RegistryError> {
     let upstream = Event::Host("upstream".into(), peer(address, 500));
--- a/crates/front/tests/journal.rs
+++ b/crates/front/tests/journal.rs
@@ -16,6 +16,7 @@
 use chervil_front::registry::Event;
 use chervil_route::config::Target;
 use chervil_route::fleet::BackendEntry;
+use chervil_route::history::Position;
 
 use crate::support::ADDRESS;
 use crate::support::config;
@@ -25,45 +26,73 @@
 use crate::support::route;
 use crate::support::server;
 
+fn at(revision: u64) -> Position {
+    Position { era: 1, revision }
+}
+
 /// Guards against events that a host misses when it switches to another source:
 /// its sequence number is of another process, so that only its revision counts.
 #[test]
 fn journal_serves_deltas_by_revision_after_a_change_of_source() {
     let (journal, now) = (Journal::new(7), Instant::now());
-    journal.advance(9);
+    journal.advance(at(9));
     assert!(journal.admit("follower", now));
-    journal.advance(10);
+    journal.advance(at(10));
     journal.push(&server("a"));
-    journal.advance(12);
+    journal.advance(at(12));
     journal.push(&server("b"));
 
     let delta_size = |cursor| journal.delta(cursor, now).events.map(|e| e.len());
 
-    let same_process = Cursor { boot: 7, serial: 1, revision: 10 };
+    let same_process = Cursor { boot: 7, serial: 1, position: at(10) };
     assert_eq!(delta_size(same_process), Some(1));
-    assert_eq!(delta_size(Cursor { boot: 9, serial: 99, revision: 11 }), Some(1));
-    assert_eq!(delta_size(Cursor { boot: 9, serial: 99, revision: 12 }), Some(1));
-    assert_eq!(delta_size(Cursor { boot: 9, serial: 99, revision: 9 }), None);
+    assert_eq!(delta_size(Cursor { boot: 9, serial: 99, position: at(11) }), Some(1));
+    assert_eq!(delta_size(Cursor { boot: 9, serial: 99, position: at(12) }), Some(1));
+    assert_eq!(delta_size(Cursor { boot: 9, serial: 99, position: at(9) }), None);
     assert_eq!(delta_size(Cursor::default()), None);
 }
 
+/// Guards against a host that gets the changes since the restore of the registry as this host
+/// saw them, although it had another state before.
+#[test]
+fn journal_serves_deltas_by_revision_only_within_an_era() {
+    let (journal, now) = (Journal::new(7), Instant::now());
+    let after = |revision| Position { era: 2, revision };
+    journal.advance(at(50));
+    assert!(journal.admit("follower", now));
+    journal.advance(at(58));
+    journal.push(&server("a"));
+    journal.advance(after(52));
+    journal.push(&server("b"));
+    journal.advance(after(60));
+    journal.push(&server("c"));
+
+    let delta_size = |cursor| journal.delta(cursor, now).events.map(|e| e.len());
+
+    assert_eq!(delta_size(Cursor { boot: 7, serial: 1, position: at(58) }), Some(2));
+    assert_eq!(delta_size(Cursor { boot: 9, serial: 99, position: at(58) }), None);
+    assert_eq!(delta_size(Cursor { boot: 9, serial: 99, position: at(61) }), None);
+    assert_eq!(delta_size(Cursor { boot: 9, serial: 99, position: after(55) }), Some(1));
+    assert_eq!(delta_size(Cursor { boot: 9, serial: 99, position: after(51) }), None);
+}
+
 /// Guards against a former upstream that goes on answering with empty deltas, which
 /// look fresh, although it no longer records events.
 #[test]
 fn journal_without_followers_serves_no_deltas() {
     let (journal, now) = (Journal::new(7), Instant::now());
-    journal.advance(10);
+    journal.advance(at(10));
     journal.admit("follower", now);
-    journal.advance(11);
+    journal.advance(at(11));
     journal.push(&server("a"));
-    let cursor = journal.delta(Cursor { boot: 7, serial: 0, revision: 10 }, now).cursor;
+    let cursor = journal.delta(Cursor { boot: 7, serial: 0, position: at(10) }, now).cursor;
 
     journal.stop_recording();
-    journal.advance(12);
+    journal.advance(at(12));
     journal.push(&server("b"));
     let while_stopped = journal.delta(cursor, now);
     journal.admit("follower", now);
-    journal.advance(13);
+    journal.advance(at(13));
     let after_restart = journal.delta(cursor, now);
 
     assert!(while_stopped.events.is_none());
--- a/crates/front/tests/support/mod.rs
+++ b/crates/front/tests/support/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the fixtures")]
 
+pub mod replica;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod degradation;
 pub mod fleet;
 pub mod health;
+pub mod history;
 pub mod latency;
 pub mod merge;
 pub mod pause;
