Keep to what a restored registry no longer states for a while

Requests could reach servers that were leaving or had left, and zones that were evacuated: the first list of a registry that is restored from an older copy shows neither, until servers and operators have written it again. New servers were removed at once.

Cause: a full state was taken for the truth, though it is that of some seconds ago. Class: old data that pass for fresh ones, as with a host that holds removals back.

Change: a host that sees a new era holds removals as after an outage, and withholds entries that undo a departure or drain of the same instance, and revocations of an evacuation, until the entries of servers that are gone have expired (removal hold and three heartbeats). What the registry still states then holds. Meanwhile the host does not call its state settled.

--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -166,7 +166,13 @@
         Follower {
             seeds_first_until: seeds_first.then(|| core.now() + BOOTSTRAP_SEED_TIME),
             journal_check_at: core.now(),
-            replica: Replica::new(core.clone(), lifecycle, journal.clone(), min_hosts),
+            replica: Replica::new(
+                core.clone(),
+                lifecycle,
+                journal.clone(),
+                min_hosts,
+                settings.heartbeat,
+            ),
             core,
             registry,
             journal,
--- a/crates/front/src/replica.rs
+++ b/crates/front/src/replica.rs
@@ -12,6 +12,7 @@
 use chervil_route::fleet::BackendEntry;
 use chervil_route::fleet::Change;
 use chervil_route::history::Position;
+use chervil_route::restore::Restoration;
 
 use crate::core::Core;
 use crate::journal::Journal;
@@ -23,6 +24,10 @@
 /// register again within two seconds.
 const REMOVAL_HOLD: Duration = Duration::from_millis(2_300);
 
+/// Heartbeats after which the registry removes the entry of a backend server that sends none.
+/// An entry of the copy whose backend server is gone is removed by then.
+const ENTRY_LIFETIME_HEARTBEATS: u32 = 3;
+
 /// Source of events that this host reads itself.
 pub const REGISTRY: &str = "registry";
 
@@ -46,6 +51,9 @@
     lifecycle: Arc<Lifecycle>,
     journal: Arc<Journal>,
     min_hosts: u32,
+    /// Interval at which backend servers renew their entries; zero if unknown.
+    heartbeat: Duration,
+    restoration: Restoration,
     /// Time until which removals of backend servers are held back.
     hold_until: Option<Instant>,
     /// Backend servers to remove at the end of the hold.
@@ -67,12 +75,15 @@
         lifecycle: Arc<Lifecycle>,
         journal: Arc<Journal>,
         min_hosts: u32,
+        heartbeat: Duration,
     ) -> Replica {
         Replica {
             core,
             lifecycle,
             journal,
             min_hosts,
+            heartbeat,
+            restoration: Restoration::default(),
             hold_until: None,
             held_removals: HashSet::default(),
             is_complete: true,
@@ -92,13 +103,24 @@
         );
     }
 
-    /// Whether the state of this host is that of the registry at the revision of the latest
-    /// events: no removal is held back, and all events could be applied.
+    /// Withholds what a restored registry takes back until it had time to become complete.
+    fn begin_restoration(&mut self) {
+        let time = REMOVAL_HOLD + self.heartbeat * ENTRY_LIFETIME_HEARTBEATS;
+        self.restoration.begin(time, self.core.now());
+        spdlog::warn!(
+            "registry was restored from an older copy; keeping to what it no longer states for a while",
+            kv: { ms = time.as_millis() as u64, era = self.position.era }
+        );
+        self.hold_removals();
+    }
+
+    /// Whether the state of this host is that of the registry at the position of the latest
+    /// events: nothing is held back, and all events could be applied.
     pub fn is_settled(&self) -> bool {
-        self.hold_until.is_none() && self.is_complete
+        self.hold_until.is_none() && !self.restoration.is_withholding() && self.is_complete
     }
 
-    /// Ends the hold on removals when it is over, removes hosts whose entries lapsed long
+    /// Ends the holds on removals and on what a restored registry took back when they are over, removes hosts whose entries lapsed long
     /// ago, and updates the division of limits among the hosts.
     pub fn expire(&mut self, now: Instant) {
         if self.hold_until.is_some_and(|until| until <= now) {
@@ -109,6 +131,12 @@
                 self.remove_server(id);
             }
         }
+        if let Some(withheld) = self.restoration.finish(now) {
+            let (entries, zones) = (withheld.entries.len(), withheld.zones.len());
+            spdlog::info!("applying what the restored registry states", kv: { entries, zones });
+            withheld.entries.into_iter().for_each(|entry| self.upsert_server(entry));
+            withheld.zones.into_iter().for_each(|zone| self.set_evacuated(zone, false));
+        }
         let mut state = self.core.state();
         state.peers.remove_expired(now);
         state.update_division(self.min_hosts);
@@ -129,8 +157,13 @@
                 full,
             });
         }
+        let restored = self.has_state && position.era > self.position.era;
         (self.source, self.position) = (source, position);
+        if restored {
+            self.begin_restoration();
+        }
         if full {
+            self.restoration.forget_all();
             self.remove_unlisted(&events);
         }
         self.is_complete = true;
@@ -262,6 +295,10 @@
     fn upsert_server(&mut self, entry: BackendEntry) {
         self.held_removals.remove(&entry.id);
         let now = self.core.now();
+        if self.restoration.withholds(&entry, &self.core.state().fleet) {
+            spdlog::info!("backend entry withheld after a restore", kv: { id = &*entry.id });
+            return;
+        }
         let change = self.core.state().fleet.upsert(entry.clone(), now);
         let (id, draining) = (&*entry.id, entry.draining);
         match change {
@@ -287,6 +324,11 @@
     }
 
     fn set_evacuated(&mut self, zone: Box<str>, evacuated: bool) {
+        if evacuated {
+            self.restoration.forget_revocation(&zone);
+        } else if self.restoration.withholds_revocation(&zone) {
+            return;
+        }
         let mut state = self.core.state();
         let mut zones = state.fleet.evacuated_zones().clone();
         let changed = if evacuated { zones.insert(zone.clone()) } else { zones.remove(&zone) };
@@ -301,6 +343,7 @@
 
     /// Removes a backend server, at the end of the hold if there is one.
     fn remove_or_hold(&mut self, id: Box<str>) {
+        self.restoration.forget_entry(&id);
         if self.hold_until.is_some() {
             self.held_removals.insert(id);
         } else {
@@ -308,8 +351,14 @@
         }
     }
 
-    fn remove_server(&self, id: Box<str>) {
-        let key = self.core.state().fleet.remove(&id);
+    fn remove_server(&mut self, id: Box<str>) {
+        let mut state = self.core.state();
+        let entry = state.fleet.entry(&id).cloned();
+        let key = state.fleet.remove(&id);
+        drop(state);
+        if let Some(entry) = entry {
+            self.restoration.record_departure(entry, self.core.now());
+        }
         if let Some(key) = key {
             self.core.pools().remove(key);
             spdlog::info!("backend gone", kv: { id = &*id });
--- a/crates/front/tests/restored.rs
+++ b/crates/front/tests/restored.rs
@@ -9,12 +9,14 @@
 use chervil_front::registry::Changes;
 use chervil_front::registry::Event;
 use chervil_front::registry::RegistryError;
+use chervil_route::fleet::BackendEntry;
 use chervil_route::history::Position;
 use tokio::time;
 
 use crate::support::ADDRESS;
 use crate::support::ScriptedRegistry;
 use crate::support::configuration;
+use crate::support::entry;
 use crate::support::journal;
 use crate::support::peer;
 use crate::support::replica::ReplicaHost;
@@ -125,3 +127,46 @@
 
     assert!(!ids(&host.core).contains("gone"));
 }
+
+fn draining_server(id: &str) -> Event {
+    let entry = BackendEntry { draining: true, ..entry(id, "quote", ADDRESS) };
+    Event::Server(Box::new(entry))
+}
+
+fn is_eligible(core: &Core, id: &str) -> bool {
+    let state = core.state();
+    state.fleet.key(id).is_some_and(|key| state.fleet.is_eligible(key))
+}
+
+/// Guards against requests to servers that are leaving or have left and to a zone that is
+/// evacuated, and against removing servers that are new, because the copy does not show it
+/// yet. What the registry still says after a while holds.
+#[tokio::test]
+async fn list_of_an_older_copy_takes_nothing_back() {
+    let zone = || Event::Evacuated("south".into());
+    let copy = vec![configuration(3), server("a"), server("leaving"), server("left")];
+    let host = start_alone(registry(
+        vec![
+            before(57, [copy.clone(), vec![server("new")]].concat()),
+            after(50, [copy, vec![server("later")]].concat()),
+        ],
+        vec![
+            before(
+                58,
+                vec![draining_server("leaving"), Event::ServerRemoved("left".into()), zone()],
+            ),
+            unreachable(),
+            after(50, vec![]),
+        ],
+    ));
+    until(|| ids(&host.core).contains("later")).await;
+
+    let (left, leaving) = (is_eligible(&host.core, "left"), is_eligible(&host.core, "leaving"));
+    let (new, evacuated) =
+        (is_eligible(&host.core, "new"), !host.core.state().fleet.evacuated_zones().is_empty());
+    until(|| is_eligible(&host.core, "left") && is_eligible(&host.core, "leaving")).await;
+
+    assert_eq!((left, leaving, new, evacuated), (false, false, true, true));
+    assert!(host.core.state().fleet.evacuated_zones().is_empty());
+    assert!(!ids(&host.core).contains("new"));
+}
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -262,6 +262,11 @@
         self.backends.get_mut(key)
     }
 
+    /// Entry of the backend server with this id.
+    pub fn entry(&self, id: &str) -> Option<&BackendEntry> {
+        self.key(id).and_then(|key| self.get(key)).map(|backend| &backend.entry)
+    }
+
     /// All backend servers.
     pub fn iter(&self) -> impl Iterator<Item = &Backend> {
         self.backends.values()
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod peers;
 pub mod progress;
 pub mod relay;
+pub mod restore;
 pub mod retry_after;
 pub mod round_robin;
 pub mod server_limit;
