Pass on which hosts a full list no longer shows

A host that follows another counted hosts for good whose entries its upstream found missing in a full list, and named their leases as valid. Found while the registrations were followed through a restored registry; it can come after any loss of the history.

Cause: the upstream marked them as lapsed for itself and recorded no event. Change: a full list gives a removal event for each host that it lacks. The test of the retention marks its two hosts one by one, since the call that marked all is gone; what it checks is unchanged.

Test, red before: hosts_missing_in_a_full_list_lapse_at_the_followers.

--- a/crates/front/src/replica.rs
+++ b/crates/front/src/replica.rs
@@ -192,14 +192,19 @@
         let now = self.core.now();
         let servers: HashSet<&str> = events.iter().filter_map(server_id).collect();
         let zones: HashSet<&str> = events.iter().filter_map(evacuated_zone).collect();
+        let hosts: HashSet<&str> = events.iter().filter_map(host_name).collect();
         let mut state = self.core.state();
         let known = state.fleet.ids().filter(|id| !servers.contains(id));
         let removed: Vec<Box<str>> = known.map(Box::from).collect();
         let evacuated = state.fleet.evacuated_zones().iter();
         let restored: Vec<Box<str>> =
             evacuated.filter(|z| !zones.contains(&***z)).cloned().collect();
-        state.peers.mark_all_lapsed(now);
+        let listed = state.peers.listed().map(|(host, _)| host);
+        let lapsed: Vec<Box<str>> =
+            listed.filter(|host| !hosts.contains(host)).map(Box::from).collect();
+        lapsed.iter().for_each(|host| state.peers.mark_lapsed(host, now));
         drop(state);
+        lapsed.into_iter().for_each(|host| self.journal.push(&Event::HostRemoved(host)));
         removed.into_iter().for_each(|id| self.remove_or_hold(id));
         restored.into_iter().for_each(|zone| self.set_evacuated(zone, false));
     }
@@ -374,6 +379,13 @@
     }
 }
 
+fn host_name(event: &Event) -> Option<&str> {
+    match event {
+        Event::Host(host, _) => Some(host),
+        _ => None,
+    }
+}
+
 fn evacuated_zone(event: &Event) -> Option<&str> {
     match event {
         Event::Evacuated(zone) => Some(zone),
--- a/crates/front/tests/restored.rs
+++ b/crates/front/tests/restored.rs
@@ -11,6 +11,7 @@
 use chervil_front::registry::RegistryError;
 use chervil_route::fleet::BackendEntry;
 use chervil_route::history::Position;
+use chervil_route::peers::Peer;
 use tokio::time;
 
 use crate::support::ADDRESS;
@@ -170,3 +171,40 @@
     assert!(host.core.state().fleet.evacuated_zones().is_empty());
     assert!(!ids(&host.core).contains("new"));
 }
+
+/// The entry of the host of the tests, which holds this lease.
+fn own_entry(lease: u64) -> Event {
+    Event::Host("own".into(), Peer { lease, ..peer(ADDRESS, 10) })
+}
+
+/// Guards against a host that goes on counting others that a full list no longer shows,
+/// because it gets only changes from its upstream.
+#[tokio::test]
+async fn hosts_missing_in_a_full_list_lapse_at_the_followers() {
+    let other = || Event::Host("other".into(), peer(ADDRESS, 9));
+    let state = vec![configuration(3), server("a")];
+    let (upstream, address) = start_upstream(registry(
+        vec![
+            before(5, [state.clone(), vec![other()]].concat()),
+            before(9, [state.clone(), vec![server("later")]].concat()),
+        ],
+        vec![
+            before(5, vec![]),
+            before(5, vec![]),
+            Err(RegistryError::HistoryLost),
+            before(9, vec![]),
+        ],
+    ))
+    .await;
+    until(|| upstream.lifecycle.is_ready()).await;
+    let listed = Event::Host("upstream".into(), peer(address, 500));
+    let host = start_alone(registry(
+        vec![before(5, [state, vec![other(), listed, own_entry(77)]].concat())],
+        vec![unreachable()],
+    ));
+    until(|| ids(&host.core).contains("later")).await;
+
+    let is_listed = host.core.state().peers.listed().any(|(name, _)| name == "other");
+
+    assert!(!is_listed);
+}
--- a/crates/route/src/peers.rs
+++ b/crates/route/src/peers.rs
@@ -136,14 +136,6 @@
         }
     }
 
-    /// Marks all entries as lapsed. Called before the hosts of a full registry
-    /// listing are inserted, so that those missing from it stay lapsed.
-    pub fn mark_all_lapsed(&mut self, now: Instant) {
-        for state in self.hosts.values_mut() {
-            state.lapsed_at.get_or_insert(now);
-        }
-    }
-
     /// Removes hosts whose entries lapsed longer ago than the retention time.
     pub fn remove_expired(&mut self, now: Instant) {
         let is_kept = |lapsed_at| now.duration_since(lapsed_at) < LAPSED_RETENTION;
--- a/crates/route/tests/routes.rs
+++ b/crates/route/tests/routes.rs
@@ -190,7 +190,7 @@
     peers.insert("a".into(), peer(10));
     peers.insert("b".into(), peer(10));
 
-    peers.mark_all_lapsed(now);
+    ["a", "b"].iter().for_each(|host| peers.mark_lapsed(host, now));
     peers.remove_expired(now + Duration::from_secs(29));
     let kept = peers.count();
     peers.remove_expired(now + Duration::from_secs(31));
