Register a host again whose entry a restored registry lost

A host whose entry was written after the copy was missing in the registry until its next renewal failed, 10 s later, or for good if its lease had been given to another host meanwhile: renewing it succeeded. Hosts that start then count too few others and take too large a share of the common limits.

Cause: a lease stands for an entry that nobody looks at. Class: a handle that is valid within one era of its source, as with the revisions.

Change: after a restore, a host compares its lease with its entry in the state of the registry, which it has anyway, and registers again if they differ, within a second. Entries that the copy holds cost no call.

Test, red before: host_whose_entry_the_copy_lacks_registers_again.

--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -14,6 +14,7 @@
 use chervil_route::fleet::BackendKey;
 use chervil_route::pause::PauseDetector;
 use chervil_route::server_limit::Announcements;
+use tokio::sync::watch;
 use tokio::time;
 
 use crate::client::Clients;
@@ -72,6 +73,8 @@
     announced: Mutex<Announcements>,
     relays: Mutex<Clients>,
     pause: Mutex<PauseDetector>,
+    /// Counts the restores of the registry that this host has seen.
+    restores: watch::Sender<u64>,
 }
 
 impl Core {
@@ -99,9 +102,21 @@
             announced: Mutex::default(),
             relays,
             pause,
+            restores: watch::Sender::new(0),
         }
     }
 
+    /// Wakes the subscribers after the state of a registry that was restored from an older
+    /// copy has been applied.
+    pub fn notify_restored(&self) {
+        self.restores.send_modify(|count| *count += 1);
+    }
+
+    /// Receiver that changes with each restore of the registry.
+    pub fn subscribe_restores(&self) -> watch::Receiver<u64> {
+        self.restores.subscribe()
+    }
+
     /// Adds a backend server to the next report as degraded.
     pub fn report_degraded(&self, id: &str) {
         insert_id(&mut self.reports().degraded, id);
--- a/crates/front/src/registration.rs
+++ b/crates/front/src/registration.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use chervil_route::peers::Peer;
+use rand::RngExt as _;
 use tokio::time;
 
 use crate::core::Core;
@@ -25,6 +26,10 @@
 /// registry, in which it looks for the entry of its previous process.
 const FIRST_SYNC_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Time over which hosts spread their registrations after a restore, in which all may have
+/// lost their entries.
+const RESTORED_SPREAD: Duration = Duration::from_secs(1);
+
 /// Interval at which it checks whether that state has arrived.
 const FIRST_SYNC_POLL: Duration = Duration::from_millis(100);
 
@@ -39,6 +44,7 @@
     peer: Peer,
     bootstrap: bool,
 ) {
+    let mut restores = core.subscribe_restores();
     let mut registration = if bootstrap { None } else { previous_registration(&core, &peer).await };
     loop {
         let result = match registration {
@@ -48,7 +54,21 @@
             }
         };
         match result {
-            Ok(()) => time::sleep(RENEWAL_INTERVAL).await,
+            Ok(()) => {
+                tokio::select! {
+                    () = time::sleep(RENEWAL_INTERVAL) => {}
+                    Ok(()) = restores.changed() => {
+                        // The lease may be another host's now, so that renewing it would
+                        // show nothing.
+                        let listed = core.state().peers.own_lease(&peer);
+                        if listed != registration.map(|r| r.lease) {
+                            let delay = RESTORED_SPREAD.mul_f64(rand::rng().random());
+                            time::sleep(delay).await;
+                            registration = None;
+                        }
+                    }
+                }
+            }
             Err(error) => {
                 if error == RegistryError::LeaseExpired {
                     registration = None;
--- a/crates/front/src/replica.rs
+++ b/crates/front/src/replica.rs
@@ -180,6 +180,9 @@
             });
         }
         self.has_state = true;
+        if restored {
+            self.core.notify_restored();
+        }
         let state = self.core.state();
         if state.config.is_some() && !state.fleet.is_empty() {
             self.lifecycle.start_serving();
--- a/crates/front/tests/restored.rs
+++ b/crates/front/tests/restored.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use chervil_front::core::Core;
+use chervil_front::registration;
 use chervil_front::registry::Changes;
 use chervil_front::registry::Event;
 use chervil_front::registry::RegistryError;
@@ -177,6 +178,44 @@
     Event::Host("own".into(), Peer { lease, ..peer(ADDRESS, 10) })
 }
 
+fn register(host: &ReplicaHost) {
+    let (core, registry) = (host.core.clone(), host.registry.clone());
+    tokio::spawn(registration::maintain(core, registry, "own".into(), peer(ADDRESS, 10), false));
+}
+
+/// Guards against a host that is missing in the registry for good: its lease was given out
+/// after the copy, and once more to another host after the restore, so that it can be renewed.
+#[tokio::test]
+async fn host_whose_entry_the_copy_lacks_registers_again() {
+    let state = vec![configuration(3), server("a")];
+    let host = start_alone(registry(
+        vec![before(58, [state.clone(), vec![own_entry(77)]].concat()), after(50, state)],
+        vec![unreachable(), after(50, vec![])],
+    ));
+    register(&host);
+
+    let registered = until(|| *host.registry.registered.lock().unwrap() > 0);
+
+    assert!(time::timeout(PROPAGATION_TIME, registered).await.is_ok());
+}
+
+/// Guards against two calls for each host of a large deployment after every restore: the
+/// entries that the copy holds have kept their leases.
+#[tokio::test]
+async fn host_whose_entry_the_copy_holds_keeps_its_lease() {
+    let state = vec![configuration(3), server("a"), own_entry(77)];
+    let host = start_alone(registry(
+        vec![before(58, state.clone()), after(50, [state, vec![server("later")]].concat())],
+        vec![unreachable(), after(50, vec![])],
+    ));
+    register(&host);
+    until(|| ids(&host.core).contains("later")).await;
+
+    time::sleep(PROPAGATION_TIME).await;
+
+    assert_eq!(*host.registry.registered.lock().unwrap(), 0);
+}
+
 /// Guards against a host that goes on counting others that a full list no longer shows,
 /// because it gets only changes from its upstream.
 #[tokio::test]
