Log for how long a host has heard of no backend server

A host that is cut off from all backend servers logged each request as one that met slow servers. The new field silent_ms of the request line is the time since any server gave a sign.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -188,6 +188,7 @@
             });
         }
     };
+    core.record_sign();
     connection.is_new = false;
     apply_reply_headers(core, choice, &reply, sent_at);
     let now = core.now();
@@ -265,6 +266,7 @@
     let start = core.now();
     let opened = time::timeout(CONNECT_TIMEOUT, connect(choice)).await;
     let Ok(Ok(stream)) = opened else { return Err(Failure::Unreachable) };
+    core.record_sign();
     let opening = core.now().duration_since(start);
     let mut connection = Connection::new(stream, permit, core.reply_memory.clone(), core.now());
     if idempotent && !core.pools().has_recent_resets(core.now()) {
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -12,6 +12,7 @@
 use chervil_base::clock::Clock;
 use chervil_base::message;
 use chervil_route::fleet::BackendKey;
+use chervil_route::links::Links;
 use chervil_route::pause::PauseDetector;
 use chervil_route::server_limit::Announcements;
 use tokio::sync::watch;
@@ -73,6 +74,7 @@
     announced: Mutex<Announcements>,
     relays: Mutex<Clients>,
     pause: Mutex<PauseDetector>,
+    links: Mutex<Links>,
     /// Counts the restores of the registry that this host has seen.
     restores: watch::Sender<u64>,
 }
@@ -102,6 +104,7 @@
             announced: Mutex::default(),
             relays,
             pause,
+            links: Mutex::default(),
             restores: watch::Sender::new(0),
         }
     }
@@ -228,6 +231,20 @@
         }
     }
 
+    /// Records a sign of a backend server: a reply, or an accepted connection.
+    pub fn record_sign(&self) {
+        self.links().record_sign(self.now());
+    }
+
+    /// Time since the latest sign of any backend server; `None` before the first one.
+    pub fn link_silence(&self) -> Option<Duration> {
+        self.links().silence(self.now())
+    }
+
+    fn links(&self) -> MutexGuard<'_, Links> {
+        self.links.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn pause(&self) -> MutexGuard<'_, PauseDetector> {
         self.pause.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/front/src/handle.rs
+++ b/crates/front/src/handle.rs
@@ -332,9 +332,15 @@
         missing = summary.missing.join(",").as_str(),
         asked = summary.asked.join(" ").as_str(),
         news_ms = &*registry_age_ms(core, now),
+        silent_ms = &*link_silence_ms(core),
     });
 }
 
+/// Milliseconds since the latest sign of any backend server; `none` before the first one.
+fn link_silence_ms(core: &Core) -> Box<str> {
+    core.link_silence().map_or("none".into(), |s| s.as_millis().to_string().into())
+}
+
 /// Age of this host's copy of the registry in milliseconds; `none` before the first
 /// synchronisation.
 fn registry_age_ms(core: &Core, now: Instant) -> Box<str> {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod health;
 pub mod history;
 pub mod latency;
+pub mod links;
 pub mod merge;
 pub mod pause;
 pub mod peers;
