Let another host execute the requests of a host without links

Cause: a host had no way to a backend server but its own connections, and took the loss of all of them for the failure of each server. It waited, hedged, went from server to server, put all into backoff and reported them to the others as degraded. Class: a local fault that is blamed on what lies behind it.

Evidence: silent_ms of the request lines, 703 ms and more at cut hosts, 41 ms at most elsewhere. Ruled out: that hosts which are not cut fare worse.

Change: any sign of any server shows that the links work (route/links.rs). An attempt that fails, or is overdue, without a sign since it began puts them in doubt; the host then connects to three random servers within 50 ms, and no hedge is spent meanwhile. If none accepts, the links are lost: requests that were not sent, or may be repeated, are offered to other hosts of the region, one after the other, and executed there with the budgets of both kept. What was sent and may not be repeated is not. The lost links are checked twice a second until a server accepts. What attempts show meanwhile counts neither in the health of servers nor in reports or crash counts. A host without links declines offers; what nobody takes is refused at once.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -2,7 +2,10 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -26,6 +29,10 @@
 /// availability zones.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Time from which an attempt to open a connection puts the links to all backend servers in
+/// doubt, unless one gives a sign.
+const OVERDUE_CONNECT: Duration = Duration::from_millis(30);
+
 /// `TCP_USER_TIMEOUT`: the kernel drops a connection whose sent bytes stay
 /// unacknowledged for this long. A hundred round trips between availability
 /// zones.
@@ -84,13 +91,22 @@
     core: Arc<Core>,
     choice: Choice,
     outcome: Outcome,
+    start: Instant,
 }
 
 impl Drop for OutcomeGuard {
     fn drop(&mut self) {
         let now = self.core.now();
+        if self.outcome == Outcome::NoReply {
+            self.core.record_failed_attempt(self.start);
+        }
+        let is_silent = matches!(self.outcome, Outcome::NoReply | Outcome::Abandoned);
         let mut state = self.core.state();
         let Some(backend) = state.fleet.get_mut(self.choice.key) else { return };
+        if is_silent && self.core.has_links_in_doubt() {
+            backend.health.forget_attempt(self.choice.attempt);
+            return;
+        }
         let slots = backend.entry.slots;
         if matches!(self.outcome, Outcome::NotSent | Outcome::ConnectionLimit) {
             backend.limit.refund();
@@ -114,6 +130,10 @@
     pub boot_deadline: Duration,
     /// Whether the request may be executed more than once.
     pub idempotent: bool,
+    /// Whether another host has sent the request before and counted it in its retry budget.
+    pub is_repeat: bool,
+    /// Set when the first attempt sends the request.
+    sent: Arc<AtomicBool>,
 }
 
 impl RequestSpec {
@@ -121,7 +141,13 @@
     pub fn new(core: &Core, request: Outgoing, timeout: Duration, idempotent: bool) -> RequestSpec {
         let request = Arc::new(request);
         let (deadline, boot_deadline) = (core.now() + timeout, core.boot_time() + timeout);
-        RequestSpec { request, deadline, boot_deadline, idempotent }
+        let sent = Arc::default();
+        RequestSpec { request, deadline, boot_deadline, idempotent, is_repeat: false, sent }
+    }
+
+    /// Whether an attempt of this host has sent the request.
+    pub fn was_sent(&self) -> bool {
+        self.sent.load(Ordering::Relaxed)
     }
 
     /// Time until the deadline.
@@ -135,7 +161,8 @@
 /// health. Has no timeout of its own for the reply: drop the future when the
 /// request ends, at its deadline at the latest.
 pub async fn run(core: Arc<Core>, choice: Choice, spec: RequestSpec) -> Result<Reply, Failure> {
-    let mut guard = OutcomeGuard { core: core.clone(), choice, outcome: Outcome::Abandoned };
+    let mut guard =
+        OutcomeGuard { outcome: Outcome::Abandoned, start: core.now(), core: core.clone(), choice };
     let result = send(&core, &guard.choice, &spec).await;
     guard.outcome = outcome(&result);
     result
@@ -172,6 +199,7 @@
     let sent_at = core.now();
     let message = spec.request.encode(&choice.id, left, &core.names);
     core.metrics.attempt_sent();
+    spec.sent.store(true, Ordering::Relaxed);
     let result = connection.exchange(&message, &spec.request, &core.names).await;
     let reply = match result {
         Ok(reply) => reply,
@@ -264,8 +292,9 @@
     };
     core.metrics.connection_opened();
     let start = core.now();
-    let opened = time::timeout(CONNECT_TIMEOUT, connect(choice)).await;
-    let Ok(Ok(stream)) = opened else { return Err(Failure::Unreachable) };
+    let Some(stream) = open(core, choice.address, start).await else {
+        return Err(Failure::Unreachable);
+    };
     core.record_sign();
     let opening = core.now().duration_since(start);
     let mut connection = Connection::new(stream, permit, core.reply_memory.clone(), core.now());
@@ -283,8 +312,24 @@
     Err(Failure::ConnectionLimit)
 }
 
-async fn connect(choice: &Choice) -> io::Result<TcpStream> {
-    let stream = TcpStream::connect(choice.address).await?;
+/// Opens a connection to a backend server; `None` if that fails, takes too long, or the links
+/// to all of them turn out to be lost.
+async fn open(core: &Core, address: SocketAddr, start: Instant) -> Option<TcpStream> {
+    let mut opened = pin!(time::timeout(CONNECT_TIMEOUT, connect(address)));
+    tokio::select! {
+        opened = opened.as_mut() => return opened.ok()?.ok(),
+        () = core.links_to_be_lost() => return None,
+        () = time::sleep(OVERDUE_CONNECT) => core.record_failed_attempt(start),
+    }
+    tokio::select! {
+        opened = opened => opened.ok()?.ok(),
+        () = core.links_to_be_lost() => None,
+    }
+}
+
+/// Opens a connection to a backend server.
+pub async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
     Ok(stream)
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -12,18 +12,23 @@
 use chervil_base::clock::Clock;
 use chervil_base::message;
 use chervil_route::fleet::BackendKey;
+use chervil_route::links::Check;
 use chervil_route::links::Links;
 use chervil_route::pause::PauseDetector;
 use chervil_route::server_limit::Announcements;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time;
 
 use crate::client::Clients;
+use crate::exchange::Connection;
 use crate::exchange::ReplyMemory;
 use crate::logs::LogLimiter;
 use crate::metrics::Metrics;
 use crate::names::HeaderNames;
 use crate::pool::Pools;
+use crate::state::CheckTarget;
 use crate::state::Choice;
 use crate::state::State;
 
@@ -75,6 +80,10 @@
     relays: Mutex<Clients>,
     pause: Mutex<PauseDetector>,
     links: Mutex<Links>,
+    /// Wakes the check of the links.
+    link_check: Notify,
+    /// Whether the links to the backend servers are lost.
+    links_lost: watch::Sender<bool>,
     /// Counts the restores of the registry that this host has seen.
     restores: watch::Sender<u64>,
 }
@@ -105,6 +114,8 @@
             relays,
             pause,
             links: Mutex::default(),
+            link_check: Notify::new(),
+            links_lost: watch::Sender::new(false),
             restores: watch::Sender::new(0),
         }
     }
@@ -233,7 +244,94 @@
 
     /// Records a sign of a backend server: a reply, or an accepted connection.
     pub fn record_sign(&self) {
-        self.links().record_sign(self.now());
+        if self.links().record_sign(self.now()) {
+            spdlog::info!("links to the backend servers are back");
+            self.links_lost.send_replace(false);
+        }
+    }
+
+    /// Records that an attempt which began at `began` has failed, and starts a check of the
+    /// links if that puts them in doubt.
+    pub fn record_failed_attempt(&self, began: Instant) {
+        if self.links().record_failure(began) {
+            self.start_link_check();
+        }
+    }
+
+    /// Records that a reply has not come within the hedge delay, and starts a check of the
+    /// links if that puts them in doubt. Returns whether they are: then a hedge would be lost.
+    pub fn record_overdue_reply(&self, hedge_delay: Duration) -> bool {
+        if self.links().record_overdue(hedge_delay, self.now()) {
+            self.start_link_check();
+        }
+        self.has_links_in_doubt()
+    }
+
+    fn start_link_check(&self) {
+        self.metrics.count("links.checks");
+        self.link_check.notify_one();
+    }
+
+    /// Waits until a check of the links is wanted.
+    pub async fn link_check_wanted(&self) {
+        self.link_check.notified().await;
+    }
+
+    /// Backend servers to which a check of the links connects.
+    pub fn check_targets(&self, limit: usize) -> Vec<CheckTarget> {
+        self.state().check_targets(limit)
+    }
+
+    /// Ends a check of the links.
+    pub fn finish_link_check(&self) -> Check {
+        let silence = self.link_silence().map_or("none".into(), |s| s.as_millis().to_string());
+        let check = self.links().finish_check();
+        if check == Check::Lost {
+            self.metrics.count("links.lost");
+            spdlog::warn!(
+                "links to all backend servers are lost; passing requests to other hosts",
+                kv: { silent_ms = silence.as_str() }
+            );
+            // What this host has seen of the servers since says nothing about them.
+            self.take_reports();
+            self.links_lost.send_replace(true);
+        }
+        check
+    }
+
+    /// Ends a check of the links for which there was no backend server.
+    pub fn abandon_link_check(&self) {
+        self.links().abandon_check();
+        self.links_lost.send_replace(false);
+    }
+
+    /// Whether the links to the backend servers are lost.
+    pub fn has_lost_links(&self) -> bool {
+        self.links().is_lost()
+    }
+
+    /// Whether the links to the backend servers are lost or being checked.
+    pub fn has_links_in_doubt(&self) -> bool {
+        self.links().is_in_doubt()
+    }
+
+    /// Receiver that is true while the links to the backend servers are lost.
+    pub fn subscribe_links(&self) -> watch::Receiver<bool> {
+        self.links_lost.subscribe()
+    }
+
+    /// Waits until the links to the backend servers are lost.
+    pub async fn links_to_be_lost(&self) {
+        let mut lost = self.subscribe_links();
+        // Cannot fail: the sender is part of this.
+        let _ = lost.wait_for(|lost| *lost).await;
+    }
+
+    /// Keeps a new connection to a backend server for later requests.
+    pub fn keep_connection(&self, key: BackendKey, stream: TcpStream, permit: Arc<()>) {
+        self.record_sign();
+        let connection = Connection::new(stream, permit, self.reply_memory.clone(), self.now());
+        self.pools().put(key, connection);
     }
 
     /// Time since the latest sign of any backend server; `None` before the first one.
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -61,6 +61,11 @@
             /// Time after which the caller may come back.
             retry_after: Duration,
         },
+        /// This host has lost its links to the backend servers.
+        LinksLost {
+            /// Whether the query was sent to a backend server before.
+            sent: bool,
+        },
         /// Fewer shards replied than the route requires.
         TooFewShards {
             /// Whether a backend server may have executed the request.
@@ -148,6 +153,9 @@
     soft_deadline: Instant,
 ) -> GatherOutcome {
     let (start, deadline) = (core.now(), spec.deadline);
+    if core.has_lost_links() {
+        return GatherOutcome::LinksLost { sent: false };
+    }
     if let Err(refusal) = core.state().admit(route, gather, start) {
         let reason = refusal.reason.into();
         return GatherOutcome::Refused { reason, retry_after: refusal.retry_after };
@@ -157,6 +165,8 @@
     for shard in 0..query.shards.len() {
         query.send_first(shard);
     }
+    let mut links_lost = core.subscribe_links();
+    let mut may_hand_over = true;
     loop {
         let progress = query.progress(gather);
         let now = core.now();
@@ -166,8 +176,15 @@
             admitted.signal = query.signal(progress);
             break;
         };
+        if may_hand_over && *links_lost.borrow_and_update() && !progress.has_enough() {
+            if query.spend_repeat() {
+                return GatherOutcome::LinksLost { sent: query.spec.was_sent() };
+            }
+            may_hand_over = false;
+        }
         let wake = query.next_wakeup().min(end);
         tokio::select! {
+            Ok(()) = links_lost.changed() => {}
             Some(completion) = query.attempts.next() => query.on_completion(completion),
             () = time::sleep_until(wake.into()) => query.send_due(core.now()),
         }
@@ -218,12 +235,30 @@
         soonest.unwrap_or(self.spec.deadline)
     }
 
-    /// Sends the first request for a shard and credits the retry budget with it.
+    /// Sends the first request for a shard and credits the retry budget with it, unless it
+    /// repeats that of another host.
     fn send_first(&mut self, shard: usize) {
-        self.core.state().credit_retry_budget(&self.shards[shard].service, self.core.now());
+        if !self.spec.is_repeat {
+            self.core.state().credit_retry_budget(&self.shards[shard].service, self.core.now());
+        }
         self.send(shard);
     }
 
+    /// Spends an extra request of each shard to which the query was sent, so that another host
+    /// may send it again. Returns false, and spends none, if a budget is exhausted.
+    fn spend_repeat(&self) -> bool {
+        if !self.spec.was_sent() {
+            return true;
+        }
+        let sent = self.shards.iter().filter(|s| s.executed + s.in_flight > 0 || s.unacknowledged);
+        let services: Vec<&str> = sent.map(|s| &*s.service).collect();
+        let spent = services.iter().take_while(|s| self.core.try_spend_retry(s)).count();
+        if spent < services.len() {
+            services[..spent].iter().for_each(|s| self.core.state().refund_retry(s));
+        }
+        spent == services.len()
+    }
+
     /// Starts an attempt at the best backend server that was not tried yet. If
     /// there is none, returns false and schedules another search among all, or gives the
     /// shard up if all are at the limits that they name.
@@ -258,10 +293,14 @@
     /// server was available before.
     fn send_due(&mut self, now: Instant) {
         for index in 0..self.shards.len() {
-            let shard = &self.shards[index];
+            let shard = &mut self.shards[index];
             if shard.reply.is_some() || shard.exhausted || shard.next_send.is_none_or(|a| a > now) {
                 continue;
             }
+            if shard.in_flight > 0 && self.core.record_overdue_reply(self.hedge_delay) {
+                shard.next_send = Some(now + MIN_SEARCH_BACKOFF);
+                continue;
+            }
             self.send_another(index);
         }
     }
@@ -350,6 +389,9 @@
         if self.shards.len() - missing.len() < gather.required_shards() {
             let may_have_run =
                 self.shards.iter().any(|s| s.unacknowledged || s.executed + s.in_flight > 0);
+            if !may_have_run && self.core.has_lost_links() {
+                return GatherOutcome::LinksLost { sent: false };
+            }
             let timed_out = self.core.now() >= self.spec.deadline;
             return GatherOutcome::TooFewShards {
                 may_have_run,
--- a/crates/front/src/handle.rs
+++ b/crates/front/src/handle.rs
@@ -30,13 +30,12 @@
 use crate::answer::Answer;
 use crate::attempt::RequestSpec;
 use crate::core::Core;
-use crate::gather;
+use crate::execute;
+use crate::execute::Executed;
 use crate::gather::GatherOutcome;
 use crate::logs::Category;
 use crate::outgoing::Outgoing;
-use crate::relay;
 use crate::reply::Reply;
-use crate::single;
 use crate::single::SingleOutcome;
 
 /// Time reserved for returning the answer, subtracted from the caller's timeout;
@@ -187,6 +186,9 @@
 /// for many other reasons.
 async fn confirm_crash(core: Arc<Core>, digest: u64, address: SocketAddr) {
     time::sleep(CRASH_PROBE_DELAY).await;
+    if core.has_links_in_doubt() {
+        return;
+    }
     let connected = time::timeout(CRASH_PROBE_TIMEOUT, TcpStream::connect(address)).await;
     let refused = matches!(connected, Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused);
     if refused {
@@ -213,15 +215,9 @@
     soft_deadline: Instant,
 ) -> (Answer, Summary) {
     if let Target::Gather(gather) = &route.target {
-        let relayed = relay::pass_on(core, route, gather, &spec, soft_deadline).await;
-        let (relay, gathered) = match relayed {
-            Some(relayed) => (relayed.relay, relayed.outcome),
-            None => {
-                let outcome = gather::run(core, route, gather, spec, soft_deadline).await;
-                (Box::default(), outcome)
-            }
-        };
-        let (answer, summary) = answer_gathered(core, gathered);
+        let Executed { relay, outcome } =
+            execute::query(core, route, gather, spec, soft_deadline).await;
+        let (answer, summary) = answer_gathered(core, outcome);
         return (answer, Summary { relay, ..summary });
     }
     let service = core.state().pick_service(route);
@@ -229,13 +225,14 @@
         let text = "the route has no service with a weight\n";
         return (answer::unavailable(text, RETRY_AFTER), Summary::new("refused", "no_service"));
     };
-    let result = single::run(core, route, &service, spec).await;
+    let Executed { relay, outcome: result } = execute::single(core, route, &service, spec).await;
     let (answer, summary) = match result.outcome {
         SingleOutcome::NotRun => {
             let retry_after = core.state().retry_after(&service, route, core.now());
             let text = "no backend server could run the request\n";
             (answer::unavailable(text, retry_after), Summary::new("refused", "no_backend"))
         }
+        SingleOutcome::LinksLost { sent } => answer_lost_links(core, sent),
         SingleOutcome::Answered(reply) => answer_reply(*reply),
         SingleOutcome::Unknown { timed_out, disconnected } => {
             let reason = if timed_out { "deadline" } else { "connection_lost" };
@@ -243,7 +240,7 @@
             (failure_answer(true, timed_out), summary)
         }
     };
-    (answer, Summary { asked: result.asked, ..summary })
+    (answer, Summary { asked: result.asked, relay, ..summary })
 }
 
 fn answer_gathered(core: &Core, gathered: GatherOutcome) -> (Answer, Summary) {
@@ -257,6 +254,7 @@
             let answer = answer::unavailable("the query cannot be served now\n", retry_after);
             (answer, Summary { detail: reason, ..Summary::new("refused", "not_admitted") })
         }
+        GatherOutcome::LinksLost { sent } => answer_lost_links(core, sent),
         GatherOutcome::TooFewShards { may_have_run, timed_out, disconnected, missing } => {
             let answer = failure_answer(may_have_run, timed_out);
             let reason = if timed_out { "deadline" } else { "too_few_parts" };
@@ -265,6 +263,17 @@
     }
 }
 
+/// The response to a request that neither this host nor another one could send to a backend
+/// server, or that was `sent` before the links were lost.
+fn answer_lost_links(core: &Core, sent: bool) -> (Answer, Summary) {
+    if sent {
+        return (failure_answer(true, false), Summary::new("unknown", "links_lost"));
+    }
+    let retry_after = core.state().retry_after_lost_links();
+    let answer = answer::unavailable("no host reaches the backend servers\n", retry_after);
+    (answer, Summary::new("refused", "links_lost"))
+}
+
 fn answer_reply(reply: Reply) -> (Answer, Summary) {
     let success = (200..300).contains(&reply.status);
     let summary = if success {
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -22,6 +22,7 @@
 use crate::follow;
 use crate::follow::Follower;
 use crate::journal::Journal;
+use crate::links;
 use crate::listen;
 use crate::listen::Lifecycle;
 use crate::logs::LogLimiter;
@@ -134,6 +135,7 @@
         settings.bootstrap,
     ));
     tokio::spawn(follow::prune_connections(core.clone()));
+    tokio::spawn(links::watch(core.clone()));
     tokio::spawn(ready::serve_ready(probe_listener, lifecycle.clone()));
     tokio::spawn(ready::serve_metrics(metrics_listener, core.clone()));
     tokio::spawn(listen::serve(caller_listener, core, lifecycle.clone()));
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -41,9 +41,9 @@
 use crate::packed::Packed;
 use crate::registry::Event;
 use crate::registry::RegistryError;
-use crate::relay;
 use crate::relay::OFFER_PATH;
 use crate::relay::QUERY_PATH;
+use crate::relay_service;
 
 /// Longest time that a request for events is held open (long polling).
 const MAX_WAIT: Duration = Duration::from_secs(2);
@@ -285,8 +285,8 @@
     let body = body.to_bytes();
     let (core, lifecycle) = (&service.core, &service.lifecycle);
     match &*path {
-        OFFER_PATH => relay::answer_offer(core, lifecycle, &body),
-        QUERY_PATH => relay::answer_query(core, lifecycle, &body).await,
+        OFFER_PATH => relay_service::answer_offer(core, lifecycle, &body),
+        QUERY_PATH => relay_service::answer_request(core, lifecycle, &body).await,
         REPORT_PATH => respond_to_reports(service, &body),
         _ => respond_to_follower(service, &body).await,
     }
--- /dev/null
+++ b/crates/front/src/relay_service.rs
@@ -0,0 +1,137 @@
+//! Execution of requests that other hosts pass to this one.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use chervil_route::config::Config;
+use chervil_route::config::Route;
+use chervil_route::config::Target;
+use hyper::Response;
+use hyper::StatusCode;
+
+use crate::answer;
+use crate::answer::Answer;
+use crate::attempt::RequestSpec;
+use crate::core::Core;
+use crate::gather;
+use crate::listen::Lifecycle;
+use crate::logs::Category;
+use crate::relayed::Offer;
+use crate::relayed::RelayReply;
+use crate::relayed::RelayedRequest;
+use crate::single;
+
+/// Most requests that a host executes for other hosts at once. More would take turns for
+/// its CPU for longer than most latency targets.
+const MAX_RELAYED: usize = 24;
+
+/// Answers an offer: `true` if this host would execute the request.
+pub fn answer_offer(core: &Core, lifecycle: &Lifecycle, body: &[u8]) -> Answer {
+    let Ok(offer) = serde_json::from_slice::<Offer>(body) else {
+        return answer::plain_text(StatusCode::BAD_REQUEST, "the offer is malformed\n");
+    };
+    let accepted = lifecycle.is_ready()
+        && lifecycle.relayed() < MAX_RELAYED
+        && !core.has_lost_links()
+        && matching_route(core, &offer).is_some();
+    answer::plain_text(StatusCode::OK, if accepted { "true\n" } else { "false\n" })
+}
+
+/// Executes a request of another host. The answer is `null` if this host has another version
+/// of the route; nothing has been sent to a backend server then.
+pub async fn answer_request(core: &Arc<Core>, lifecycle: &Arc<Lifecycle>, body: &[u8]) -> Answer {
+    let request = serde_json::from_slice::<RelayedRequest>(body).ok();
+    let Some((request, outgoing)) = request.and_then(|r| r.outgoing().map(|o| (r, o))) else {
+        return answer::plain_text(StatusCode::BAD_REQUEST, "the query is malformed\n");
+    };
+    let Some((config, index)) = matching_route(core, &request.offer) else {
+        return answer::plain_text(StatusCode::OK, "null\n");
+    };
+    let route = &config.routes[index];
+    let _running = lifecycle.track_relayed();
+    // Lets the connection notice that the other host has closed it, before anything is
+    // sent: this host may have been paused since.
+    tokio::task::yield_now().await;
+    let timeout = request.timeout().min(route.timeout);
+    let mut spec = RequestSpec::new(core, outgoing, timeout, route.idempotent);
+    spec.is_repeat = request.repeated;
+    let start = core.now();
+    let id = spec.request.request_id.clone();
+    let Some(reply) = execute(core, route, &request, spec).await else {
+        return answer::plain_text(StatusCode::OK, "null\n");
+    };
+    log_served(core, &id, route, &reply, start);
+    match serde_json::to_vec(&reply) {
+        Ok(reply) => Response::new(reply.into()),
+        Err(error) => {
+            // Not an empty body, which would state that nothing was sent.
+            let error = error.to_string();
+            spdlog::error!("cannot encode the outcome of a request", kv: { error = error.as_str() });
+            answer::plain_text(StatusCode::INTERNAL_SERVER_ERROR, "the outcome is lost\n")
+        }
+    }
+}
+
+/// Executes a request here; it is not passed on again. None if the route does not allow what
+/// the request states.
+async fn execute(
+    core: &Arc<Core>,
+    route: &Route,
+    request: &RelayedRequest,
+    spec: RequestSpec,
+) -> Option<RelayReply> {
+    match (&route.target, &request.service) {
+        (Target::Gather(gather), None) => {
+            let soft_deadline = core.now() + request.soft_timeout().min(route.timeout);
+            core.metrics.count("relay.served");
+            let outcome = gather::run(core, route, gather, spec, soft_deadline).await;
+            Some(RelayReply::from_gathered(outcome))
+        }
+        (target, Some(service)) if target.has_service(service) => {
+            core.metrics.count("relay.served");
+            let result = single::run(core, route, service, spec).await;
+            Some(RelayReply::from_single(result))
+        }
+        _ => None,
+    }
+}
+
+/// Logs a request that was executed for another host, if the log rate allows it.
+fn log_served(core: &Core, id: &[u8], route: &Route, reply: &RelayReply, start: Instant) {
+    let now = core.now();
+    let (name, detail, extra) = match reply {
+        RelayReply::Merged { missing, extra, .. } if missing.is_empty() => {
+            ("answered", String::new(), *extra)
+        }
+        RelayReply::Merged { missing, extra, .. } => ("partial", missing.join(","), *extra),
+        RelayReply::Refused { .. } => ("refused", String::new(), 0),
+        RelayReply::TooFewShards { missing, .. } => ("failed", missing.join(","), 0),
+        RelayReply::LinksLost { .. } => ("links_lost", String::new(), 0),
+        RelayReply::Answered { asked, .. } => ("answered", asked.join(" "), 0),
+        RelayReply::NotRun { asked } => ("refused", asked.join(" "), 0),
+        RelayReply::Unknown { asked, .. } => ("unknown", asked.join(" "), 0),
+    };
+    let category = if name == "answered" { Category::Success } else { Category::Notable };
+    if core.log_limiter.allows(category, now) {
+        spdlog::info!("relayed query", kv: {
+            id = &*String::from_utf8_lossy(id),
+            route = &*route.name,
+            outcome = name,
+            missing = detail.as_str(),
+            extra,
+            ms = now.duration_since(start).as_secs_f64() * 1e3,
+        });
+    }
+}
+
+/// The configuration in force and the index of the route of a request in it, if the route
+/// is the same in the configurations of both hosts.
+fn matching_route(core: &Core, offer: &Offer) -> Option<(Arc<Config>, usize)> {
+    let state = core.state();
+    if state.route_digest(&offer.route) != Some(offer.digest) {
+        return None;
+    }
+    let config = state.config.clone()?;
+    let index = config.routes.iter().position(|r| r.name == offer.route)?;
+    Some((config, index))
+}
--- a/crates/front/src/reply.rs
+++ b/crates/front/src/reply.rs
@@ -84,6 +84,11 @@
         }
     }
 
+    /// A reply that another host has received, as far as it is forwarded.
+    pub fn forwarded(status: u16, head: Bytes, body: Bytes) -> Reply {
+        Reply { head, body, ..Reply::new(status) }
+    }
+
     /// Headers to forward. Parsed on demand, because those of shard replies are not
     /// needed.
     pub fn headers(&self) -> HeaderMap {
--- a/crates/front/src/single.rs
+++ b/crates/front/src/single.rs
@@ -39,6 +39,12 @@
         Answered(Box<Reply>),
         /// No backend server executed the request.
         NotRun,
+        /// This host has lost its links to the backend servers. Another host may send the
+        /// request.
+        LinksLost {
+            /// Whether the request was sent to a backend server before.
+            sent: bool,
+        },
         /// A backend server may have executed the request.
         Unknown {
             /// Whether the deadline has passed.
@@ -94,16 +100,27 @@
     service: &str,
     spec: RequestSpec,
 ) -> SingleResult {
+    if core.has_lost_links() {
+        return SingleResult {
+            outcome: SingleOutcome::LinksLost { sent: false },
+            asked: Vec::new(),
+        };
+    }
     let (hedge_delay, typical_latency) = {
         let mut state = core.state();
-        state.credit_retry_budget(service, core.now());
+        if !spec.is_repeat {
+            state.credit_retry_budget(service, core.now());
+        }
         let latency = state.latency(route);
         (latency.hedge_delay(), latency.median())
     };
     let search_deadline = core.now() + route.latency_target.mul_f64(SEARCH_LATENCY_SHARE);
     let hedge_at = (spec.idempotent).then(|| core.now() + hedge_delay);
     let mut request = SingleRequest::new(core, route, service, spec, typical_latency);
-    let outcome = request.run(search_deadline, hedge_at).await;
+    let mut outcome = request.run(search_deadline, hedge_at, hedge_delay).await;
+    if outcome == SingleOutcome::NotRun && core.has_lost_links() {
+        outcome = SingleOutcome::LinksLost { sent: false };
+    }
     SingleResult { outcome, asked: request.asked }
 }
 
@@ -138,8 +155,10 @@
         &mut self,
         search_deadline: Instant,
         mut hedge_at: Option<Instant>,
+        hedge_delay: Duration,
     ) -> SingleOutcome {
         let mut unsent = 0;
+        let mut links_lost = self.core.subscribe_links();
         while !self.send() {
             let now = self.core.now();
             let wait = self.core.state().limit_wait(self.service, now).unwrap_or_default();
@@ -150,12 +169,20 @@
         }
         loop {
             let timer = hedge_at.unwrap_or(self.spec.deadline).min(self.spec.deadline);
+            if *links_lost.borrow_and_update() && self.may_hand_over() {
+                return SingleOutcome::LinksLost { sent: self.spec.was_sent() };
+            }
             let finished = tokio::select! {
+                Ok(()) = links_lost.changed() => continue,
                 finished = next_finished(&mut self.tasks) => finished,
                 () = time::sleep_until(timer.into()) => {
                     if self.core.now() >= self.spec.deadline {
                         return self.conclude(true);
                     }
+                    if self.core.record_overdue_reply(hedge_delay) {
+                        hedge_at = Some(self.core.now() + SEARCH_INTERVAL);
+                        continue;
+                    }
                     hedge_at = None;
                     self.send_another();
                     continue;
@@ -243,6 +270,12 @@
         sent
     }
 
+    /// Whether another host may send the request, since the links of this one are lost: it
+    /// was not sent yet, or may be sent once more.
+    fn may_hand_over(&self) -> bool {
+        !self.spec.was_sent() || (self.spec.idempotent && self.core.try_spend_retry(self.service))
+    }
+
     /// The outcome after the last attempt, or at the deadline if `timed_out`.
     fn conclude(&mut self, timed_out: bool) -> SingleOutcome {
         match self.error_reply.take() {
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -77,6 +77,19 @@
     }
 }
 
+value! {
+    /// A backend server to which a check of the links connects.
+    #[derive(Copy)]
+    pub struct CheckTarget {
+        /// Key in the fleet.
+        pub key: BackendKey,
+        /// Address for requests.
+        pub address: std::net::SocketAddr,
+        /// Most connections that this host may have open to it.
+        pub max_connections: usize,
+    }
+}
+
 value! {
     /// What follows from a configuration for one of its routes.
     #[derive(Copy)]
@@ -284,6 +297,23 @@
         self.relay_health.choose(peers, fleet, gather, &self.location, rng, now)
     }
 
+    /// The host to which a request is passed that this one cannot send to any backend server.
+    pub fn choose_helper(&mut self, is_query: bool, now: Instant) -> Option<Relay> {
+        let (peers, rng) = (&self.peers, &mut self.rng);
+        self.relay_health.choose_helper(peers, &self.location, is_query, rng, now)
+    }
+
+    /// Records that a host accepted an offer.
+    pub fn record_accepted_offer(&mut self, host: &str, now: Instant) {
+        self.relay_health.record_accepted(host, now);
+    }
+
+    /// Time after which the caller of a request may come back that neither this host nor
+    /// another one could send to a backend server.
+    pub fn retry_after_lost_links(&mut self) -> Duration {
+        retry_after::after_unservable(&mut self.rng)
+    }
+
     /// Does not pass queries to a host until the given time.
     pub fn avoid_relay(&mut self, host: &str, until: Instant, now: Instant) {
         self.relay_health.avoid(host, until, now);
@@ -397,6 +427,24 @@
         }
     }
 
+    /// Random backend servers, `limit` at most, to which a check of the links connects.
+    pub fn check_targets(&mut self, limit: usize) -> Vec<CheckTarget> {
+        let keys = self.fleet.sample_eligible(limit, &mut self.rng);
+        let target = |key| {
+            let entry = &self.fleet.get(key)?.entry;
+            let max_connections = (self.own_connections(&entry.service) as usize).max(1);
+            Some(CheckTarget { key, address: entry.address, max_connections })
+        };
+        keys.into_iter().filter_map(target).collect()
+    }
+
+    /// Connections to each backend server of a service that this host may have, a fraction
+    /// if there are fewer than hosts.
+    fn own_connections(&self, service: &str) -> f64 {
+        let settings = self.config.as_ref().and_then(|c| c.services.get(service));
+        f64::from(settings.map_or(1, |s| s.max_connections)) * self.share(service)
+    }
+
     /// Chooses a backend server of a service and starts an attempt at it; see
     /// [`Core::choose`](crate::core::Core::choose). Backend servers with an idle
     /// connection in `pools` are preferred.
@@ -409,8 +457,7 @@
         now: Instant,
     ) -> Option<Choice> {
         let settings = self.config.as_ref()?.services.get(service).copied();
-        let connections = f64::from(settings.map_or(1, |s| s.max_connections));
-        let own_connections = connections * self.share(service);
+        let own_connections = self.own_connections(service);
         let limit_share = self.limit_share(service);
         let criteria = Criteria {
             service,
--- a/crates/front/tests/support/mod.rs
+++ b/crates/front/tests/support/mod.rs
@@ -18,6 +18,7 @@
 use chervil_base::clock::SystemClock;
 use chervil_front::core::Core;
 use chervil_front::journal::Journal;
+use chervil_front::links;
 use chervil_front::listen;
 use chervil_front::listen::Lifecycle;
 use chervil_front::logs::LogLimiter;
@@ -311,6 +312,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(listen::serve(listener, core.clone(), lifecycle.clone()));
+    tokio::spawn(links::watch(core.clone()));
     TestHost { core, lifecycle, address }
 }
 
--- a/crates/route/src/config.rs
+++ b/crates/route/src/config.rs
@@ -174,6 +174,17 @@
     }
 }
 
+impl Target {
+    /// Whether requests may go to single backend servers of a service.
+    pub fn has_service(&self, service: &str) -> bool {
+        match self {
+            Target::One(one) => **one == *service,
+            Target::Split(services) => services.iter().any(|s| *s.service == *service),
+            Target::Gather(_) => false,
+        }
+    }
+}
+
 impl Gather {
     /// Number of shards that must answer: the minimum coverage, rounded up, and
     /// at least 1.
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -12,6 +12,7 @@
 use chervil_base::value;
 use rand::RngExt as _;
 use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom as _;
 use rustc_hash::FxHasher;
 use slotmap::SlotMap;
 use slotmap::new_key_type;
@@ -331,6 +332,12 @@
         times.min().unwrap_or_default()
     }
 
+    /// Random eligible backend servers, `limit` at most.
+    pub fn sample_eligible(&self, limit: usize, rng: &mut SmallRng) -> Vec<BackendKey> {
+        let keys = self.backends.keys().filter(|key| self.is_eligible(*key));
+        keys.sample(rng, limit)
+    }
+
     /// Chooses the eligible backend server with the lowest estimated cost. None if
     /// there is none that may get a request now. `is_connected` tells whether an
     /// idle connection to a backend server is available.
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -159,6 +159,11 @@
         attempt
     }
 
+    /// Ends an attempt that says nothing about the backend server.
+    pub fn forget_attempt(&mut self, attempt: AttemptId) {
+        self.in_flight.retain(|f| f.attempt != attempt);
+    }
+
     /// Records the outcome of an attempt at a backend server with `slots` slots.
     /// Returns true if the attempt indicates a degraded backend server. Time
     /// spent in a queue that the backend server reports counts as load, not as
--- a/crates/route/src/relay.rs
+++ b/crates/route/src/relay.rs
@@ -1,13 +1,19 @@
-//! Choice of a relay for a scatter-gather query, and division of shared limits between
-//! relays and the other hosts.
+//! Choice of a relay for a scatter-gather query, choice of a helper for a host that has lost
+//! its links to the backend servers, and division of shared limits between relays and the
+//! other hosts.
 //!
-//! Load pattern: hundreds of small hosts, each of which gets a query every few seconds
+//! Load pattern of relays: hundreds of small hosts, each of which gets a query every few seconds
 //! that fans out to tens of shards. A small host takes longer to send the sub-requests
 //! than the backend servers take to answer them, has no open connections to most of
 //! them, and learns too seldom which of them are slow. A few larger hosts that gather
 //! the queries of all others have warm connections and recent observations.
+//!
+//! Load pattern of helpers: some hosts, or most, are cut off from all backend servers at the
+//! same time. A host does not know which, so it finds out by offers, and keeps to several
+//! that have accepted one, among which its requests are spread.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 use std::time::Instant;
 
 use chervil_base::HashMap;
@@ -15,6 +21,7 @@
 use chervil_base::value;
 use rand::RngExt as _;
 use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom as _;
 
 use crate::config::Gather;
 use crate::fleet::Fleet;
@@ -33,6 +40,12 @@
 /// divide the rest; they need it when no relay answers.
 const RELAY_LIMIT_SHARE: f64 = 0.5;
 
+/// Helpers that a host knows before it offers its requests only to those.
+const MIN_HELPERS: usize = 4;
+
+/// Time after its last accepted offer for which a host counts as a helper.
+const HELPER_RETENTION: Duration = Duration::from_secs(5);
+
 /// Number of shards that are looked at to find the zones that hold a query's shards.
 const SAMPLED_SHARDS: usize = 8;
 
@@ -75,10 +88,12 @@
         pub address: SocketAddr,
     }
 
-    /// Relays that do not answer.
+    /// Hosts that do not accept offers, and those that did.
     #[derive(Default)]
     pub struct RelayHealth {
         avoided_until: HashMap<Box<str>, Instant>,
+        /// Hosts that accepted an offer, and when.
+        accepted_at: HashMap<Box<str>, Instant>,
     }
 }
 
@@ -136,6 +151,44 @@
     pub fn avoid(&mut self, host: &str, until: Instant, now: Instant) {
         self.avoided_until.retain(|_, until| *until > now);
         self.avoided_until.insert(host.into(), until);
+        self.accepted_at.remove(host);
+    }
+
+    /// Records that a host accepted an offer.
+    pub fn record_accepted(&mut self, host: &str, now: Instant) {
+        self.accepted_at.retain(|_, at| now.duration_since(*at) < HELPER_RETENTION);
+        self.accepted_at.insert(host.into(), now);
+    }
+
+    /// Chooses a host of the region for a request that this host cannot send to any backend
+    /// server: at random among those that accepted an offer recently, if they are several,
+    /// else among all that are not avoided. Queries go to relays while one is usable.
+    pub fn choose_helper(
+        &self,
+        peers: &PeerTable,
+        location: &Location,
+        is_query: bool,
+        rng: &mut SmallRng,
+        now: Instant,
+    ) -> Option<Relay> {
+        let usable: Vec<(&str, &Peer)> = peers
+            .ranked()
+            .filter(|(host, p)| location.may_use(&p.zone) && self.is_usable(host, now))
+            .collect();
+        let threshold = relay_threshold(peers);
+        let relays = usable.iter().filter(|(_, p)| f64::from(p.cpu_millicores) > threshold);
+        let relays: Vec<(&str, &Peer)> =
+            if is_query { relays.copied().collect() } else { Vec::new() };
+        let candidates = if relays.is_empty() { usable } else { relays };
+        let is_helper = |host: &str| {
+            let accepted_at = self.accepted_at.get(host);
+            accepted_at.is_some_and(|at| now.duration_since(*at) < HELPER_RETENTION)
+        };
+        let helpers: Vec<(&str, &Peer)> =
+            candidates.iter().filter(|(host, _)| is_helper(host)).copied().collect();
+        let chosen = if helpers.len() < MIN_HELPERS { &candidates } else { &helpers };
+        let (host, peer) = chosen.choose(rng)?;
+        Some(Relay { host: (*host).into(), address: peer.address })
     }
 
     fn is_usable(&self, host: &str, now: Instant) -> bool {
