Pass on requests for which a host can't open a connection

Cause: only the loss of all links made a host look for another one. Change: a request to one server for which no connection could be opened within the time of its search goes to one other host as well; if that can't open one either, no third one is asked. The outcome is named out of reach.

Tests, red before: request_without_an_open_connection_is_executed_by_another_host; request_whose_servers_refuse_all_hosts_is_refused bounds it.

--- a/crates/front/src/execute.rs
+++ b/crates/front/src/execute.rs
@@ -37,14 +37,14 @@
     soft_deadline: Instant,
 ) -> Executed<GatherOutcome> {
     let task = Task::Query { gather, soft_deadline };
-    let mut outcome = GatherOutcome::LinksLost { sent: false };
+    let mut outcome = GatherOutcome::OutOfReach { sent: false };
     if !core.has_lost_links() {
         if let Some(passed) = relay::pass_to_relay(core, route, task, &spec).await {
             return passed.into_gathered();
         }
         outcome = gather::run(core, route, gather, spec.clone(), soft_deadline).await;
     }
-    if let GatherOutcome::LinksLost { sent } = outcome {
+    if let GatherOutcome::OutOfReach { sent } = outcome {
         spec.is_repeat = sent;
         if let Some(passed) = relay::pass_to_helper(core, route, task, &spec).await {
             return passed.into_gathered();
@@ -60,14 +60,17 @@
     service: &str,
     mut spec: RequestSpec,
 ) -> Executed<SingleResult> {
-    let result = single::run(core, route, service, spec.clone()).await;
-    if let SingleOutcome::LinksLost { sent } = result.outcome {
+    let mut result = single::run(core, route, service, spec.clone()).await;
+    if let SingleOutcome::OutOfReach { sent } = result.outcome {
         spec.is_repeat = sent;
         if let Some(passed) =
             relay::pass_to_helper(core, route, Task::Single { service }, &spec).await
         {
             return passed.into_single();
         }
+        if !sent && !core.has_lost_links() {
+            result.outcome = SingleOutcome::NotRun;
+        }
     }
     Executed { relay: Box::default(), outcome: result }
 }
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -61,8 +61,8 @@
             /// Time after which the caller may come back.
             retry_after: Duration,
         },
-        /// This host has lost its links to the backend servers.
-        LinksLost {
+        /// The backend servers are out of reach of this host.
+        OutOfReach {
             /// Whether the query was sent to a backend server before.
             sent: bool,
         },
@@ -154,7 +154,7 @@
 ) -> GatherOutcome {
     let (start, deadline) = (core.now(), spec.deadline);
     if core.has_lost_links() {
-        return GatherOutcome::LinksLost { sent: false };
+        return GatherOutcome::OutOfReach { sent: false };
     }
     if let Err(refusal) = core.state().admit(route, gather, start) {
         let reason = refusal.reason.into();
@@ -178,7 +178,7 @@
         };
         if may_hand_over && *links_lost.borrow_and_update() && !progress.has_enough() {
             if query.spend_repeat() {
-                return GatherOutcome::LinksLost { sent: query.spec.was_sent() };
+                return GatherOutcome::OutOfReach { sent: query.spec.was_sent() };
             }
             may_hand_over = false;
         }
@@ -390,7 +390,7 @@
             let may_have_run =
                 self.shards.iter().any(|s| s.unacknowledged || s.executed + s.in_flight > 0);
             if !may_have_run && self.core.has_lost_links() {
-                return GatherOutcome::LinksLost { sent: false };
+                return GatherOutcome::OutOfReach { sent: false };
             }
             let timed_out = self.core.now() >= self.spec.deadline;
             return GatherOutcome::TooFewShards {
--- a/crates/front/src/handle.rs
+++ b/crates/front/src/handle.rs
@@ -232,7 +232,7 @@
             let text = "no backend server could run the request\n";
             (answer::unavailable(text, retry_after), Summary::new("refused", "no_backend"))
         }
-        SingleOutcome::LinksLost { sent } => answer_lost_links(core, sent),
+        SingleOutcome::OutOfReach { sent } => answer_out_of_reach(core, sent),
         SingleOutcome::Answered(reply) => answer_reply(*reply),
         SingleOutcome::Unknown { timed_out, disconnected } => {
             let reason = if timed_out { "deadline" } else { "connection_lost" };
@@ -254,7 +254,7 @@
             let answer = answer::unavailable("the query cannot be served now\n", retry_after);
             (answer, Summary { detail: reason, ..Summary::new("refused", "not_admitted") })
         }
-        GatherOutcome::LinksLost { sent } => answer_lost_links(core, sent),
+        GatherOutcome::OutOfReach { sent } => answer_out_of_reach(core, sent),
         GatherOutcome::TooFewShards { may_have_run, timed_out, disconnected, missing } => {
             let answer = failure_answer(may_have_run, timed_out);
             let reason = if timed_out { "deadline" } else { "too_few_parts" };
@@ -265,13 +265,13 @@
 
 /// The response to a request that neither this host nor another one could send to a backend
 /// server, or that was `sent` before the links were lost.
-fn answer_lost_links(core: &Core, sent: bool) -> (Answer, Summary) {
+fn answer_out_of_reach(core: &Core, sent: bool) -> (Answer, Summary) {
     if sent {
-        return (failure_answer(true, false), Summary::new("unknown", "links_lost"));
+        return (failure_answer(true, false), Summary::new("unknown", "out_of_reach"));
     }
-    let retry_after = core.state().retry_after_lost_links();
+    let retry_after = core.state().retry_after_out_of_reach();
     let answer = answer::unavailable("no host reaches the backend servers\n", retry_after);
-    (answer, Summary::new("refused", "links_lost"))
+    (answer, Summary::new("refused", "out_of_reach"))
 }
 
 fn answer_reply(reply: Reply) -> (Answer, Summary) {
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -160,7 +160,7 @@
                 avoid(core, &relay, "another version of the route", DECLINED_RELAY_PAUSE)
             }
             // It has spent an extra request for each one that it had sent.
-            Sent::Done(RelayReply::LinksLost { sent }) if spec.idempotent || !sent => {
+            Sent::Done(RelayReply::OutOfReach { sent }) if spec.idempotent || !sent => {
                 avoid(core, &relay, "links lost", DECLINED_HELPER_PAUSE);
                 spec.is_repeat |= sent;
             }
--- a/crates/front/src/relay_service.rs
+++ b/crates/front/src/relay_service.rs
@@ -20,6 +20,7 @@
 use crate::relayed::RelayReply;
 use crate::relayed::RelayedRequest;
 use crate::single;
+use crate::single::SingleOutcome;
 
 /// Most requests that a host executes for other hosts at once. More would take turns for
 /// its CPU for longer than most latency targets.
@@ -89,7 +90,13 @@
         }
         (target, Some(service)) if target.has_service(service) => {
             core.metrics.count("relay.served");
-            let result = single::run(core, route, service, spec).await;
+            let mut result = single::run(core, route, service, spec).await;
+            // Only the servers of this service: another host would fare no better.
+            if result.outcome == (SingleOutcome::OutOfReach { sent: false })
+                && !core.has_lost_links()
+            {
+                result.outcome = SingleOutcome::NotRun;
+            }
             Some(RelayReply::from_single(result))
         }
         _ => None,
@@ -106,7 +113,7 @@
         RelayReply::Merged { missing, extra, .. } => ("partial", missing.join(","), *extra),
         RelayReply::Refused { .. } => ("refused", String::new(), 0),
         RelayReply::TooFewShards { missing, .. } => ("failed", missing.join(","), 0),
-        RelayReply::LinksLost { .. } => ("links_lost", String::new(), 0),
+        RelayReply::OutOfReach { .. } => ("out_of_reach", String::new(), 0),
         RelayReply::Answered { asked, .. } => ("answered", asked.join(" "), 0),
         RelayReply::NotRun { asked } => ("refused", asked.join(" "), 0),
         RelayReply::Unknown { asked, .. } => ("unknown", asked.join(" "), 0),
--- a/crates/front/src/relayed.rs
+++ b/crates/front/src/relayed.rs
@@ -87,7 +87,7 @@
             missing: Vec<Box<str>>,
         },
         /// The other host has lost its links to the backend servers, too.
-        LinksLost {
+        OutOfReach {
             /// Whether it had sent the request to a backend server before.
             sent: bool,
         },
@@ -174,7 +174,7 @@
             GatherOutcome::Refused { reason, retry_after } => {
                 RelayReply::Refused { reason, retry_ms: retry_after.as_millis() as u64 }
             }
-            GatherOutcome::LinksLost { sent } => RelayReply::LinksLost { sent },
+            GatherOutcome::OutOfReach { sent } => RelayReply::OutOfReach { sent },
             GatherOutcome::TooFewShards { may_have_run, timed_out, disconnected, missing } => {
                 RelayReply::TooFewShards { may_have_run, timed_out, disconnected, missing }
             }
@@ -190,7 +190,7 @@
                 RelayReply::Answered { status: reply.status, head, body, asked }
             }
             SingleOutcome::NotRun => RelayReply::NotRun { asked },
-            SingleOutcome::LinksLost { sent } => RelayReply::LinksLost { sent },
+            SingleOutcome::OutOfReach { sent } => RelayReply::OutOfReach { sent },
             SingleOutcome::Unknown { timed_out, disconnected } => {
                 RelayReply::Unknown { timed_out, disconnected, asked }
             }
@@ -212,7 +212,7 @@
             RelayReply::TooFewShards { may_have_run, timed_out, disconnected, missing } => {
                 GatherOutcome::TooFewShards { may_have_run, timed_out, disconnected, missing }
             }
-            RelayReply::LinksLost { sent } => GatherOutcome::LinksLost { sent },
+            RelayReply::OutOfReach { sent } => GatherOutcome::OutOfReach { sent },
             RelayReply::Answered { .. }
             | RelayReply::NotRun { .. }
             | RelayReply::Unknown { .. } => {
@@ -234,7 +234,7 @@
             RelayReply::Unknown { timed_out, disconnected, asked } => {
                 (SingleOutcome::Unknown { timed_out, disconnected }, asked)
             }
-            RelayReply::LinksLost { sent } => (SingleOutcome::LinksLost { sent }, Vec::new()),
+            RelayReply::OutOfReach { sent } => (SingleOutcome::OutOfReach { sent }, Vec::new()),
             RelayReply::Merged { .. }
             | RelayReply::Refused { .. }
             | RelayReply::TooFewShards { .. } => return None,
--- a/crates/front/src/single.rs
+++ b/crates/front/src/single.rs
@@ -39,9 +39,10 @@
         Answered(Box<Reply>),
         /// No backend server executed the request.
         NotRun,
-        /// This host has lost its links to the backend servers. Another host may send the
+        /// The backend servers are out of reach of this host: its links to all of them are
+        /// lost, or those of the service refuse its connections. Another host may send the
         /// request.
-        LinksLost {
+        OutOfReach {
             /// Whether the request was sent to a backend server before.
             sent: bool,
         },
@@ -82,6 +83,8 @@
     /// Attempts, without those that ended before the request was sent or
     /// acknowledged.
     sent: u32,
+    /// Attempts for which no connection could be opened.
+    unreachable: usize,
     /// Failed attempts that executed or may have executed the request.
     executed: u32,
     /// Whether an attempt sent the request and got no acknowledgement.
@@ -102,7 +105,7 @@
 ) -> SingleResult {
     if core.has_lost_links() {
         return SingleResult {
-            outcome: SingleOutcome::LinksLost { sent: false },
+            outcome: SingleOutcome::OutOfReach { sent: false },
             asked: Vec::new(),
         };
     }
@@ -118,8 +121,9 @@
     let hedge_at = (spec.idempotent).then(|| core.now() + hedge_delay);
     let mut request = SingleRequest::new(core, route, service, spec, typical_latency);
     let mut outcome = request.run(search_deadline, hedge_at, hedge_delay).await;
-    if outcome == SingleOutcome::NotRun && core.has_lost_links() {
-        outcome = SingleOutcome::LinksLost { sent: false };
+    let refuses_connections = request.is_unreachable() && core.now() < search_deadline;
+    if outcome == SingleOutcome::NotRun && (core.has_lost_links() || refuses_connections) {
+        outcome = SingleOutcome::OutOfReach { sent: false };
     }
     SingleResult { outcome, asked: request.asked }
 }
@@ -141,6 +145,7 @@
             asked: Vec::new(),
             tasks: JoinSet::new(),
             sent: 0,
+            unreachable: 0,
             executed: 0,
             unacknowledged: false,
             disconnected: None,
@@ -170,7 +175,7 @@
         loop {
             let timer = hedge_at.unwrap_or(self.spec.deadline).min(self.spec.deadline);
             if *links_lost.borrow_and_update() && self.may_hand_over() {
-                return SingleOutcome::LinksLost { sent: self.spec.was_sent() };
+                return SingleOutcome::OutOfReach { sent: self.spec.was_sent() };
             }
             let finished = tokio::select! {
                 Ok(()) = links_lost.changed() => continue,
@@ -204,6 +209,7 @@
                     | Failure::Unacknowledged),
                 ) => {
                     self.unacknowledged |= failure == Failure::Unacknowledged;
+                    self.unreachable += usize::from(failure == Failure::Unreachable);
                     unsent += 1;
                     self.sent -= 1;
                     if self.tasks.is_empty() && (unsent >= MAX_UNSENT_ATTEMPTS || !self.send()) {
@@ -270,6 +276,11 @@
         sent
     }
 
+    /// Whether no connection could be opened for any attempt.
+    fn is_unreachable(&self) -> bool {
+        self.unreachable > 0 && self.unreachable == self.asked.len()
+    }
+
     /// Whether another host may send the request, since the links of this one are lost: it
     /// was not sent yet, or may be sent once more.
     fn may_hand_over(&self) -> bool {
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -310,7 +310,7 @@
 
     /// Time after which the caller of a request may come back that neither this host nor
     /// another one could send to a backend server.
-    pub fn retry_after_lost_links(&mut self) -> Duration {
+    pub fn retry_after_out_of_reach(&mut self) -> Duration {
         retry_after::after_unservable(&mut self.rng)
     }
 
--- a/crates/front/tests/stranded.rs
+++ b/crates/front/tests/stranded.rs
@@ -280,6 +280,44 @@
     assert!(helper.core.metrics.text().contains("relay.served 1"));
 }
 
+/// Guards against a request that is refused at a host whose open connections work while new
+/// ones are refused.
+#[tokio::test]
+async fn request_without_an_open_connection_is_executed_by_another_host() {
+    let (servers, links) = (Servers::start().await, cut_links(Cut::Refuses).await);
+    let (_helper, address) = start_helper(servers.entries()).await;
+    let [_, _, quote] = links.addresses;
+    let own = entries([servers.a.address, servers.b.address, quote]);
+    let host = start_with(own, &[address]).await;
+
+    let query = host.ask("GET", "/all/1", "").await;
+    let once = host.ask("POST", "/once/1", "rope").await;
+
+    assert_eq!([&query, &once].map(|a| status(a)), [200; 2]);
+    assert!(!host.core.has_lost_links());
+    assert_eq!(servers.quote.received().len(), 1);
+}
+
+/// Guards against hosts that pass a request round for whose service all servers are down.
+#[tokio::test]
+async fn request_whose_servers_refuse_all_hosts_is_refused() {
+    let (servers, links) = (Servers::start().await, cut_links(Cut::Refuses).await);
+    let [_, _, quote] = links.addresses;
+    let own = || entries([servers.a.address, servers.b.address, quote]);
+    let (first, first_address) = start_helper(own()).await;
+    let (second, second_address) = start_helper(own()).await;
+    let host = start_with(own(), &[first_address, second_address]).await;
+    host.ask("GET", "/all/1", "").await;
+    first.ask("GET", "/all/1", "").await;
+    second.ask("GET", "/all/1", "").await;
+
+    let answer = host.ask("POST", "/once/1", "rope").await;
+
+    assert_eq!(status(&answer), 503);
+    let served = |h: &TestHost| h.core.metrics.text().matches("relay.served 1").count();
+    assert_eq!(served(&first) + served(&second), 1);
+}
+
 /// Guards against requests that are passed on because servers are slow, full or silent: they
 /// accept connections, so that another host would fare no better.
 #[tokio::test]
--- a/crates/route/src/links.rs
+++ b/crates/route/src/links.rs
@@ -66,11 +66,15 @@
         self.last_sign.map(|sign| now.saturating_duration_since(sign))
     }
 
+    /// Whether a backend server has given a sign since `time`.
+    pub fn had_sign_since(&self, time: Instant) -> bool {
+        self.last_sign.is_some_and(|sign| sign >= time)
+    }
+
     /// Records that an attempt which began at `began` has failed. Returns whether that starts a
     /// check of the links.
     pub fn record_failure(&mut self, began: Instant) -> bool {
-        let starts =
-            self.status == Status::Working && self.last_sign.is_none_or(|sign| sign < began);
+        let starts = self.status == Status::Working && !self.had_sign_since(began);
         if starts {
             self.status = Status::InDoubt;
         }
