Spend no extra request for what can't have arrived

Cause: each shard that had been asked cost an extra request, though those asked after the last sign of any server can't have received it. Change: only shards that were asked before that sign cost one. The same holds for requests to one server.

--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -272,6 +272,12 @@
         self.link_check.notify_one();
     }
 
+    /// Whether a backend server has given a sign since `time`. Without one, and with lost links,
+    /// what was sent since then has not arrived.
+    pub fn had_sign_since(&self, time: Instant) -> bool {
+        self.links().had_sign_since(time)
+    }
+
     /// Waits until a check of the links is wanted.
     pub async fn link_check_wanted(&self) {
         self.link_check.notified().await;
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -101,6 +101,8 @@
     exhausted: bool,
     /// Whether an attempt sent the request and got no acknowledgement.
     unacknowledged: bool,
+    /// Start of the first attempt.
+    first_start: Option<Instant>,
     /// Whether a full backend server refused an attempt.
     met_full: bool,
 }
@@ -244,13 +246,12 @@
         self.send(shard);
     }
 
-    /// Spends an extra request of each shard to which the query was sent, so that another host
-    /// may send it again. Returns false, and spends none, if a budget is exhausted.
+    /// Spends an extra request of each shard to which the query may have been sent before the
+    /// links were lost, so that another host may send it again. Returns false, and spends
+    /// none, if a budget is exhausted.
     fn spend_repeat(&self) -> bool {
-        if !self.spec.was_sent() {
-            return true;
-        }
-        let sent = self.shards.iter().filter(|s| s.executed + s.in_flight > 0 || s.unacknowledged);
+        let may_have_arrived = |start| self.core.had_sign_since(start);
+        let sent = self.shards.iter().filter(|s| s.first_start.is_some_and(may_have_arrived));
         let services: Vec<&str> = sent.map(|s| &*s.service).collect();
         let spent = services.iter().take_while(|s| self.core.try_spend_retry(s)).count();
         if spent < services.len() {
@@ -281,6 +282,7 @@
         shard.tried.push(choice.key);
         shard.in_flight += 1;
         shard.sent += 1;
+        shard.first_start.get_or_insert(now);
         shard.next_send = Some(now + self.hedge_delay);
         let attempt = attempt::run(self.core.clone(), choice, self.spec.clone());
         let completion =
@@ -433,6 +435,7 @@
             reply: None,
             exhausted: false,
             unacknowledged: false,
+            first_start: None,
             met_full: false,
         }
     }
--- a/crates/front/src/single.rs
+++ b/crates/front/src/single.rs
@@ -76,6 +76,7 @@
     route: &'a Route,
     service: &'a str,
     spec: RequestSpec,
+    start: Instant,
     /// Backend servers to leave out of the next choice.
     tried: Vec<BackendKey>,
     asked: Vec<Box<str>>,
@@ -141,6 +142,7 @@
             route,
             service,
             spec,
+            start: core.now(),
             tried: Vec::new(),
             asked: Vec::new(),
             tasks: JoinSet::new(),
@@ -284,7 +286,9 @@
     /// Whether another host may send the request, since the links of this one are lost: it
     /// was not sent yet, or may be sent once more.
     fn may_hand_over(&self) -> bool {
-        !self.spec.was_sent() || (self.spec.idempotent && self.core.try_spend_retry(self.service))
+        let is_free = !self.core.had_sign_since(self.start);
+        !self.spec.was_sent()
+            || (self.spec.idempotent && (is_free || self.core.try_spend_retry(self.service)))
     }
 
     /// The outcome after the last attempt, or at the deadline if `timed_out`.
