Show that replies which end early are never successes

Reported by another operator: a server stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body. The head is parsed as a whole, and the end of the connection before its empty line fails the attempt.

--- a/crates/front/tests/gather.rs
+++ b/crates/front/tests/gather.rs
@@ -253,3 +253,22 @@
     assert!(header(&answer, "retry-after").is_some(), "{answer}");
     assert_eq!([&a, &b, &limited].map(|s| s.received().len()), [1, 1, 1]);
 }
+
+/// Guards against the records of a reply that ends inside its head or before its body is
+/// complete: its shard is missing.
+#[tokio::test]
+async fn shard_reply_that_ends_early_is_no_part_of_the_answer() {
+    let a = start_shard(LOW).await;
+    let whole = reply(200, HIGH).replace("{id}", "r-1");
+    for end in 0..whole.len() {
+        let cut = Backend::start(vec![Step::ReplyAndClose(whole[..end].to_string())]).await;
+        let routes = vec![route("/all/", gather(&["a", "b"], 0.5), true)];
+        let host = start_host(routes, entries(&[("a", &a), ("b", &cut)])).await;
+
+        let answer = host.ask("GET", "/all/1", "").await;
+
+        assert_eq!(status(&answer), 200, "{answer}");
+        assert_eq!(header(&answer, "x-missing").as_deref(), Some("1"), "{end}: {answer}");
+        assert!(answer.ends_with(LOW) && !answer.contains(HIGH), "{end}: {answer}");
+    }
+}
--- a/crates/front/tests/single.rs
+++ b/crates/front/tests/single.rs
@@ -408,3 +408,40 @@
         assert_eq!(status(&answer), 200, "{limit}");
     }
 }
+
+/// Guards against a reply that ends inside its head, or before its body is complete, and reaches
+/// the caller as a whole one. Each prefix of three kinds of reply is sent.
+#[tokio::test]
+async fn reply_that_ends_early_is_never_a_success() {
+    let head = "HTTP/1.1 200 OK\r\nx-id: r-1\r\nx-stamp: s-200\r\n";
+    let framed = format!("{head}content-length: 4\r\n\r\nfine");
+    let chunked = format!("{head}transfer-encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n");
+    // Without a length, the end of the connection is the end of the body.
+    let unframed = format!("{head}\r\n");
+    for whole in [framed, chunked, unframed] {
+        for end in 0..whole.len() {
+            let cut = whole[..end].to_string();
+            let backend = Backend::start(vec![Step::ReplyAndClose(cut.clone())]).await;
+            let host = start_quotes(false, &[&backend]).await;
+
+            let answer = host.ask("POST", "/q/1", "rope").await;
+
+            assert_eq!(status(&answer), 502, "{cut:?}: {answer:?}");
+        }
+    }
+}
+
+/// Guards against the same with a connection that is reset: then a body without a length is not
+/// complete either.
+#[tokio::test]
+async fn reply_without_a_length_that_is_reset_is_never_a_success() {
+    let head = "HTTP/1.1 200 OK\r\nx-id: r-1\r\nx-stamp: s-200\r\n\r\n";
+    for text in [head.to_string(), format!("{head}fi"), head[..40].to_string()] {
+        let backend = Backend::start(vec![Step::ReplyAndReset(text)]).await;
+        let host = start_quotes(false, &[&backend]).await;
+
+        let answer = host.ask("POST", "/q/1", "rope").await;
+
+        assert_eq!(status(&answer), 502, "{answer:?}");
+    }
+}
--- a/crates/front/tests/support/mod.rs
+++ b/crates/front/tests/support/mod.rs
@@ -61,6 +61,8 @@
     ReplyAfter(u64, String),
     /// Sends this text and closes the connection.
     ReplyAndClose(String),
+    /// Sends this text and resets the connection once it has arrived.
+    ReplyAndReset(String),
     /// Resets the connection.
     Reset,
     /// Never replies; waits for the host to close the connection.
@@ -123,6 +125,12 @@
                     write(&mut stream, &text, &id).await;
                     return;
                 }
+                Step::ReplyAndReset(text) => {
+                    write(&mut stream, &text, &id).await;
+                    time::sleep(Duration::from_millis(20)).await;
+                    reset(&stream);
+                    return;
+                }
                 Step::Reset => {
                     reset(&stream);
                     return;
