Answer all requests that a stopping host has taken

Cause: a stopping host took requests for as long as it ran, with the deadlines of their callers, and left the rest to the end of the process.

Change: a request that mostly takes longer than the time left, and may take longer at all, is refused at once with 503 (route/stop.rs); one that is taken gets the time left as its deadline. What is still running half a second before the grace period ends is answered with 504, and the connections have 150 ms to carry the answers.

Tests, red before: request_that_would_outlast_the_stop_is_refused and request_in_progress_when_the_grace_period_ends_gets_an_answer (cut off at the end of the grace period). request_that_ends_before_the_stop_is_served bounds the refusals.

--- a/crates/front/src/handle.rs
+++ b/crates/front/src/handle.rs
@@ -15,6 +15,7 @@
 use chervil_route::config::Config;
 use chervil_route::config::Route;
 use chervil_route::config::Target;
+use chervil_route::stop;
 use http_body_util::BodyExt as _;
 use http_body_util::Limited;
 use hyper::HeaderMap;
@@ -90,6 +91,8 @@
     pub caller: IpAddr,
     /// Whether it is the first request on its connection.
     pub new_connection: bool,
+    /// Time until the host stops; `None` if it is not stopping.
+    pub time_left: Option<Duration>,
 }
 
 /// Handles a request from a caller and returns the response to it.
@@ -127,7 +130,17 @@
         record_request(&core, &head.headers, &config, route, &answer, &summary, start);
         return answer;
     }
-    let timeout = timeout(&core, &head.headers, route, start);
+    let mut timeout = timeout(&core, &head.headers, route, start);
+    if let Some(left) = origin.time_left {
+        let typical = core.state().latency(route).median();
+        if !stop::admits(left, timeout, typical) {
+            let answer = answer::unavailable("the host is stopping\n", RETRY_AFTER);
+            let summary = Summary::new("refused", "stopping");
+            record_request(&core, &head.headers, &config, route, &answer, &summary, start);
+            return answer;
+        }
+        timeout = timeout.min(left);
+    }
     let spec = RequestSpec::new(&core, outgoing, timeout, route.idempotent);
     let soft_deadline =
         start + route.latency_target.saturating_sub(latency_overhead(origin.new_connection));
@@ -137,6 +150,13 @@
     answer
 }
 
+/// The response to a request that is still running when the host stops.
+pub fn answer_unfinished(core: &Core) -> Answer {
+    core.metrics.count("requests.unfinished");
+    spdlog::warn!("request ended by the stop of the host; it may have run");
+    failure_answer(true, true)
+}
+
 /// Reads the whole body, up to `limit` bytes; fails with the response to return.
 async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Box<Answer>> {
     let collected = Limited::new(body, limit).collect().await;
--- a/crates/front/src/listen.rs
+++ b/crates/front/src/listen.rs
@@ -5,6 +5,7 @@
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -49,6 +50,10 @@
 /// Part of the grace period reserved for the exit of the process.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
 
+/// Part of that margin in which requests that are still running are answered, so that their
+/// callers have the answers when the process ends.
+const LAST_ANSWERS: Duration = Duration::from_millis(150);
+
 /// Time for which a host that shuts down still reads the first request of a connection:
 /// callers send it right after the connection is open.
 const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(500);
@@ -58,7 +63,7 @@
 
 value! {
     /// Stage of the lifecycle of a host.
-    #[derive(Copy, Eq)]
+    #[derive(Copy, Eq, PartialOrd)]
     pub enum Stage {
         /// No configuration or backend server is known yet.
         Starting,
@@ -69,6 +74,8 @@
         Stopping,
         /// Idle connections are closed too.
         Closing,
+        /// Requests that are still running are answered as unknown.
+        Ending,
     }
 }
 
@@ -76,6 +83,8 @@
 #[derive(Debug)]
 pub struct Lifecycle {
     stage: watch::Sender<Stage>,
+    /// Time of [`Stage::Ending`] once the host is stopping.
+    ends_at: OnceLock<time::Instant>,
     /// Open connections of callers.
     open: AtomicUsize,
     /// Queries in progress that other hosts have passed on.
@@ -94,7 +103,8 @@
 impl Default for Lifecycle {
     fn default() -> Lifecycle {
         let stage = watch::Sender::new(Stage::Starting);
-        Lifecycle { stage, open: AtomicUsize::new(0), relayed: AtomicUsize::new(0) }
+        let ends_at = OnceLock::new();
+        Lifecycle { stage, ends_at, open: AtomicUsize::new(0), relayed: AtomicUsize::new(0) }
     }
 }
 
@@ -127,17 +137,28 @@
         });
     }
 
+    /// Time until requests that are still running are answered as unknown; `None` if the host
+    /// is not stopping.
+    fn time_left(&self) -> Option<Duration> {
+        let ends_at = self.ends_at.get()?;
+        Some(ends_at.saturating_duration_since(time::Instant::now()))
+    }
+
     /// Makes readiness probes fail, drains the connections, and returns when all
     /// of them are closed or the grace period ends.
     pub async fn stop(&self, grace: Duration) {
         let deadline = time::Instant::now() + grace.saturating_sub(EXIT_MARGIN);
+        let ends_at = *self.ends_at.get_or_init(|| deadline);
         self.stage.send_replace(Stage::Stopping);
         time::sleep(LOAD_BALANCER_DELAY.min(grace / 2)).await;
         self.stage.send_replace(Stage::Closing);
         // Twice in a row, since a connection may just have been accepted.
         let mut idle_polls = 0;
-        while idle_polls < 2 && time::Instant::now() < deadline {
+        while idle_polls < 2 && time::Instant::now() < ends_at + LAST_ANSWERS {
             time::sleep(DRAIN_POLL).await;
+            if time::Instant::now() >= ends_at {
+                self.stage.send_replace(Stage::Ending);
+            }
             idle_polls = if self.is_busy() { 0 } else { idle_polls + 1 };
         }
     }
@@ -215,12 +236,17 @@
         async move {
             activity.in_flight.fetch_add(1, Ordering::Relaxed);
             let is_first = activity.requests.fetch_add(1, Ordering::Relaxed) == 0;
-            let mut answer =
-                handle::handle(core.clone(), request, Origin { caller, new_connection: is_first })
-                    .await;
+            let time_left = lifecycle.time_left();
+            let origin = Origin { caller, new_connection: is_first, time_left };
+            let mut stage = lifecycle.stage.subscribe();
+            let mut answer = tokio::select! {
+                biased;
+                answer = handle::handle(core.clone(), request, origin) => answer,
+                Ok(_) = stage.wait_for(|s| *s == Stage::Ending) => handle::answer_unfinished(&core),
+            };
             activity.touch(core.now());
             activity.in_flight.fetch_sub(1, Ordering::Relaxed);
-            if matches!(*lifecycle.stage.borrow(), Stage::Stopping | Stage::Closing) {
+            if *lifecycle.stage.borrow() >= Stage::Stopping {
                 let close = HeaderValue::from_static("close");
                 answer.headers_mut().insert(header::CONNECTION, close);
             }
@@ -232,7 +258,7 @@
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
     let mut stage = lifecycle.stage.subscribe();
     loop {
-        let closing = *stage.borrow_and_update() == Stage::Closing;
+        let closing = *stage.borrow_and_update() >= Stage::Closing;
         let remaining = idle_left(core, activity);
         if closing {
             // Reads what the caller has sent before it noticed the shutdown. The answer
--- a/crates/front/tests/stop.rs
+++ b/crates/front/tests/stop.rs
@@ -5,8 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervil_route::config::Route;
 use chervil_route::config::Target;
 use futures::future::join_all;
+use tokio::io::AsyncWriteExt as _;
 use tokio::time;
 
 use crate::support::Backend;
@@ -20,6 +22,7 @@
 use crate::support::send_request;
 use crate::support::start_host;
 use crate::support::status;
+use crate::support::until;
 
 const GRACE: Duration = Duration::from_secs(2);
 
@@ -95,3 +98,77 @@
     assert_eq!(header(&answer, "connection").as_deref(), Some("close"));
     stop.await.unwrap();
 }
+
+/// Time from the stop signal at which too little of [`GRACE`] is left for a request of typical
+/// latency.
+const LATE: Duration = Duration::from_millis(1_400);
+
+/// Guards against requests that come late in the grace period, are sent to a backend server
+/// and are cut off without an answer when the process ends: on an open connection and on a new
+/// one. The caller must learn that they did not run.
+#[tokio::test]
+async fn request_that_would_outlast_the_stop_is_refused() {
+    let slow = Backend::start(vec![Step::ReplyAfter(1_450, reply(200, "slow"))]).await;
+    let host = Arc::new(host(&slow).await);
+    // Keeps the host from ending the stop.
+    let mut busy = host.connect().await;
+    send_request(&mut busy, "GET", "/q/0", "").await;
+    until(|| slow.received().len() == 1).await;
+    let lifecycle = host.lifecycle.clone();
+    let stop = tokio::spawn(async move { lifecycle.stop(GRACE).await });
+    time::sleep(LATE).await;
+
+    let asking = host.clone();
+    let caller = tokio::spawn(async move { asking.ask("GET", "/q/1", "").await });
+    stop.await.unwrap();
+
+    assert!(caller.is_finished(), "cut off at the end of the grace period");
+    let answer = caller.await.unwrap();
+    assert_eq!(status(&answer), 503);
+    assert!(header(&answer, "retry-after").is_some());
+    assert_eq!(header(&answer, "connection").as_deref(), Some("close"));
+    assert!(slow.received().iter().all(|r| r.starts_with("GET /q/0 ")));
+}
+
+/// Guards against a request that is cut off without an answer because it is still running when
+/// the grace period ends.
+#[tokio::test]
+async fn request_in_progress_when_the_grace_period_ends_gets_an_answer() {
+    let slow = Backend::start(vec![Step::ReplyAfter(9_000, reply(200, "slow"))]).await;
+    let routes = vec![Route {
+        timeout: Duration::from_secs(9),
+        ..route("/q/", Target::One("quote".into()), false)
+    }];
+    let host = Arc::new(start_host(routes, vec![entry("i-1", "quote", slow.address)]).await);
+    let asking = host.clone();
+    let caller = tokio::spawn(async move {
+        let mut stream = asking.connect().await;
+        let request = "POST /q/1 HTTP/1.1\r\nhost: shop.example\r\nx-id: r-1\r\nx-deadline: 9000\r\ncontent-length: 0\r\n\r\n";
+        stream.write_all(request.as_bytes()).await.unwrap();
+        read_message(&mut stream).await
+    });
+    until(|| slow.received().len() == 1).await;
+
+    host.lifecycle.stop(GRACE).await;
+
+    assert!(caller.is_finished(), "cut off at the end of the grace period");
+    assert_eq!(caller.await.unwrap().map(|a| status(&a)), Some(504));
+}
+
+/// Guards against refusing what can still be served in the grace period.
+#[tokio::test]
+async fn request_that_ends_before_the_stop_is_served() {
+    let backend = Backend::start(vec![Step::Reply(reply(200, "ok"))]).await;
+    let host = host(&backend).await;
+    let lifecycle = host.lifecycle.clone();
+    // Keeps the host from ending the stop.
+    let mut busy = host.connect().await;
+    let stop = tokio::spawn(async move { lifecycle.stop(GRACE).await });
+    time::sleep(GRACE / 4).await;
+
+    send_request(&mut busy, "GET", "/q/1", "").await;
+    let answer = read_message(&mut busy).await.unwrap();
+
+    assert_eq!(status(&answer), 200);
+    stop.await.unwrap();
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -25,4 +25,5 @@
 pub mod retry_after;
 pub mod round_robin;
 pub mod server_limit;
+pub mod stop;
 pub mod warmup;
