Restore the soak's store from an older copy

With even seeds, the store is away once and comes back from a copy of three seconds before, in a new era, and what operators and servers wrote since is written again 0.3 s later.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -23,6 +23,8 @@
     Store(StoreMode),
     /// The store compacts its history.
     CompactStore,
+    /// The store is away and comes back from a copy of this age.
+    RestoreStore(Duration),
     /// Network fault between a host and the store.
     StoreLink(usize, LinkMode),
     /// A host is killed and started again.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -39,6 +39,12 @@
 /// CPU share of the other hosts.
 const SMALL_CPU_SHARE: f64 = 0.4;
 
+/// Time after which operators and backend servers write again what a restored store has lost.
+const REWRITE_DELAY: Duration = Duration::from_millis(300);
+
+/// Age of the copy from which the store is restored.
+const COPY_AGE: Duration = Duration::from_secs(3);
+
 /// Rate limit that one backend server names, in requests per second.
 const LIMITED_RATE: f64 = 4.0;
 
@@ -225,6 +231,8 @@
         // Not drawn from `rng`, so that earlier seeds keep their sequence of faults.
         let limited = options.seed as usize % self.operator.replicas.len();
         self.operator.replicas[limited].backend.set_limit(Some(LIMITED_RATE));
+        // The same: with even seeds, the store is restored in the second half of the time.
+        let mut restore = options.seed.is_multiple_of(2).then_some(Fault::RestoreStore(COPY_AGE));
         while start.elapsed() < options.fault_time {
             let (hosts, backends) = (self.hosts.len(), self.operator.replicas.len());
             let planned_only = start.elapsed() < options.fault_time / 2;
@@ -234,6 +242,10 @@
                 Fault::random(rng, hosts, backends)
             };
             let duration = Fault::random_duration(rng);
+            if !planned_only && let Some(restore) = restore.take() {
+                self.recorder.unplanned_fault_until(Instant::now() + duration);
+                running.spawn(self.clone().inject(restore, duration));
+            }
             if !fault.is_planned() {
                 self.recorder.unplanned_fault_until(Instant::now() + duration);
             }
@@ -265,6 +277,20 @@
                 self.store.set_mode(StoreMode::Healthy);
             }
             Fault::CompactStore => self.store.compact(),
+            Fault::RestoreStore(age) => {
+                self.store.set_mode(StoreMode::Unavailable);
+                time::sleep(duration).await;
+                let lost = self.store.restore(age);
+                self.store.set_mode(StoreMode::Healthy);
+                time::sleep(REWRITE_DELAY).await;
+                for (key, value) in lost {
+                    match value {
+                        Some(value) => self.store.put(&key, &value),
+                        None => self.store.delete(&key),
+                    }
+                }
+                self.recorder.unplanned_fault_until(Instant::now());
+            }
             Fault::StoreLink(host, mode) => {
                 self.store_links[host].set_mode(mode);
                 time::sleep(duration).await;
--- a/crates/soak/src/store.rs
+++ b/crates/soak/src/store.rs
@@ -2,6 +2,7 @@
 //! and transactions over HTTP.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -33,6 +34,12 @@
 /// Interval at which a long-polling watch checks for new events.
 const WATCH_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Interval at which the store is copied.
+const COPY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Number of copies that are kept; older ones are dropped.
+const MAX_COPIES: usize = 20;
+
 /// Delay of each call while the store is slow.
 const SLOW_CALL_DELAY: Duration = Duration::from_millis(300);
 
@@ -60,9 +67,24 @@
     /// Revision up to which events were dropped; a watch from before it gets 410.
     compact_revision: u64,
     mode: StoreMode,
+    /// Number of times that the store was restored from a copy, plus one.
+    era: u64,
+    /// Copies, oldest first.
+    copies: VecDeque<Copy>,
+    /// Writes and deletions of operators and backend servers, with their times.
+    outside_writes: Vec<(Instant, String, Option<Value>)>,
 }
 
+/// A copy of the store.
 #[derive(Debug)]
+struct Copy {
+    taken_at: Instant,
+    items: BTreeMap<String, Item>,
+    leases: HashMap<u64, (Instant, Duration)>,
+    revision: u64,
+}
+
+#[derive(Clone, Debug)]
 struct Item {
     value: Vec<u8>,
     revision: u64,
@@ -88,8 +110,12 @@
             revision: 1,
             compact_revision: 1,
             mode: StoreMode::Healthy,
+            era: 1,
+            copies: VecDeque::new(),
+            outside_writes: Vec::new(),
         };
         let store = Store { state: Arc::new(Mutex::new(state)) };
+        tokio::spawn(store.clone().take_copies());
         let server = store.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -109,12 +135,51 @@
 
     /// Writes a value without a lease, bypassing the store's faults.
     pub fn put(&self, key: &str, value: &Value) {
-        self.lock().write(key, value.to_string().into_bytes(), 0);
+        let mut state = self.lock();
+        state.write(key, value.to_string().into_bytes(), 0);
+        state.outside_writes.push((Instant::now(), key.into(), Some(value.clone())));
     }
 
     /// Deletes a value, bypassing the store's faults.
     pub fn delete(&self, key: &str) {
-        self.lock().delete(key);
+        let mut state = self.lock();
+        state.delete(key);
+        state.outside_writes.push((Instant::now(), key.into(), None));
+    }
+
+    async fn take_copies(self) {
+        loop {
+            {
+                let mut state = self.lock();
+                let (items, leases) = (state.items.clone(), state.leases.clone());
+                let (taken_at, revision) = (Instant::now(), state.revision);
+                state.copies.push_back(Copy { taken_at, items, leases, revision });
+                if state.copies.len() > MAX_COPIES {
+                    state.copies.pop_front();
+                }
+            }
+            time::sleep(COPY_INTERVAL).await;
+        }
+    }
+
+    /// Restores the store from the youngest copy that is at least `age` old, with the revision
+    /// that it had. Returns what operators and backend servers have written since, oldest
+    /// first, with `None` for a deletion.
+    pub fn restore(&self, age: Duration) -> Vec<(String, Option<Value>)> {
+        let mut state = self.lock();
+        let old = |c: &&Copy| c.taken_at.elapsed() >= age;
+        let Some(copy) = state.copies.iter().rev().find(old).or(state.copies.front()) else {
+            return Vec::new();
+        };
+        let taken_at = copy.taken_at;
+        let (items, leases, revision) = (copy.items.clone(), copy.leases.clone(), copy.revision);
+        (state.items, state.leases, state.revision) = (items, leases, revision);
+        state.events.clear();
+        state.compact_revision = revision;
+        state.era += 1;
+        state.copies.clear();
+        let lost = state.outside_writes.iter().filter(|(at, _, _)| *at >= taken_at);
+        lost.map(|(_, key, value)| (key.clone(), value.clone())).collect()
     }
 
     /// Sets the fault of the store.
@@ -135,7 +200,7 @@
     ) -> Result<Response<Full<Bytes>>, std::io::Error> {
         let mode = self.lock().mode;
         if mode == StoreMode::Unavailable {
-            return Ok(response(503, &json!({ "error": "busy" })));
+            return Ok(response(503, &json!({ "error": "busy" }), self.lock().era));
         }
         if mode == StoreMode::Slow {
             time::sleep(SLOW_CALL_DELAY).await;
@@ -153,7 +218,7 @@
                 "fault injected: connection closed without an answer",
             ));
         }
-        Ok(response(status, &reply))
+        Ok(response(status, &reply, self.lock().era))
     }
 
     async fn watch(&self, query: &str) -> (u16, Value) {
@@ -163,7 +228,7 @@
             {
                 let mut state = self.lock();
                 state.expire_leases();
-                if after < state.compact_revision {
+                if after < state.compact_revision || after > state.revision {
                     return (410, json!({ "error": "history lost" }));
                 }
                 let events: Vec<&Value> =
@@ -272,8 +337,9 @@
     query_param(query, name).parse().unwrap_or(0)
 }
 
-fn response(status: u16, body: &Value) -> Response<Full<Bytes>> {
+fn response(status: u16, body: &Value, era: u64) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
+    response.headers_mut().insert("store-era", era.into());
     if let Ok(status) = status.try_into() {
         *response.status_mut() = status;
     }
