Keep the reports of other hosts when the links are lost

A host that lost its links dropped all reports that it was about to send, also those of hosts that follow it, and limits that had ended. It drops what blames servers only. A report that is lost on the way keeps its marks of leaving servers, which hosts state once.

--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -335,7 +335,7 @@
                 kv: { silent_ms = silence.as_str() }
             );
             // What this host has seen of the servers since says nothing about them.
-            self.take_reports();
+            self.reports().degraded.clear();
             self.links_lost.send_replace(true);
         }
         check
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -180,6 +180,8 @@
         let call = client.call::<_, bool>(Method::POST, REPORT_PATH, Some(&reports));
         if !matches!(time::timeout(REPORT_TIMEOUT, call).await, Ok(Ok(_))) {
             service.core.metrics.count("reports.lost");
+            // Each host reports once that a server leaves; the rest is observed again.
+            core.add_reports(&Reports { leaving: reports.leaving, ..Reports::default() });
         }
     }
 }
