Name the servers that a relayed request was sent to as such

The line of a request that was executed for another host had them in the field for missing shards. Comments and one expression are split for reading. No change of behaviour.

--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -143,7 +143,8 @@
     let digest = core.state().route_digest(&route.name)?;
     let offer = Offer { route: route.name.clone(), digest };
     let mut spec = spec.clone();
-    for _ in 0..if lost { MAX_HELPER_OFFERS } else { MAX_RELAY_OFFERS } {
+    let max_offers = if lost { MAX_HELPER_OFFERS } else { MAX_RELAY_OFFERS };
+    for _ in 0..max_offers {
         if spec.time_left(core).is_zero() {
             return None;
         }
--- a/crates/front/src/relay_service.rs
+++ b/crates/front/src/relay_service.rs
@@ -106,17 +106,18 @@
 /// Logs a request that was executed for another host, if the log rate allows it.
 fn log_served(core: &Core, id: &[u8], route: &Route, reply: &RelayReply, start: Instant) {
     let now = core.now();
-    let (name, detail, extra) = match reply {
+    let none: &[Box<str>] = &[];
+    let (name, missing, asked, extra) = match reply {
         RelayReply::Merged { missing, extra, .. } if missing.is_empty() => {
-            ("answered", String::new(), *extra)
+            ("answered", none, none, *extra)
         }
-        RelayReply::Merged { missing, extra, .. } => ("partial", missing.join(","), *extra),
-        RelayReply::Refused { .. } => ("refused", String::new(), 0),
-        RelayReply::TooFewShards { missing, .. } => ("failed", missing.join(","), 0),
-        RelayReply::OutOfReach { .. } => ("out_of_reach", String::new(), 0),
-        RelayReply::Answered { asked, .. } => ("answered", asked.join(" "), 0),
-        RelayReply::NotRun { asked } => ("refused", asked.join(" "), 0),
-        RelayReply::Unknown { asked, .. } => ("unknown", asked.join(" "), 0),
+        RelayReply::Merged { missing, extra, .. } => ("partial", &**missing, none, *extra),
+        RelayReply::Refused { .. } => ("refused", none, none, 0),
+        RelayReply::TooFewShards { missing, .. } => ("failed", &**missing, none, 0),
+        RelayReply::OutOfReach { .. } => ("out_of_reach", none, none, 0),
+        RelayReply::Answered { asked, .. } => ("answered", none, &**asked, 0),
+        RelayReply::NotRun { asked } => ("refused", none, &**asked, 0),
+        RelayReply::Unknown { asked, .. } => ("unknown", none, &**asked, 0),
     };
     let category = if name == "answered" { Category::Success } else { Category::Notable };
     if core.log_limiter.allows(category, now) {
@@ -124,7 +125,8 @@
             id = &*String::from_utf8_lossy(id),
             route = &*route.name,
             outcome = name,
-            missing = detail.as_str(),
+            missing = missing.join(",").as_str(),
+            asked = asked.join(" ").as_str(),
             extra,
             ms = now.duration_since(start).as_secs_f64() * 1e3,
         });
--- a/crates/front/src/replica.rs
+++ b/crates/front/src/replica.rs
@@ -120,8 +120,9 @@
         self.hold_until.is_none() && !self.restoration.is_withholding() && self.is_complete
     }
 
-    /// Ends the holds on removals and on what a restored registry took back when they are over, removes hosts whose entries lapsed long
-    /// ago, and updates the division of limits among the hosts.
+    /// Ends the holds on removals and on what a restored registry took back when they are
+    /// over, removes hosts whose entries lapsed long ago, and updates the division of limits
+    /// among the hosts.
     pub fn expire(&mut self, now: Instant) {
         if self.hold_until.is_some_and(|until| until <= now) {
             self.hold_until = None;
