Count a passed request in the retry budget of one host only

A request that a host had counted and then passed on unsent was counted again by the host that executed it, so that both earned retries with it: up to twice the ratio over all hosts.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -132,7 +132,7 @@
     pub boot_deadline: Duration,
     /// Whether the request may be executed more than once.
     pub idempotent: bool,
-    /// Whether another host has sent the request before and counted it in its retry budget.
+    /// Whether another host has counted the request in its retry budget.
     pub is_repeat: bool,
     /// Set when the first attempt sends the request.
     sent: Arc<AtomicBool>,
--- a/crates/front/src/execute.rs
+++ b/crates/front/src/execute.rs
@@ -43,9 +43,9 @@
             return passed.into_gathered();
         }
         outcome = gather::run(core, route, gather, spec.clone(), soft_deadline).await;
+        spec.is_repeat = true;
     }
-    if let GatherOutcome::OutOfReach { sent } = outcome {
-        spec.is_repeat = sent;
+    if let GatherOutcome::OutOfReach { .. } = outcome {
         if let Some(passed) = relay::pass_to_helper(core, route, task, &spec).await {
             return passed.into_gathered();
         }
@@ -60,9 +60,11 @@
     service: &str,
     mut spec: RequestSpec,
 ) -> Executed<SingleResult> {
+    // With lost links it is not counted here.
+    let is_counted = !core.has_lost_links();
     let mut result = single::run(core, route, service, spec.clone()).await;
     if let SingleOutcome::OutOfReach { sent } = result.outcome {
-        spec.is_repeat = sent;
+        spec.is_repeat = is_counted;
         if let Some(passed) =
             relay::pass_to_helper(core, route, Task::Single { service }, &spec).await
         {
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -160,10 +160,10 @@
             Sent::Declined => {
                 avoid(core, &relay, "another version of the route", DECLINED_RELAY_PAUSE)
             }
-            // It has spent an extra request for each one that it had sent.
+            // It has counted the request, and spent an extra one for each that it had sent.
             Sent::Done(RelayReply::OutOfReach { sent }) if spec.idempotent || !sent => {
                 avoid(core, &relay, "links lost", DECLINED_HELPER_PAUSE);
-                spec.is_repeat |= sent;
+                spec.is_repeat = true;
             }
             Sent::Done(reply) => {
                 let (relay, reply) = (relay.host, Some(reply));
--- a/crates/front/src/relayed.rs
+++ b/crates/front/src/relayed.rs
@@ -50,7 +50,7 @@
         /// Service whose backend servers may execute the request; `None` for a query.
         #[serde(default)]
         pub service: Option<Box<str>>,
-        /// Whether a host has sent the request to backend servers before.
+        /// Whether a host has counted the request in its retry budget.
         #[serde(default)]
         pub repeated: bool,
     }
--- a/crates/front/tests/stranded.rs
+++ b/crates/front/tests/stranded.rs
@@ -298,6 +298,23 @@
     assert_eq!(servers.quote.received().len(), 1);
 }
 
+/// Guards against retry budgets that two hosts earn with the same request.
+#[tokio::test]
+async fn passed_request_is_counted_by_one_host_only() {
+    let (servers, links) = (Servers::start().await, cut_links(Cut::Refuses).await);
+    let (helper, address) = start_helper(servers.entries()).await;
+    let [_, _, quote] = links.addresses;
+    let own = entries([servers.a.address, servers.b.address, quote]);
+    let host = start_with(own, &[address]).await;
+    host.ask("GET", "/all/1", "").await;
+
+    let answer = host.ask("POST", "/once/1", "rope").await;
+
+    assert_eq!(status(&answer), 200);
+    let earned = [&host, &helper].map(|h| h.core.try_spend_retry("quote"));
+    assert_eq!(earned, [true, false]);
+}
+
 /// Guards against hosts that pass a request round for whose service all servers are down.
 #[tokio::test]
 async fn request_whose_servers_refuse_all_hosts_is_refused() {
