--- a/crates/soak/src/store.rs
+++ b/crates/soak/src/store.rs
@@ -157,6 +157,9 @@
                 if state.copies.len() > MAX_COPIES {
                     state.copies.pop_front();
                 }
+                // Writes before the oldest copy are never lost.
+                let oldest = state.copies.front().map_or(taken_at, |copy| copy.taken_at);
+                state.outside_writes.retain(|(at, _, _)| *at >= oldest);
             }
             time::sleep(COPY_INTERVAL).await;
         }
