--- a/crates/front/src/execute.rs
+++ b/crates/front/src/execute.rs
@@ -45,10 +45,10 @@
         outcome = gather::run(core, route, gather, spec.clone(), soft_deadline).await;
         spec.is_repeat = true;
     }
-    if let GatherOutcome::OutOfReach { .. } = outcome {
-        if let Some(passed) = relay::pass_to_helper(core, route, task, &spec).await {
-            return passed.into_gathered();
-        }
+    if matches!(outcome, GatherOutcome::OutOfReach { .. })
+        && let Some(passed) = relay::pass_to_helper(core, route, task, &spec).await
+    {
+        return passed.into_gathered();
     }
     Executed { relay: Box::default(), outcome }
 }
