Count and log requests that are sent again without spending

Nothing told repeats that the retry budget grants from those that it does not see. The counters retries.unpaid_unacknowledged and retries.unpaid_unheard do, and a log line names the service and the reason.

--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -252,6 +252,11 @@
     fn spend_repeat(&self) -> bool {
         let may_have_arrived = |start| self.core.had_sign_since(start);
         let sent = self.shards.iter().filter(|s| s.first_start.is_some_and(may_have_arrived));
+        if self.spec.was_sent() {
+            let unheard = |start| !self.core.had_sign_since(start);
+            let unheard = self.shards.iter().filter(|s| s.first_start.is_some_and(unheard));
+            unheard.for_each(|s| self.core.record_unpaid_retry(&s.service, "unheard"));
+        }
         let services: Vec<&str> = sent.map(|s| &*s.service).collect();
         let spent = services.iter().take_while(|s| self.core.try_spend_retry(s)).count();
         if spent < services.len() {
@@ -313,6 +318,9 @@
         let shard = &mut self.shards[index];
         shard.next_send = None;
         if shard.sent == 0 {
+            if shard.unacknowledged {
+                self.core.record_unpaid_retry(&shard.service, "unacknowledged");
+            }
             self.send(index);
             return;
         }
--- a/crates/front/src/single.rs
+++ b/crates/front/src/single.rs
@@ -214,6 +214,9 @@
                     self.unreachable += usize::from(failure == Failure::Unreachable);
                     unsent += 1;
                     self.sent -= 1;
+                    if failure == Failure::Unacknowledged {
+                        self.core.record_unpaid_retry(self.service, "unacknowledged");
+                    }
                     if self.tasks.is_empty() && (unsent >= MAX_UNSENT_ATTEMPTS || !self.send()) {
                         return self.conclude(false);
                     }
@@ -287,6 +290,9 @@
     /// was not sent yet, or may be sent once more.
     fn may_hand_over(&self) -> bool {
         let is_free = !self.core.had_sign_since(self.start);
+        if is_free && self.spec.was_sent() && self.spec.idempotent {
+            self.core.record_unpaid_retry(self.service, "unheard");
+        }
         !self.spec.was_sent()
             || (self.spec.idempotent && (is_free || self.core.try_spend_retry(self.service)))
     }
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -338,6 +338,7 @@
         }
         let share = self.share(service);
         let mut budget = RetryBudget::new(self.bounds.retry_limit, share, now);
+        spdlog::debug!("retry budget of a service starts", kv: { service, share });
         budget.record_request(now);
         self.budgets.insert(service.into(), budget);
     }
