Spend an extra request after one whose bytes were not acknowledged

Cause: an attempt that ended with the TCP user timeout was taken as never sent, so that the next one was free. A missing acknowledgement shows that bytes or acknowledgements are lost, not which; a server that has begun to read has the request. Class: absence of a confirmation taken for the proof that nothing has arrived.

Evidence: unacknowledged_request_is_not_repeated_without_budget, red before (2 arrivals without any budget for repeats, 1 allowed), green now.

Only attempts that ended before their first byte was sent are free now.

--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -83,8 +83,8 @@
 }
 
 impl ExchangeError {
-    /// Whether sent bytes stayed unacknowledged until the TCP user timeout, so
-    /// that the backend server most likely did not execute the request.
+    /// Whether sent bytes stayed unacknowledged until the TCP user timeout. The backend server
+    /// may have them all the same: acknowledgements get lost, too.
     pub fn is_unacknowledged(&self) -> bool {
         let ExchangeError::Io { source } = self else { return false };
         source.kind() == io::ErrorKind::TimedOut
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -89,8 +89,7 @@
     in_flight: u32,
     /// Finished attempts that executed or may have executed the request.
     executed: u32,
-    /// Attempts, without those that ended before the request was sent or
-    /// acknowledged.
+    /// Attempts, without those that ended before any byte of the request was sent.
     sent: u32,
     /// Time of the next hedge, or of the next search for a backend server; `None`
     /// if neither is due.
@@ -318,9 +317,6 @@
         let shard = &mut self.shards[index];
         shard.next_send = None;
         if shard.sent == 0 {
-            if shard.unacknowledged {
-                self.core.record_unpaid_retry(&shard.service, "unacknowledged");
-            }
             self.send(index);
             return;
         }
@@ -354,7 +350,6 @@
             }
             Err(Failure::Unacknowledged) => {
                 shard.unacknowledged = true;
-                shard.sent -= 1;
                 self.retry_unanswered(completion.shard);
             }
             Err(failure @ (Failure::Refused | Failure::Full | Failure::Paused)) => {
--- a/crates/front/src/single.rs
+++ b/crates/front/src/single.rs
@@ -20,8 +20,7 @@
 use crate::core::Core;
 use crate::reply::Reply;
 
-/// Maximum number of attempts per request that end before the request was sent or
-/// acknowledged.
+/// Maximum number of attempts per request that end before any byte of it was sent.
 const MAX_UNSENT_ATTEMPTS: u32 = 6;
 
 /// Interval at which a request looks for a backend server while none is
@@ -81,8 +80,7 @@
     tried: Vec<BackendKey>,
     asked: Vec<Box<str>>,
     tasks: JoinSet<(Instant, Result<Reply, Failure>)>,
-    /// Attempts, without those that ended before the request was sent or
-    /// acknowledged.
+    /// Attempts, without those that ended before any byte of the request was sent.
     sent: u32,
     /// Attempts for which no connection could be opened.
     unreachable: usize,
@@ -205,23 +203,22 @@
                     return SingleOutcome::Answered(Box::new(reply));
                 }
                 Err(
-                    failure @ (Failure::Unreachable
-                    | Failure::NotSent
-                    | Failure::ConnectionLimit
-                    | Failure::Unacknowledged),
+                    failure @ (Failure::Unreachable | Failure::NotSent | Failure::ConnectionLimit),
                 ) => {
-                    self.unacknowledged |= failure == Failure::Unacknowledged;
                     self.unreachable += usize::from(failure == Failure::Unreachable);
                     unsent += 1;
                     self.sent -= 1;
-                    if failure == Failure::Unacknowledged {
-                        self.core.record_unpaid_retry(self.service, "unacknowledged");
-                    }
                     if self.tasks.is_empty() && (unsent >= MAX_UNSENT_ATTEMPTS || !self.send()) {
                         return self.conclude(false);
                     }
                 }
-                Err(Failure::Refused | Failure::Full | Failure::Paused) => {
+                Err(
+                    failure @ (Failure::Refused
+                    | Failure::Full
+                    | Failure::Paused
+                    | Failure::Unacknowledged),
+                ) => {
+                    self.unacknowledged |= failure == Failure::Unacknowledged;
                     if !self.send_another() && self.tasks.is_empty() {
                         return self.conclude(false);
                     }
--- a/crates/front/tests/support/mod.rs
+++ b/crates/front/tests/support/mod.rs
@@ -295,9 +295,19 @@
     Location { zone: "north".into(), region_zones: HashSet::from_iter(["east".into()]) }
 }
 
+/// Bounds that allow no extra request to any service.
+pub fn bounds_without_retries() -> Bounds {
+    let retry_limit = RetryLimit { ratio: 0.0, slack: 0.0, ..BOUNDS.retry_limit };
+    Bounds { retry_limit, ..BOUNDS }
+}
+
 pub fn core() -> Arc<Core> {
+    core_with(BOUNDS)
+}
+
+pub fn core_with(bounds: Bounds) -> Arc<Core> {
     let peers = PeerTable::new("own".into(), 10);
-    let state = State::new(location(), BOUNDS, 12, peers, SmallRng::seed_from_u64(1));
+    let state = State::new(location(), bounds, 12, peers, SmallRng::seed_from_u64(1));
     let clock = Arc::new(SystemClock);
     Arc::new(Core::new(names(), LogLimiter::default(), Metrics::default(), clock, state))
 }
@@ -310,7 +320,14 @@
 }
 
 pub async fn start_host(routes: Vec<Route>, entries: Vec<BackendEntry>) -> TestHost {
-    let core = core();
+    start_host_with(core(), routes, entries).await
+}
+
+pub async fn start_host_with(
+    core: Arc<Core>,
+    routes: Vec<Route>,
+    entries: Vec<BackendEntry>,
+) -> TestHost {
     let now = core.now();
     core.state().adopt(config(1, routes));
     for entry in entries {
