Spend an extra request for each request that is passed on after it was sent

Cause: a host with lost links passed its requests on without spending if it had heard of no server since it sent them. That shows that no reply came back, not that no request arrived: in a cut of one direction all of them have. A query or request that servers had turned away before the links were lost was free as well, although it had arrived.

Evidence: unanswered_request_is_not_passed_on_without_budget, red before (2 arrivals without any budget for repeats).

Whether a byte of the request has left the host is recorded for each shard now, and each one that has costs an extra request. Request and answer of the existing tests of stranded hosts are unchanged.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -147,6 +147,11 @@
         RequestSpec { request, deadline, boot_deadline, idempotent, is_repeat: false, sent }
     }
 
+    /// The same request for one shard of a query. Whether it was sent is recorded for each shard.
+    pub fn for_shard(&self) -> RequestSpec {
+        RequestSpec { sent: Arc::default(), ..self.clone() }
+    }
+
     /// Whether an attempt of this host has sent the request.
     pub fn was_sent(&self) -> bool {
         self.sent.load(Ordering::Relaxed)
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -24,7 +24,6 @@
 use crate::client::Clients;
 use crate::exchange::Connection;
 use crate::exchange::ReplyMemory;
-use crate::logs::Category;
 use crate::logs::LogLimiter;
 use crate::metrics::Metrics;
 use crate::names::HeaderNames;
@@ -309,12 +308,6 @@
         self.link_check.notify_one();
     }
 
-    /// Whether a backend server has given a sign since `time`. Without one, and with lost links,
-    /// what was sent since then has not arrived.
-    pub fn had_sign_since(&self, time: Instant) -> bool {
-        self.links().had_sign_since(time)
-    }
-
     /// Waits until a check of the links is wanted.
     pub async fn link_check_wanted(&self) {
         self.link_check.notified().await;
@@ -417,15 +410,6 @@
         spent
     }
 
-    /// Counts and logs a request that is sent to a service again without spending from its
-    /// retry budget, although an attempt may have arrived before.
-    pub fn record_unpaid_retry(&self, service: &str, reason: &'static str) {
-        self.metrics.count(&format!("retries.unpaid_{reason}"));
-        if self.log_limiter.allows(Category::Notable, self.now()) {
-            spdlog::info!("request is sent again without spending", kv: { service, reason });
-        }
-    }
-
     /// Locks the connection pools. The guard must not be held across an await.
     pub fn pools(&self) -> MutexGuard<'_, Pools> {
         self.pools.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -84,6 +84,8 @@
 /// Progress of one shard.
 struct ShardState {
     service: Box<str>,
+    /// The query, as sent to this shard.
+    spec: RequestSpec,
     /// Backend servers to leave out of the next choice.
     tried: Vec<BackendKey>,
     in_flight: u32,
@@ -100,8 +102,6 @@
     exhausted: bool,
     /// Whether an attempt sent the request and got no acknowledgement.
     unacknowledged: bool,
-    /// Start of the first attempt.
-    first_start: Option<Instant>,
     /// Whether a full backend server refused an attempt.
     met_full: bool,
 }
@@ -179,7 +179,7 @@
         };
         if may_hand_over && *links_lost.borrow_and_update() && !progress.has_enough() {
             if query.spend_repeat() {
-                return GatherOutcome::OutOfReach { sent: query.spec.was_sent() };
+                return GatherOutcome::OutOfReach { sent: query.was_sent() };
             }
             may_hand_over = false;
         }
@@ -199,7 +199,8 @@
         let latency = state.latency(route);
         let (hedge_delay, typical_latency) = (latency.hedge_delay(), latency.median());
         drop(state);
-        let shards = gather.shards.iter().map(|s| ShardState::new(s.clone())).collect();
+        let shards = gather.shards.iter().map(|s| ShardState::new(s.clone(), spec.for_shard()));
+        let shards = shards.collect();
         let attempts = Attempts::new();
         Query {
             core,
@@ -223,6 +224,11 @@
         }
     }
 
+    /// Whether the query was sent to any backend server.
+    fn was_sent(&self) -> bool {
+        self.shards.iter().any(|s| s.spec.was_sent())
+    }
+
     /// What the query says about the load of the backend servers.
     fn signal(&self, progress: Progress) -> Signal {
         let full = self.shards.iter().filter(|s| s.met_full).count();
@@ -245,17 +251,10 @@
         self.send(shard);
     }
 
-    /// Spends an extra request of each shard to which the query may have been sent before the
-    /// links were lost, so that another host may send it again. Returns false, and spends
-    /// none, if a budget is exhausted.
+    /// Spends an extra request of each shard to which the query was sent, so that another host
+    /// may send it again. Returns false, and spends none, if a budget is exhausted.
     fn spend_repeat(&self) -> bool {
-        let may_have_arrived = |start| self.core.had_sign_since(start);
-        let sent = self.shards.iter().filter(|s| s.first_start.is_some_and(may_have_arrived));
-        if self.spec.was_sent() {
-            let unheard = |start| !self.core.had_sign_since(start);
-            let unheard = self.shards.iter().filter(|s| s.first_start.is_some_and(unheard));
-            unheard.for_each(|s| self.core.record_unpaid_retry(&s.service, "unheard"));
-        }
+        let sent = self.shards.iter().filter(|s| s.spec.was_sent());
         let services: Vec<&str> = sent.map(|s| &*s.service).collect();
         let spent = services.iter().take_while(|s| self.core.try_spend_retry(s)).count();
         if spent < services.len() {
@@ -286,9 +285,8 @@
         shard.tried.push(choice.key);
         shard.in_flight += 1;
         shard.sent += 1;
-        shard.first_start.get_or_insert(now);
         shard.next_send = Some(now + self.hedge_delay);
-        let attempt = attempt::run(self.core.clone(), choice, self.spec.clone());
+        let attempt = attempt::run(self.core.clone(), choice, shard.spec.clone());
         let completion =
             async move { Completion { shard: index, started: now, result: attempt.await } };
         self.attempts.push(completion.boxed());
@@ -394,7 +392,7 @@
         if self.shards.len() - missing.len() < gather.required_shards() {
             let may_have_run =
                 self.shards.iter().any(|s| s.unacknowledged || s.executed + s.in_flight > 0);
-            if !may_have_run && self.core.has_lost_links() {
+            if !may_have_run && self.core.has_lost_links() && self.spend_repeat() {
                 return GatherOutcome::OutOfReach { sent: false };
             }
             let timed_out = self.core.now() >= self.spec.deadline;
@@ -426,9 +424,10 @@
 }
 
 impl ShardState {
-    fn new(service: Box<str>) -> ShardState {
+    fn new(service: Box<str>, spec: RequestSpec) -> ShardState {
         ShardState {
             service,
+            spec,
             tried: Vec::new(),
             in_flight: 0,
             executed: 0,
@@ -438,7 +437,6 @@
             reply: None,
             exhausted: false,
             unacknowledged: false,
-            first_start: None,
             met_full: false,
         }
     }
--- a/crates/front/src/single.rs
+++ b/crates/front/src/single.rs
@@ -75,7 +75,6 @@
     route: &'a Route,
     service: &'a str,
     spec: RequestSpec,
-    start: Instant,
     /// Backend servers to leave out of the next choice.
     tried: Vec<BackendKey>,
     asked: Vec<Box<str>>,
@@ -121,7 +120,8 @@
     let mut request = SingleRequest::new(core, route, service, spec, typical_latency);
     let mut outcome = request.run(search_deadline, hedge_at, hedge_delay).await;
     let refuses_connections = request.is_unreachable() && core.now() < search_deadline;
-    if outcome == SingleOutcome::NotRun && (core.has_lost_links() || refuses_connections) {
+    let is_out_of_reach = core.has_lost_links() || refuses_connections;
+    if outcome == SingleOutcome::NotRun && is_out_of_reach && request.spend_repeat() {
         outcome = SingleOutcome::OutOfReach { sent: false };
     }
     SingleResult { outcome, asked: request.asked }
@@ -140,7 +140,6 @@
             route,
             service,
             spec,
-            start: core.now(),
             tried: Vec::new(),
             asked: Vec::new(),
             tasks: JoinSet::new(),
@@ -286,12 +285,13 @@
     /// Whether another host may send the request, since the links of this one are lost: it
     /// was not sent yet, or may be sent once more.
     fn may_hand_over(&self) -> bool {
-        let is_free = !self.core.had_sign_since(self.start);
-        if is_free && self.spec.was_sent() && self.spec.idempotent {
-            self.core.record_unpaid_retry(self.service, "unheard");
-        }
-        !self.spec.was_sent()
-            || (self.spec.idempotent && (is_free || self.core.try_spend_retry(self.service)))
+        !self.spec.was_sent() || (self.spec.idempotent && self.spend_repeat())
+    }
+
+    /// Spends an extra request if the request was sent, so that another host may send it
+    /// again. Returns false if the budget is exhausted.
+    fn spend_repeat(&self) -> bool {
+        !self.spec.was_sent() || self.core.try_spend_retry(self.service)
     }
 
     /// The outcome after the last attempt, or at the deadline if `timed_out`.
--- a/crates/front/tests/unconfirmed.rs
+++ b/crates/front/tests/unconfirmed.rs
@@ -7,13 +7,19 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
+use chervil_front::peers;
 use chervil_route::config::Config;
 use chervil_route::config::Route;
 use chervil_route::config::Target;
 use chervil_route::fleet::BackendEntry;
 use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+use tokio::time;
 
 use crate::support::TestHost;
 use crate::support::bounds_without_retries;
@@ -21,9 +27,14 @@
 use crate::support::core_with;
 use crate::support::entry;
 use crate::support::gather;
+use crate::support::journal;
+use crate::support::peer;
+use crate::support::read_message;
+use crate::support::reply;
 use crate::support::route;
 use crate::support::start_host_with;
 use crate::support::status;
+use crate::support::until;
 
 /// Body that does not fit into the receive buffer of a server that reads only the head.
 const LARGE_BODY: usize = 400_000;
@@ -89,3 +100,70 @@
         assert!([502, 504].contains(&status(&answer)), "{path}: {answer}");
     }
 }
+
+/// Starts a backend server that answers one request, reads all others on that connection without
+/// an answer, and accepts no further connection: its replies are lost on the way.
+async fn start_losing_replies(arrivals: &Arrivals) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let arrivals = arrivals.clone();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        drop(listener);
+        answer_once(&mut stream).await;
+        while read_message(&mut stream).await.is_some() {
+            arrivals.fetch_add(1, Ordering::Relaxed);
+        }
+    });
+    address
+}
+
+async fn answer_once(stream: &mut TcpStream) {
+    let request = read_message(stream).await.unwrap();
+    let id = support::header(&request, "x-id").unwrap();
+    let text = reply(200, "aaaaaaaaaaaaaaa1").replace("{id}", &id);
+    stream.write_all(text.as_bytes()).await.unwrap();
+}
+
+/// Guards against repeats that the retry budget does not see: a request may have arrived although
+/// the host that sent it has heard of no server since.
+#[tokio::test]
+async fn unanswered_request_is_not_passed_on_without_budget() {
+    for (service, path) in [("quote", "/safe/1"), ("a", "/all/1")] {
+        let arrivals = Arrivals::default();
+        let server = start_losing_replies(&arrivals).await;
+        let working = start_counting(&arrivals).await;
+        let helper = start_without_retries(vec![entry("i-1", service, working)]).await;
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (core, lifecycle) = (helper.core.clone(), helper.lifecycle.clone());
+        tokio::spawn(peers::serve(listener, core, journal(), lifecycle));
+        let host = start_without_retries(vec![entry("i-1", service, server)]).await;
+        host.core.state().peers.insert("helper".into(), peer(address, 10));
+        let first = host.ask("GET", path, "").await;
+        // The sign of the first reply must not count for the second request.
+        time::sleep(Duration::from_millis(50)).await;
+
+        let second = host.ask("GET", path, "").await;
+
+        until(|| host.core.has_lost_links()).await;
+        assert_eq!(status(&first), 200);
+        assert_eq!(arrivals.load(Ordering::Relaxed), 1, "{path}");
+        assert!([502, 504].contains(&status(&second)), "{path}: {second}");
+    }
+}
+
+/// Starts a backend server that answers all requests.
+async fn start_counting(arrivals: &Arrivals) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let arrivals = arrivals.clone();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            answer_once(&mut stream).await;
+            arrivals.fetch_add(1, Ordering::Relaxed);
+        }
+    });
+    address
+}
--- a/crates/route/src/links.rs
+++ b/crates/route/src/links.rs
@@ -67,7 +67,7 @@
     }
 
     /// Whether a backend server has given a sign since `time`.
-    pub fn had_sign_since(&self, time: Instant) -> bool {
+    fn had_sign_since(&self, time: Instant) -> bool {
         self.last_sign.is_some_and(|sign| sign >= time)
     }
 
