Reset connections whose request was given up

What servers saw: requests that arrive after the host has ended the attempt, when they are no longer wanted and outside the window in which the retry budget counted them.

Cause: an attempt that was dropped closed its connection in order, so that the kernel went on to deliver what the server had not received yet. Bytes that wait behind a full window or a cut arrived when it ended.

A connection that is dropped while its reply is due is reset, which discards what is still to be sent.

--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -27,6 +27,7 @@
 use hyper::header::HeaderValue;
 use snafu::ResultExt as _;
 use snafu::Snafu;
+use socket2::SockRef;
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpStream;
@@ -161,11 +162,21 @@
     pub idle_timeout: Option<Duration>,
     /// Whether no reply has been received on it yet.
     pub is_new: bool,
+    /// Whether a request was sent whose reply has not been read in full.
+    is_busy: bool,
     /// Its reference count is the number of open connections to the backend
     /// server; see `Pools::try_permit`.
     _permit: Arc<()>,
 }
 
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if self.is_busy {
+            self.discard_unsent();
+        }
+    }
+}
+
 /// How the end of a reply's body is determined.
 enum Framing {
     NoBody,
@@ -199,6 +210,7 @@
             idle_since: now,
             idle_timeout: None,
             is_new: true,
+            is_busy: false,
             _permit: permit,
         }
     }
@@ -217,11 +229,13 @@
         request: &Outgoing,
         names: &HeaderNames,
     ) -> Result<Reply, ExchangeError> {
+        self.is_busy = true;
         // A backend server may reply without reading the whole request, so try to
         // read the reply even if the write failed.
         let written = self.stream.write_all(message).await;
         let reply = self.read_reply(request, names).await;
         self.memory.release();
+        self.is_busy = reply.is_err();
         match (written, reply) {
             (Ok(()), reply) => reply,
             (Err(_), Ok(mut reply)) => {
@@ -232,6 +246,17 @@
         }
     }
 
+    /// Makes the close of the connection discard what the backend server has not received yet.
+    fn discard_unsent(&self) {
+        if let Err(error) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)) {
+            let error = error.to_string();
+            spdlog::warn!(
+                "cannot reset a connection; a request that was given up may arrive later",
+                kv: { error = error.as_str() }
+            );
+        }
+    }
+
     async fn read_reply(
         &mut self,
         request: &Outgoing,
--- a/crates/front/tests/unconfirmed.rs
+++ b/crates/front/tests/unconfirmed.rs
@@ -167,3 +167,48 @@
     });
     address
 }
+
+/// Starts a backend server that begins to read after a while, and then counts the requests that
+/// arrive in full.
+async fn start_late_reader(arrivals: &Arrivals, read: &Arc<AtomicUsize>) -> SocketAddr {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4 * 1024).unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(16).unwrap();
+    let address = listener.local_addr().unwrap();
+    let (arrivals, read) = (arrivals.clone(), read.clone());
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            time::sleep(Duration::from_millis(400)).await;
+            let mut received = Vec::new();
+            // Ends with an error if the host has reset the connection.
+            let _ = stream.read_to_end(&mut received).await;
+            arrivals.fetch_add(usize::from(received.len() >= LARGE_BODY), Ordering::Relaxed);
+            read.fetch_add(1, Ordering::Relaxed);
+        }
+    });
+    address
+}
+
+/// Guards against requests that arrive long after the host has ended the attempt, when they are
+/// neither wanted any more nor within the window in which they were counted.
+#[tokio::test]
+async fn request_that_was_given_up_does_not_arrive_later() {
+    for path in ["/safe/1", "/all/1"] {
+        let (arrivals, read) = (Arrivals::default(), Arc::new(AtomicUsize::new(0)));
+        let server = start_late_reader(&arrivals, &read).await;
+        let entries = vec![entry("i-1", "quote", server), entry("i-2", "a", server)];
+        let host = start_without_retries(entries).await;
+        let mut short = config(3, routes());
+        short.limits.max_body_bytes = 2 * LARGE_BODY;
+        short.routes.iter_mut().for_each(|r| r.timeout = Duration::from_millis(200));
+        host.core.state().adopt(short);
+
+        let answer = host.ask("POST", path, &"x".repeat(LARGE_BODY)).await;
+        until(|| read.load(Ordering::Relaxed) > 0).await;
+
+        assert_eq!(status(&answer), 504, "{path}");
+        assert_eq!(arrivals.load(Ordering::Relaxed), 0, "{path}");
+    }
+}
