Let hosts of two builds read each other's messages

What happened: a host of an earlier build can't decode the event by which a later one says that a server leaves. It ignored the whole reply, and as the mark stays in full states, each further one, and read the registry instead. A relay that is out of reach of the servers gave an outcome that such a host can't read either, so that the query was lost. Nothing said which build a host runs.

Cause: what hosts say to each other had no version, and one unknown part made a message unreadable.

Hosts state the version of the messages that they read (requests for events, passed requests, registry entries, the log line at start). Events of unknown kinds are skipped and counted; one of a known kind that can't be decoded still makes the reply unusable.

--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -12,6 +12,7 @@
 
 use chervil_route::history::Position;
 use chervil_route::pause;
+use chervil_route::peers::FORMAT;
 use chervil_route::peers::Upstream;
 use tokio::time;
 
@@ -22,6 +23,7 @@
 use crate::listen::Lifecycle;
 use crate::packed;
 use crate::packed::PackedError;
+use crate::packed::Unpacked;
 use crate::peers::PeerClients;
 use crate::peers::SyncReply;
 use crate::peers::SyncRequest;
@@ -414,6 +416,7 @@
             wait_ms: wait.as_millis() as u64,
             stale_ms: stale.as_millis() as u64,
             age_ms: age,
+            format: FORMAT,
         };
         let start = self.core.boot_time();
         let call = self.peers.sync(address, &request);
@@ -441,13 +444,19 @@
         now: Instant,
     ) -> Result<(), PackedError> {
         let settled = reply.settled_position();
-        let events = packed::unpack_list(reply.events).inspect_err(|error| {
+        let unpacked = packed::unpack_list(&reply.events).inspect_err(|error| {
             let error = error.to_string();
             spdlog::error!(
                 "cannot decode registry events of another host; ignoring its reply",
                 kv: { error = error.as_str() }
             );
         })?;
+        let Unpacked { events, skipped } = unpacked;
+        if let Some(kind) = skipped.first() {
+            self.core.metrics.count("events.unknown");
+            let (kind, events) = (&**kind, skipped.len());
+            spdlog::debug!("skipping events of another host's later version", kv: { kind, events, source });
+        }
         let position = reply.cursor.position;
         self.advance(source, position);
         self.cursor = reply.cursor;
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -7,6 +7,7 @@
 
 use chervil_base::clock::Clock;
 use chervil_base::value;
+use chervil_route::peers::FORMAT;
 use chervil_route::peers::Peer;
 use chervil_route::peers::PeerTable;
 use chervil_route::relay::Location;
@@ -113,7 +114,8 @@
     let core = Core::new(names, LogLimiter::default(), Metrics::default(), clock, state);
     let core = Arc::new(core);
     let lifecycle = Arc::new(Lifecycle::default());
-    spdlog::info!("started", kv: { host = &*settings.name, zone = &*settings.location.zone });
+    let (host, zone) = (&*settings.name, &*settings.location.zone);
+    spdlog::info!("started", kv: { host, zone, format = FORMAT });
 
     let journal = Arc::new(Journal::new(boot));
     let follower = Follower::new(
--- a/crates/front/src/journal.rs
+++ b/crates/front/src/journal.rs
@@ -68,6 +68,8 @@
 struct Record {
     serial: u64,
     position: Position,
+    /// First version of the messages that has events of this kind.
+    format: u32,
     json: Arc<str>,
 }
 
@@ -146,7 +148,8 @@
         let Some(json) = packed::pack(event) else { return };
         let mut inner = self.inner();
         inner.serial += 1;
-        let record = Record { serial: inner.serial, position: inner.position, json };
+        let format = event.format();
+        let record = Record { serial: inner.serial, position: inner.position, format, json };
         inner.records.push_back(record);
         if inner.records.len() > CAPACITY {
             let dropped = inner.records.pop_front().map(|r| r.position.next());
@@ -188,22 +191,23 @@
         self.changes.subscribe()
     }
 
-    /// Events that a host at `cursor` has not applied yet.
-    pub fn delta(&self, cursor: Cursor, now: Instant) -> Delta {
+    /// Events that a host at `cursor` has not applied yet, without those that its version of the
+    /// messages, `format`, does not have.
+    pub fn delta(&self, cursor: Cursor, format: u32, now: Instant) -> Delta {
         let inner = self.inner();
         let same_process = cursor.boot == self.boot;
         let first = inner.records.front().map_or(inner.serial + 1, |r| r.serial);
         let events = if !inner.recording {
             None
         } else if same_process && cursor.serial + 1 >= first {
-            Some(inner.select(|r| r.serial > cursor.serial))
+            Some(inner.select(|r| r.serial > cursor.serial && r.format <= format))
         } else if cursor.position > Position::default()
             && inner.complete_from.is_some_and(|from| cursor.position >= from)
         {
             // The cursor is of another process, so only its position counts. Some
             // events may be sent twice, which is harmless: each states what holds
             // from then on.
-            Some(inner.select(|r| r.position >= cursor.position))
+            Some(inner.select(|r| r.position >= cursor.position && r.format <= format))
         } else {
             None
         };
--- a/crates/front/src/packed.rs
+++ b/crates/front/src/packed.rs
@@ -8,10 +8,16 @@
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
+use chervil_base::HashMap;
 use chervil_base::message;
+use chervil_base::value;
 use flate2::Compression;
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use serde::de::IgnoredAny;
+use serde_json::value::RawValue;
 use snafu::ResultExt as _;
 use snafu::Snafu;
 
@@ -24,10 +30,8 @@
 const MAX_UNPACKED_BYTES: u64 = 32 * 1024 * 1024;
 
 message! {
-    /// An event encoded for another host.
+    /// An event encoded for another host, unless it is sent uncompressed as `{"Plain":EVENT}`.
     pub enum Packed {
-        /// Uncompressed JSON.
-        Plain(Event),
         /// JSON, compressed with DEFLATE and encoded as base64.
         Deflated(Box<str>),
         /// JSON of a list of packed events, none of them a list, compressed with
@@ -36,6 +40,25 @@
     }
 }
 
+/// A packed event or list of events as it is received.
+#[derive(Deserialize)]
+enum Item {
+    Plain(Box<RawValue>),
+    Deflated(Box<str>),
+    Batch(Box<str>),
+}
+
+value! {
+    /// Events of another host.
+    #[derive(Default)]
+    pub struct Unpacked {
+        /// Decoded events.
+        pub events: Vec<Event>,
+        /// Kinds of the events that were skipped.
+        pub skipped: Vec<Box<str>>,
+    }
+}
+
 /// Why an event cannot be decoded.
 #[derive(Debug, Snafu)]
 pub enum PackedError {
@@ -84,22 +107,29 @@
     Some(format!("[{batch}]"))
 }
 
-/// Decodes a list of packed events.
-pub fn unpack_list(packed: Vec<Packed>) -> Result<Vec<Event>, PackedError> {
-    let mut events = Vec::new();
+/// Decodes a list of packed events. Events of kinds that this version does not know are skipped:
+/// they come from hosts of a later one. One of a known kind that cannot be decoded makes the
+/// list unusable, since it may say something that must not be missed.
+pub fn unpack_list(packed: &[Box<RawValue>]) -> Result<Unpacked, PackedError> {
+    let mut unpacked = Unpacked::default();
     for item in packed {
+        let Some(item) = unpacked.decode(item.get())? else { continue };
         match item {
-            Packed::Batch(text) => {
-                let inner: Vec<Packed> =
+            Item::Batch(text) => {
+                let inner: Vec<Box<RawValue>> =
                     serde_json::from_slice(&inflate(&text)?).context(TextSnafu)?;
                 for item in inner {
-                    events.push(item.unpack()?);
+                    match unpacked.decode(item.get())? {
+                        Some(Item::Batch(_)) => return NestedSnafu.fail(),
+                        Some(single) => unpacked.add(single)?,
+                        None => {}
+                    }
                 }
             }
-            single => events.push(single.unpack()?),
+            single => unpacked.add(single)?,
         }
     }
-    Ok(events)
+    Ok(unpacked)
 }
 
 fn deflate(json: &str) -> Option<Box<str>> {
@@ -117,13 +147,61 @@
     Ok(json)
 }
 
-impl Packed {
-    /// Decodes a single event.
-    pub fn unpack(self) -> Result<Event, PackedError> {
-        match self {
-            Packed::Plain(event) => Ok(event),
-            Packed::Deflated(text) => serde_json::from_slice(&inflate(&text)?).context(TextSnafu),
-            Packed::Batch(_) => NestedSnafu.fail(),
+impl Unpacked {
+    fn decode<Value>(&mut self, json: &str) -> Result<Option<Value>, PackedError>
+    where
+        Value: DeserializeOwned + Kinds,
+    {
+        let error = match serde_json::from_str(json) {
+            Ok(value) => return Ok(Some(value)),
+            Err(error) => error,
+        };
+        match kind(json).filter(|kind| !Value::is_known(kind)) {
+            Some(kind) => {
+                self.skipped.push(kind);
+                Ok(None)
+            }
+            None => Err(PackedError::Text { source: error }),
         }
     }
+
+    /// Adds the event of an item that is no list.
+    fn add(&mut self, item: Item) -> Result<(), PackedError> {
+        let event = match item {
+            Item::Plain(json) => self.decode(json.get())?,
+            Item::Deflated(text) => {
+                let json = inflate(&text)?;
+                self.decode(&String::from_utf8_lossy(&json))?
+            }
+            Item::Batch(_) => return NestedSnafu.fail(),
+        };
+        self.events.extend(event);
+        Ok(())
+    }
+}
+
+/// Kinds of a type whose JSON form is `KIND` or `{KIND: CONTENT}`.
+trait Kinds {
+    fn is_known(kind: &str) -> bool;
+}
+
+impl Kinds for Event {
+    fn is_known(kind: &str) -> bool {
+        Event::is_known(kind)
+    }
+}
+
+impl Kinds for Item {
+    fn is_known(kind: &str) -> bool {
+        ["Plain", "Deflated", "Batch"].contains(&kind)
+    }
+}
+
+/// Kind of an encoded value; `None` if it has none.
+fn kind(json: &str) -> Option<Box<str>> {
+    if let Ok(fields) = serde_json::from_str::<HashMap<Box<str>, IgnoredAny>>(json) {
+        let mut kinds = fields.into_keys();
+        return kinds.next().filter(|_| kinds.next().is_none());
+    }
+    serde_json::from_str(json).ok()
 }
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -10,9 +10,11 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use chervil_base::HashMap;
 use chervil_base::message;
 use chervil_route::degradation::DegradationDetector;
 use chervil_route::history::Position;
+use chervil_route::peers::FORMAT;
 use chervil_route::server_limit::Announcements;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
@@ -24,6 +26,8 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use serde_json::value::RawValue;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::time;
@@ -38,7 +42,6 @@
 use crate::journal::Journal;
 use crate::listen::Lifecycle;
 use crate::packed;
-use crate::packed::Packed;
 use crate::registry::Event;
 use crate::registry::RegistryError;
 use crate::relay::OFFER_PATH;
@@ -84,30 +87,34 @@
         /// Milliseconds since the requesting host was last in sync with the registry;
         /// `None` if it never was.
         pub age_ms: Option<u64>,
-    }
-
-    /// Reply to such a request.
-    pub struct SyncReply {
-        /// Cursor of the requesting host after these events.
-        pub cursor: Cursor,
-        /// Latest registry revision whose state the replying host has in full. It is before
-        /// the position of the cursor while that host holds removals back; `None` if the
-        /// host runs a version that does not state it.
-        #[serde(default)]
-        pub settled: Option<u64>,
-        /// Era of that revision.
+        /// Version of the messages that it can read; see [`FORMAT`].
         #[serde(default)]
-        pub settled_era: u64,
-        /// Milliseconds since the replying host was last in sync with the
-        /// registry; `None` if it never was.
-        pub age_ms: Option<u64>,
-        /// Whether the events are a full snapshot rather than a delta.
-        pub full: bool,
-        /// Events, oldest first.
-        pub events: Vec<Packed>,
+        pub format: u32,
     }
 }
 
+/// Reply to such a request.
+#[derive(Clone, Debug, Deserialize)]
+pub struct SyncReply {
+    /// Cursor of the requesting host after these events.
+    pub cursor: Cursor,
+    /// Latest registry revision whose state the replying host has in full. It is before
+    /// the position of the cursor while that host holds removals back; `None` if the
+    /// host runs a version that does not state it.
+    #[serde(default)]
+    pub settled: Option<u64>,
+    /// Era of that revision.
+    #[serde(default)]
+    pub settled_era: u64,
+    /// Milliseconds since the replying host was last in sync with the
+    /// registry; `None` if it never was.
+    pub age_ms: Option<u64>,
+    /// Whether the events are a full snapshot rather than a delta.
+    pub full: bool,
+    /// Encoded events, oldest first; see [`packed::unpack_list`].
+    pub events: Vec<Box<RawValue>>,
+}
+
 impl SyncReply {
     /// Position up to which the replying host has the state in full; a version that does not
     /// state it is taken at the position of its cursor.
@@ -149,7 +156,7 @@
         lifecycle,
         detector: Mutex::default(),
         announced: Mutex::default(),
-        snapshot: Mutex::default(),
+        snapshots: Mutex::default(),
     });
     tokio::spawn(send_reports(service.clone()));
     loop {
@@ -205,7 +212,8 @@
     lifecycle: Arc<Lifecycle>,
     detector: Mutex<DegradationDetector>,
     announced: Mutex<Announcements>,
-    snapshot: Mutex<Option<Snapshot>>,
+    /// By version of the messages.
+    snapshots: Mutex<HashMap<u32, Snapshot>>,
 }
 
 /// The full state as encoded events, and the cursor of a host that applies it.
@@ -218,19 +226,22 @@
 }
 
 impl PeerService {
-    /// The full state, at most [`SNAPSHOT_TTL`] old; `delta` describes the present one.
-    fn snapshot(&self, delta: &Delta) -> Snapshot {
-        let now = self.core.now();
-        let mut cached = self.snapshot.lock().unwrap_or_else(PoisonError::into_inner);
+    /// The full state for hosts with this version of the messages, at most [`SNAPSHOT_TTL`]
+    /// old; `delta` describes the present one.
+    fn snapshot(&self, delta: &Delta, format: u32) -> Snapshot {
+        let (now, format) = (self.core.now(), format.min(FORMAT));
+        let mut cached = self.snapshots.lock().unwrap_or_else(PoisonError::into_inner);
         let recent = |s: &&Snapshot| now.duration_since(s.taken_at) < SNAPSHOT_TTL;
-        if let Some(snapshot) = cached.as_ref().filter(recent) {
+        if let Some(snapshot) = cached.get(&format).filter(recent) {
             return snapshot.clone();
         }
-        let events = self.core.state().snapshot(now);
+        let events = self.core.state().snapshot(format, now);
         // Always `Some`: see `packed::pack_list`.
         let events = packed::pack_list(&events).unwrap_or_else(|| "[]".into()).into();
         let Delta { cursor, settled, .. } = *delta;
-        cached.insert(Snapshot { taken_at: now, cursor, settled, events }).clone()
+        let snapshot = Snapshot { taken_at: now, cursor, settled, events };
+        cached.insert(format, snapshot.clone());
+        snapshot
     }
 
     /// Passes the reports of another host on to the upstream of this one, or
@@ -317,8 +328,8 @@
         return answer::plain_text(StatusCode::SERVICE_UNAVAILABLE, text);
     }
     wait_for_events(core, journal, &request).await;
-    let delta = journal.delta(request.cursor, core.now());
-    Response::new(Full::new(Bytes::from(encode_reply(service, delta))))
+    let delta = journal.delta(request.cursor, request.format, core.now());
+    Response::new(Full::new(Bytes::from(encode_reply(service, delta, request.format))))
 }
 
 /// Waits until there are events after the cursor, this host's data are notably newer
@@ -332,7 +343,7 @@
     loop {
         let now = core.now();
         changes.mark_unchanged();
-        let delta = journal.delta(request.cursor, now);
+        let delta = journal.delta(request.cursor, request.format, now);
         let age = delta.age.unwrap_or(Duration::MAX);
         let gain = requester_age.map(|a| (a + (now - start)).saturating_sub(age));
         let is_newer = gain.is_some_and(|g| g >= MIN_AGE_GAIN);
@@ -348,8 +359,9 @@
     }
 }
 
-/// JSON of a [`SyncReply`], joined from events that are already encoded.
-fn encode_reply(service: &PeerService, delta: Delta) -> String {
+/// JSON of a [`SyncReply`] to a host with this version of the messages, joined from events that
+/// are already encoded.
+fn encode_reply(service: &PeerService, delta: Delta, format: u32) -> String {
     let full = delta.events.is_none();
     let (cursor, settled, events, extra_age) = match &delta.events {
         Some(events) => {
@@ -358,7 +370,7 @@
             (delta.cursor, delta.settled, Arc::from(list), Duration::ZERO)
         }
         None => {
-            let snapshot = service.snapshot(&delta);
+            let snapshot = service.snapshot(&delta, format);
             let extra_age = service.core.now().duration_since(snapshot.taken_at);
             (snapshot.cursor, snapshot.settled, snapshot.events, extra_age)
         }
--- a/crates/front/src/registry.rs
+++ b/crates/front/src/registry.rs
@@ -68,6 +68,41 @@
     }
 }
 
+/// Kinds of events, as they are named in messages.
+const KINDS: [&str; 14] = [
+    "Config",
+    "ConfigDelta",
+    "Evacuated",
+    "Restored",
+    "Server",
+    "ServerGone",
+    "Host",
+    "HostGone",
+    "Trouble",
+    "Crowded",
+    "ServerLimit",
+    "ServerLimitEnded",
+    "ServerLeaving",
+    "Unreadable",
+];
+
+impl Event {
+    /// Whether this version knows a kind of events.
+    pub fn is_known(kind: &str) -> bool {
+        KINDS.contains(&kind)
+    }
+
+    /// First version of what hosts say to each other that has this kind of events; see
+    /// [`FORMAT`](chervil_route::peers::FORMAT). Hosts of versions before it cannot read a
+    /// message that contains one.
+    pub fn format(&self) -> u32 {
+        match self {
+            Event::ServerLeaving { .. } => 1,
+            _ => 0,
+        }
+    }
+}
+
 value! {
     /// Events of the registry up to a position in its history.
     pub struct Changes {
--- a/crates/front/src/relay_service.rs
+++ b/crates/front/src/relay_service.rs
@@ -86,7 +86,7 @@
             let soft_deadline = core.now() + request.soft_timeout().min(route.timeout);
             core.metrics.count("relay.served");
             let outcome = gather::run(core, route, gather, spec, soft_deadline).await;
-            Some(RelayReply::from_gathered(outcome))
+            Some(RelayReply::from_gathered(outcome).for_format(request.format))
         }
         (target, Some(service)) if target.has_service(service) => {
             core.metrics.count("relay.served");
--- a/crates/front/src/relayed.rs
+++ b/crates/front/src/relayed.rs
@@ -8,6 +8,7 @@
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use chervil_base::message;
+use chervil_route::peers::FORMAT;
 use hyper::header::HeaderValue;
 
 use crate::attempt::RequestSpec;
@@ -53,6 +54,9 @@
         /// Whether a host has counted the request in its retry budget.
         #[serde(default)]
         pub repeated: bool,
+        /// Version of the messages that the sending host can read; see [`FORMAT`].
+        #[serde(default)]
+        pub format: u32,
     }
 
     /// Outcome of a request that was passed to another host.
@@ -139,6 +143,7 @@
             soft_deadline_ms: left(soft_deadline),
             service,
             repeated: spec.is_repeat,
+            format: FORMAT,
         }
     }
 
@@ -181,6 +186,20 @@
         }
     }
 
+    /// The same outcome for a host that passed a query and has this version of the messages: the
+    /// first ones do not know that a relay may be out of reach of the servers.
+    pub fn for_format(self, format: u32) -> RelayReply {
+        match self {
+            RelayReply::OutOfReach { sent } if format == 0 => RelayReply::TooFewShards {
+                may_have_run: sent,
+                timed_out: false,
+                disconnected: None,
+                missing: Vec::new(),
+            },
+            other => other,
+        }
+    }
+
     /// The outcome of a request to a single backend server.
     pub fn from_single(result: SingleResult) -> RelayReply {
         let asked = result.asked;
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -240,8 +240,8 @@
     }
 
     /// The replicated registry state as encoded events, for a host that cannot be
-    /// served with a delta.
-    pub fn snapshot(&self, now: Instant) -> Vec<Arc<str>> {
+    /// served with a delta and whose version of the messages is `format`.
+    pub fn snapshot(&self, format: u32, now: Instant) -> Vec<Arc<str>> {
         let mut events = Vec::new();
         events.extend(self.config.as_ref().map(|c| Event::Config(Box::new((**c).clone()))));
         events.extend(self.fleet.evacuated_zones().iter().cloned().map(Event::Evacuated));
@@ -259,7 +259,7 @@
             let (id, started_at_ms) = (backend.entry.id.clone(), backend.entry.started_at_ms);
             events.push(Event::ServerLeaving { id, started_at_ms });
         }
-        events.iter().filter_map(packed::pack).collect()
+        events.iter().filter(|e| e.format() <= format).filter_map(packed::pack).collect()
     }
 
     /// Number of hosts among which the limits are divided.
--- a/crates/front/tests/journal.rs
+++ b/crates/front/tests/journal.rs
@@ -9,7 +9,6 @@
 use chervil_base::HashSet;
 use chervil_front::journal::Cursor;
 use chervil_front::journal::Journal;
-use chervil_front::packed::Packed;
 use chervil_front::packed::pack;
 use chervil_front::packed::pack_list;
 use chervil_front::packed::unpack_list;
@@ -17,6 +16,8 @@
 use chervil_route::config::Target;
 use chervil_route::fleet::BackendEntry;
 use chervil_route::history::Position;
+use chervil_route::peers::FORMAT;
+use serde_json::value::RawValue;
 
 use crate::support::ADDRESS;
 use crate::support::config;
@@ -42,7 +43,7 @@
     journal.advance(at(12));
     journal.push(&server("b"));
 
-    let delta_size = |cursor| journal.delta(cursor, now).events.map(|e| e.len());
+    let delta_size = |cursor| journal.delta(cursor, FORMAT, now).events.map(|e| e.len());
 
     let same_process = Cursor { boot: 7, serial: 1, position: at(10) };
     assert_eq!(delta_size(same_process), Some(1));
@@ -67,7 +68,7 @@
     journal.advance(after(60));
     journal.push(&server("c"));
 
-    let delta_size = |cursor| journal.delta(cursor, now).events.map(|e| e.len());
+    let delta_size = |cursor| journal.delta(cursor, FORMAT, now).events.map(|e| e.len());
 
     assert_eq!(delta_size(Cursor { boot: 7, serial: 1, position: at(58) }), Some(2));
     assert_eq!(delta_size(Cursor { boot: 9, serial: 99, position: at(58) }), None);
@@ -85,15 +86,15 @@
     journal.admit("follower", now);
     journal.advance(at(11));
     journal.push(&server("a"));
-    let cursor = journal.delta(Cursor { boot: 7, serial: 0, position: at(10) }, now).cursor;
+    let cursor = journal.delta(Cursor { boot: 7, serial: 0, position: at(10) }, FORMAT, now).cursor;
 
     journal.stop_recording();
     journal.advance(at(12));
     journal.push(&server("b"));
-    let while_stopped = journal.delta(cursor, now);
+    let while_stopped = journal.delta(cursor, FORMAT, now);
     journal.admit("follower", now);
     journal.advance(at(13));
-    let after_restart = journal.delta(cursor, now);
+    let after_restart = journal.delta(cursor, FORMAT, now);
 
     assert!(while_stopped.events.is_none());
     assert!(after_restart.events.is_none());
@@ -107,10 +108,13 @@
     let event = Event::Config(Box::new(config(4, routes.collect())));
 
     let text = pack(&event).unwrap();
-    let packed: Packed = serde_json::from_str(&text).unwrap();
-
     assert!(text.len() < serde_json::to_string(&event).unwrap().len() / 4);
-    assert_eq!(packed.unpack().unwrap(), event);
+    assert_eq!(unpack(&text), [event]);
+}
+
+/// Decodes one packed event.
+fn unpack(text: &str) -> Vec<Event> {
+    unpack_list(&[RawValue::from_string(text.into()).unwrap()]).unwrap().events
 }
 
 /// Guards against a snapshot that omits part of the state, or states the full
@@ -125,10 +129,9 @@
     core.state().fleet.set_evacuated_zones(HashSet::from_iter(["south".into()]));
     core.state().peers.insert("own".into(), peer(ADDRESS, 1));
 
-    let texts = core.state().snapshot(now + Duration::from_secs(4));
+    let texts = core.state().snapshot(FORMAT, now + Duration::from_secs(4));
 
-    let unpack = |t: &Arc<str>| serde_json::from_str::<Packed>(t).unwrap().unpack().unwrap();
-    let events: Vec<Event> = texts.iter().map(unpack).collect();
+    let events: Vec<Event> = texts.iter().flat_map(|t| unpack(t)).collect();
     assert!(matches!(&events[0], Event::Config(c) if c.version == 4));
     assert!(matches!(&events[1], Event::Evacuated(z) if &**z == "south"));
     assert!(matches!(&events[2], Event::Host(h, _) if &**h == "own"));
@@ -143,10 +146,10 @@
     let texts: Vec<Arc<str>> = events.iter().filter_map(pack).collect();
 
     let list = pack_list(&texts).unwrap();
-    let packed: Vec<Packed> = serde_json::from_str(&list).unwrap();
+    let packed: Vec<Box<RawValue>> = serde_json::from_str(&list).unwrap();
 
     assert!(list.len() < texts.iter().map(|t| t.len()).sum::<usize>() / 5);
-    assert_eq!(unpack_list(packed).unwrap(), events);
+    assert_eq!(unpack_list(&packed).unwrap().events, events);
 }
 
 /// Guards against a change of the configuration that loses or keeps a route or service
--- a/crates/front/tests/registration.rs
+++ b/crates/front/tests/registration.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use chervil_front::registration;
+use chervil_route::peers::FORMAT;
 use chervil_route::peers::Peer;
 
 use crate::support::ScriptedRegistry;
@@ -19,6 +20,7 @@
         cpu_millicores: 84,
         zone: "north".into(),
         lease,
+        format: FORMAT,
     }
 }
 
--- a/crates/front/tests/relay.rs
+++ b/crates/front/tests/relay.rs
@@ -10,6 +10,7 @@
 use chervil_front::peers;
 use chervil_route::config::Route;
 use chervil_route::fleet::BackendEntry;
+use chervil_route::peers::FORMAT;
 use chervil_route::peers::Peer;
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
@@ -63,7 +64,13 @@
     let host = start_host(query_routes(), entries).await;
     let mut state = host.core.state();
     for i in 0..RELAYS {
-        let peer = Peer { address: relay, cpu_millicores: 500, zone: "north".into(), lease: 1 };
+        let peer = Peer {
+            address: relay,
+            cpu_millicores: 500,
+            zone: "north".into(),
+            lease: 1,
+            format: FORMAT,
+        };
         state.peers.insert(format!("relay-{i}").into(), peer);
     }
     state.update_division(3 * RELAYS);
--- a/crates/front/tests/support/mod.rs
+++ b/crates/front/tests/support/mod.rs
@@ -39,6 +39,7 @@
 use chervil_route::config::Service;
 use chervil_route::config::Target;
 use chervil_route::fleet::BackendEntry;
+use chervil_route::peers::FORMAT;
 use chervil_route::peers::Peer;
 use chervil_route::peers::PeerTable;
 use chervil_route::relay::Location;
@@ -182,7 +183,7 @@
     stream.set_linger(Some(Duration::ZERO)).unwrap();
 }
 
-async fn write(stream: &mut TcpStream, text: &str, id: &str) {
+pub async fn write(stream: &mut TcpStream, text: &str, id: &str) {
     let _ = stream.write_all(text.replace("{id}", id).as_bytes()).await;
 }
 
@@ -442,7 +443,7 @@
     SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 9);
 
 pub fn peer(address: SocketAddr, cpu_millicores: u32) -> Peer {
-    Peer { address, cpu_millicores, zone: "north".into(), lease: 0 }
+    Peer { address, cpu_millicores, zone: "north".into(), lease: 0, format: FORMAT }
 }
 
 pub fn server(id: &str) -> Event {
--- a/crates/route/src/peers.rs
+++ b/crates/route/src/peers.rs
@@ -40,6 +40,15 @@
 /// deployment, since entries also lapse while the registry is unavailable.
 const LAPSED_RETENTION: Duration = Duration::from_secs(30);
 
+/// Version of what hosts say to each other. It grows when there is something that hosts of the
+/// version before cannot read.
+///
+/// | version | new |
+/// |---|---|
+/// | 0 | hosts that state none |
+/// | 1 | events of unknown kinds are skipped; a host that executes a passed request again does not earn by it |
+pub const FORMAT: u32 = 1;
+
 /// Position of a host in the ranking; lower is better.
 type Rank = (u32, u64);
 
@@ -58,6 +67,9 @@
         /// host itself announces.
         #[serde(default)]
         pub lease: u64,
+        /// Version of what it says to other hosts; see [`FORMAT`].
+        #[serde(default)]
+        pub format: u32,
     }
 }
 
--- a/crates/route/src/relay.rs
+++ b/crates/route/src/relay.rs
@@ -25,6 +25,7 @@
 
 use crate::config::Gather;
 use crate::fleet::Fleet;
+use crate::peers::FORMAT;
 use crate::peers::Peer;
 use crate::peers::PeerTable;
 
@@ -162,7 +163,8 @@
 
     /// Chooses a host of the region for a request that this host cannot send to any backend
     /// server: at random among those that accepted an offer recently, if they are several,
-    /// else among all that are not avoided. Queries go to relays while one is usable.
+    /// else among all that are not avoided. Queries go to relays while one is usable. Hosts of
+    /// an older version come last: some of them count a passed request once more.
     pub fn choose_helper(
         &self,
         peers: &PeerTable,
@@ -175,6 +177,9 @@
             .ranked()
             .filter(|(host, p)| location.may_use(&p.zone) && self.is_usable(host, now))
             .collect();
+        let is_current = |(_, p): &(&str, &Peer)| p.format >= FORMAT;
+        let current: Vec<(&str, &Peer)> = usable.iter().copied().filter(is_current).collect();
+        let usable = if current.is_empty() { usable } else { current };
         let threshold = relay_threshold(peers);
         let relays = usable.iter().filter(|(_, p)| f64::from(p.cpu_millicores) > threshold);
         let relays: Vec<(&str, &Peer)> =
--- a/crates/route/tests/fan_out.rs
+++ b/crates/route/tests/fan_out.rs
@@ -5,6 +5,7 @@
 
 use chervil_base::HashMap;
 use chervil_route::peers::FAN_OUT;
+use chervil_route::peers::FORMAT;
 use chervil_route::peers::Followers;
 use chervil_route::peers::Peer;
 use chervil_route::peers::PeerTable;
@@ -35,7 +36,7 @@
 
 fn peer(cpu_millicores: u32) -> Peer {
     let address = "127.0.0.1:7000".parse().unwrap();
-    Peer { address, cpu_millicores, zone: "north".into(), lease: 1 }
+    Peer { address, cpu_millicores, zone: "north".into(), lease: 1, format: FORMAT }
 }
 
 /// A host of the model.
--- a/crates/route/tests/links.rs
+++ b/crates/route/tests/links.rs
@@ -10,6 +10,7 @@
 use chervil_base::HashSet;
 use chervil_route::links::Check;
 use chervil_route::links::Links;
+use chervil_route::peers::FORMAT;
 use chervil_route::peers::Peer;
 use chervil_route::peers::PeerTable;
 use chervil_route::relay::Location;
@@ -144,7 +145,10 @@
             let cpu_millicores = if host < self.relays { 500 } else { 100 };
             let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 9));
             let zone = self.zone(host);
-            peers.insert(name(host), Peer { address, cpu_millicores, zone, lease: 1 });
+            peers.insert(
+                name(host),
+                Peer { address, cpu_millicores, zone, lease: 1, format: FORMAT },
+            );
         }
         peers
     }
--- a/crates/route/tests/relay.rs
+++ b/crates/route/tests/relay.rs
@@ -8,6 +8,7 @@
 use chervil_route::config::Gather;
 use chervil_route::fleet::BackendEntry;
 use chervil_route::fleet::Fleet;
+use chervil_route::peers::FORMAT;
 use chervil_route::peers::Peer;
 use chervil_route::peers::PeerTable;
 use chervil_route::relay::Division;
@@ -22,7 +23,7 @@
 
 fn peer(cpu_millicores: u32, zone: &str) -> Peer {
     let address = "127.0.0.1:7000".parse().unwrap();
-    Peer { address, cpu_millicores, zone: zone.into(), lease: 1 }
+    Peer { address, cpu_millicores, zone: zone.into(), lease: 1, format: FORMAT }
 }
 
 /// Hosts as seen by one of them with the given CPU limit: `large` in each of the zones a,
--- a/crates/route/tests/routes.rs
+++ b/crates/route/tests/routes.rs
@@ -13,6 +13,7 @@
 use chervil_route::config::WeightedService;
 use chervil_route::latency::LatencyEstimator;
 use chervil_route::merge::merge_top_k;
+use chervil_route::peers::FORMAT;
 use chervil_route::peers::Peer;
 use chervil_route::peers::PeerTable;
 use chervil_route::round_robin::WeightedRoundRobin;
@@ -53,6 +54,7 @@
         cpu_millicores,
         zone: "north".into(),
         lease: 0,
+        format: FORMAT,
     }
 }
 
