--- a/crates/soak/src/backend.rs
+++ b/crates/soak/src/backend.rs
@@ -18,12 +18,15 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 use tokio::time;
 
+use crate::announcement::Announced;
+use crate::announcement::Announcement;
 use crate::platform;
 use crate::recorder::Recorder;
 
@@ -69,6 +72,7 @@
     /// while it is registered as ready.
     withdrawn_at: Option<Instant>,
     limit: Option<Limit>,
+    announced: Option<Announced>,
 }
 
 /// A rate limit that a backend server names.
@@ -128,6 +132,7 @@
                 request_count: 0,
                 withdrawn_at: None,
                 limit: None,
+                announced: None,
             })),
             recorder,
         };
@@ -162,6 +167,29 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner).limit = limit;
     }
 
+    /// Sets what the backend server announces in its answers, or ends it.
+    pub fn set_announcement(&self, announcement: Option<Announcement>) {
+        let announced = announcement.map(Announced::new);
+        self.state.lock().unwrap_or_else(PoisonError::into_inner).announced = announced;
+    }
+
+    /// Whether it announces that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.announced.as_ref().is_some_and(|a| a.announcement == Announcement::Leaving)
+    }
+
+    /// What it announces in the answer to a request that came through the host at this port,
+    /// if anything. Records a violation if the host should not have sent the request.
+    fn announce(&self, host: u16) -> Option<Announcement> {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let announced = state.announced.as_mut()?;
+        if let Some(violation) = announced.record(host, &self.recorder) {
+            self.recorder.record_violation(format!("{}: {violation}", self.id));
+        }
+        Some(announced.announcement)
+    }
+
     async fn handle(self, request: Request<Incoming>) -> Reply {
         let header = |name: &str| {
             let value = request.headers().get(name).and_then(|v| v.to_str().ok());
@@ -177,13 +205,23 @@
             state.request_count += 1;
             (state.mode, state.request_count, state.withdrawn_at)
         };
+        let host = header(platform::VIA_HOST).parse().unwrap_or(0);
         // A truncated body needs no handling here: the caller sees a failure.
         let _ = request.into_body().collect().await;
+        self.recorder.record_arrival(&self.service, &id);
+        let announcement = self.announce(host);
+        if let Some(Announcement::Pause(time)) = announcement {
+            let mut refusal = response(503, &id, Bytes::new());
+            let headers = refusal.headers_mut();
+            headers.insert(platform::NOT_EXECUTED, HeaderValue::from(1));
+            if let Ok(seconds) = time.as_secs_f64().to_string().try_into() {
+                headers.insert(platform::RETRY_AFTER, seconds);
+            }
+            return Ok(refusal);
+        }
         if mode == BackendMode::Refusing && request_count.is_multiple_of(2) {
             let mut refusal = response(503, &id, Bytes::new());
-            refusal
-                .headers_mut()
-                .insert(platform::NOT_EXECUTED, hyper::header::HeaderValue::from(1));
+            refusal.headers_mut().insert(platform::NOT_EXECUTED, HeaderValue::from(1));
             return Ok(refusal);
         }
         self.check_withdrawn(withdrawn_at, &id);
@@ -195,7 +233,11 @@
         if mode == BackendMode::LostReplies && request_count.is_multiple_of(2) {
             return Err(io::Error::other("fault injected: connection closed without an answer"));
         }
-        Ok(self.success(&id))
+        let mut success = self.success(&id);
+        if announcement == Some(Announcement::Leaving) {
+            success.headers_mut().insert(platform::SERVER_LEAVING, HeaderValue::from(1));
+        }
+        Ok(success)
     }
 
     /// Records a violation if a request arrives although the hosts must have
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -49,18 +49,25 @@
     end: Instant,
 ) {
     let mut kept_alive: Option<TcpStream> = None;
+    let mut port = 0;
     let mut sequence = 0;
     while Instant::now() < end {
         sequence += 1;
         let quote = rng.random_bool(QUOTE_SHARE);
         let kind = if quote { "quote" } else { "query" };
         let id = format!("{kind}-{caller_id}-{sequence}");
+        if !quote {
+            recorder.record_query();
+        }
         let connection = match kept_alive.take() {
             Some(stream) => Some(stream),
-            None => connect(&rotation, &mut rng).await,
+            None => connect(&rotation, &mut rng).await.map(|(stream, to)| {
+                port = to;
+                stream
+            }),
         };
         if let Some(mut stream) = connection {
-            let exchange = exchange(&mut stream, &id, quote);
+            let exchange = exchange(&mut stream, port, &id, quote);
             match time::timeout(REQUEST_TIMEOUT + TIMEOUT_MARGIN, exchange).await {
                 Ok(Ok(answer)) => {
                     let closing = header_values(&answer, "connection").any(|v| v == "close");
@@ -76,7 +83,8 @@
     }
 }
 
-async fn connect(rotation: &Rotation, rng: &mut SmallRng) -> Option<TcpStream> {
+/// Connects to a random host in rotation and returns its port, too.
+async fn connect(rotation: &Rotation, rng: &mut SmallRng) -> Option<(TcpStream, u16)> {
     let port = {
         let ports = rotation.lock().unwrap_or_else(PoisonError::into_inner);
         if ports.is_empty() {
@@ -84,18 +92,19 @@
         }
         ports[rng.random_range(0..ports.len())]
     };
-    TcpStream::connect(("127.0.0.1", port)).await.ok()
+    TcpStream::connect(("127.0.0.1", port)).await.ok().map(|stream| (stream, port))
 }
 
-async fn exchange(stream: &mut TcpStream, id: &str, quote: bool) -> io::Result<Answer> {
+async fn exchange(stream: &mut TcpStream, port: u16, id: &str, quote: bool) -> io::Result<Answer> {
     let (method, path, body) = if quote {
         ("POST", platform::QUOTE_PATH, "three ropes")
     } else {
         ("GET", platform::QUERY_PATH, "")
     };
     let text = format!(
-        "{method} {path}7 HTTP/1.1\r\nhost: {}\r\n{}: {id}\r\n{}: {}\r\ncontent-length: {}\r\n\r\n{body}",
+        "{method} {path}7 HTTP/1.1\r\nhost: {}\r\n{}: {port}\r\n{}: {id}\r\n{}: {}\r\ncontent-length: {}\r\n\r\n{body}",
         platform::HOSTNAME,
+        platform::VIA_HOST,
         platform::REQUEST_ID,
         platform::DEADLINE_MS,
         REQUEST_TIMEOUT.as_millis(),
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -45,6 +45,11 @@
     RemoveBackend(usize),
     /// The next version of the configuration is written.
     ChangeConfig,
+    /// A backend server says in its answers that it leaves, stays registered as ready, and is
+    /// replaced by a new instance.
+    AnnounceLeaving(usize),
+    /// A backend server refuses all requests and asks for a pause.
+    AskForPause(usize),
 }
 
 impl Fault {
@@ -58,6 +63,8 @@
                 | Fault::DrainBackend(_)
                 | Fault::RemoveBackend(_)
                 | Fault::ChangeConfig
+                | Fault::AnnounceLeaving(_)
+                | Fault::AskForPause(_)
         )
     }
 
@@ -95,6 +102,16 @@
         }
     }
 
+    /// Draws one of the faults that `random` does not have.
+    pub fn random_later(rng: &mut SmallRng, backends: usize) -> Fault {
+        let backend = rng.random_range(0..backends);
+        match rng.random_range(0..3) {
+            0 => Fault::AnnounceLeaving(backend),
+            1 => Fault::AskForPause(backend),
+            _ => Fault::BackendLink(backend, LinkMode::OneWayBack),
+        }
+    }
+
     /// Draws the duration of a fault.
     pub fn random_duration(rng: &mut SmallRng) -> Duration {
         Duration::from_millis(rng.random_range(DURATION_MS.0..DURATION_MS.1))
--- a/crates/soak/src/host.rs
+++ b/crates/soak/src/host.rs
@@ -55,6 +55,16 @@
         Ok(())
     }
 
+    /// Sets the program that the next start runs.
+    pub fn set_binary(&mut self, binary: &Path) {
+        self.binary = binary.to_path_buf();
+    }
+
+    /// The log of all starts so far.
+    pub fn log(&self) -> io::Result<String> {
+        fs::read_to_string(&self.log_path)
+    }
+
     /// Sends a signal; does nothing if the process has been reaped.
     pub fn signal(&self, signal: Signal) -> io::Result<()> {
         let Some(child) = &self.child else { return Ok(()) };
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -3,6 +3,7 @@
 //! are injected from outside the processes, and the guarantees are checked
 //! during the run from what callers and backend servers observe.
 
+pub mod announcement;
 pub mod backend;
 pub mod caller;
 pub mod faults;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -15,6 +15,7 @@
 
 Usage:
     chervil-soak --binary FILE [--seed N] [--count N] [--seconds S] [--hosts N]
+                 [--previous FILE]
     chervil-soak --help
 
 Options:
@@ -23,6 +24,8 @@
     --count N       Number of consecutive seeds, one run each [default: 1].
     --seconds S     Seconds during which new faults are injected [default: 12].
     --hosts N       Number of hosts [default: 4].
+    --previous FILE Program of another build, which the hosts run first. They are replaced
+                    one after the other. Backend servers announce nothing then.
 ";
 
 struct Args {
@@ -31,6 +34,7 @@
     count: u64,
     seconds: u64,
     hosts: usize,
+    previous: Option<PathBuf>,
 }
 
 fn parse(mut args: Arguments) -> Result<Args, pico_args::Error> {
@@ -40,6 +44,7 @@
         count: args.opt_value_from_str("--count")?.unwrap_or(1),
         seconds: args.opt_value_from_str("--seconds")?.unwrap_or(12),
         hosts: args.opt_value_from_fn("--hosts", parse_hosts)?.unwrap_or(4),
+        previous: args.opt_value_from_str("--previous")?,
     };
     let unknown = args.finish();
     if let Some(option) = unknown.first() {
@@ -76,6 +81,8 @@
             fault_time: Duration::from_secs(args.seconds),
             hosts: args.hosts,
             binary: args.binary.clone(),
+            previous: args.previous.clone(),
+            later_faults: args.previous.is_none(),
             dir: dir.clone(),
         };
         match run::run(&options).await {
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -30,6 +32,8 @@
     /// Proxy through which all hosts connect to it.
     pub proxy: Proxy,
     state: Arc<Mutex<RegistryState>>,
+    /// Number of the instance in its registry entry; 0 if it states none.
+    instance: Arc<AtomicU64>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -62,7 +66,7 @@
                 let backend = Backend::start(id, service.clone(), recorder.clone()).await?;
                 let proxy = Proxy::start(backend.address).await?;
                 let state = Arc::new(Mutex::new(RegistryState::Ready));
-                replicas.push(Replica { backend, proxy, state });
+                replicas.push(Replica { backend, proxy, state, instance: Arc::default() });
             }
         }
         let operator = Operator { store, replicas, config_version: Arc::new(Mutex::new(0)) };
@@ -96,6 +100,13 @@
         replica.backend.set_withdrawn(Some(Instant::now()));
     }
 
+    /// Replaces a backend server that leaves by a new instance at the same address.
+    pub fn replace(&self, replica: &Replica) {
+        replica.backend.set_announcement(None);
+        replica.instance.fetch_add(1, Ordering::Relaxed);
+        self.write_entry(replica, 3);
+    }
+
     /// Registers a backend server as ready again after a drain or removal.
     pub fn restore(&self, replica: &Replica) {
         replica.backend.set_withdrawn(None);
@@ -119,8 +130,15 @@
         }
         let draining = state == RegistryState::Draining;
         let backend = &replica.backend;
-        let entry =
-            platform::registry_entry(&backend.service, replica.proxy.address, draining, sequence);
+        let instance = replica.instance.load(Ordering::Relaxed);
+        let born = (instance > 0).then_some(instance);
+        let entry = platform::registry_entry(
+            &backend.service,
+            replica.proxy.address,
+            draining,
+            sequence,
+            born,
+        );
         self.store.put(&format!("servers/{}", backend.id), &entry);
     }
 }
--- a/crates/soak/src/platform.rs
+++ b/crates/soak/src/platform.rs
@@ -25,6 +25,15 @@
 /// Header: requests per second that the backend server takes from all hosts together.
 pub const SERVER_LIMIT: &str = "server-limit";
 
+/// Header: 1 if the backend server leaves.
+pub const SERVER_LEAVING: &str = "server-leaving";
+
+/// Header: seconds for which a backend server that refuses a request wants no other one.
+pub const RETRY_AFTER: &str = "retry-after";
+
+/// Header that callers add: port of the host that they sent the request to.
+pub const VIA_HOST: &str = "soak-host";
+
 /// Header: comma-separated stamps of the parts that an answer was merged from.
 pub const PART_STAMPS: &str = "part-stamps";
 
@@ -50,6 +59,13 @@
 /// must take effect.
 pub const CHANGE_BOUND_MS: u64 = 3_000;
 
+/// Extra requests to a service: a ratio of its requests, and a number on top of that, in any
+/// window of [`RETRY_WINDOW_S`].
+pub const RETRY_LIMIT: (f64, f64) = (0.2, 12.0);
+
+/// That window in seconds.
+pub const RETRY_WINDOW_S: u64 = 10;
+
 /// Time in seconds that a host has to exit after SIGTERM before it is killed.
 pub const GRACE_PERIOD_S: u64 = 3;
 
@@ -83,11 +99,17 @@
     })
 }
 
-/// Registry entry of a backend server.
-pub fn registry_entry(service: &str, address: SocketAddr, draining: bool, sequence: u64) -> Value {
+/// Registry entry of a backend server. `born` changes with each instance.
+pub fn registry_entry(
+    service: &str,
+    address: SocketAddr,
+    draining: bool,
+    sequence: u64,
+    born: Option<u64>,
+) -> Value {
     json!({ "service": service, "address": address, "zone": "north", "version": "v1",
         "max_concurrency": 4, "state": if draining { "draining" } else { "ready" },
-        "warmup_left_ms": 0, "sequence": sequence })
+        "warmup_left_ms": 0, "sequence": sequence, "born": born })
 }
 
 /// Contents of a host's settings file. `ports` are those of its front, ready and
@@ -103,12 +125,13 @@
 ) -> String {
     let seeds: Vec<String> = seeds.iter().map(|p| format!("\"127.0.0.1:{p}\"")).collect();
     let [front, ready, control] = ports;
+    let (ratio, slack) = RETRY_LIMIT;
     format!(
         "node_name = \"{name}\"\nip = \"127.0.0.1\"\nzone = \"north\"\nseeds = [{}]\nbootstrap = false\n\
          [bind_addrs]\nfront = \"127.0.0.1:{front}\"\nready = \"127.0.0.1:{ready}\"\ncontrol = \"127.0.0.1:{control}\"\n\
          [limits]\ncpu_share = {cpu_share:?}\ncpu_cores = 1\n\
          [bounds]\ndrain_ms = {CHANGE_BOUND_MS}\nconfig_apply_ms = {CHANGE_BOUND_MS}\nevacuate_ms = 5000\ngrace_s = {GRACE_PERIOD_S}\n\
-         retry_ratio = 0.2\nretry_slack = 104\nretry_window_s = 10\nwarmup_overshoot = 1.5\nwarmup_slack = 5\n\
+         retry_ratio = {ratio:?}\nretry_slack = {slack:?}\nretry_window_s = {RETRY_WINDOW_S}\nwarmup_overshoot = 1.5\nwarmup_slack = 5\n\
          [platform]\naddress = \"{store}\"\n",
         seeds.join(",")
     )
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -30,6 +30,8 @@
     /// One-way partition: bytes to the server are held back until the mode
     /// changes; bytes from the server pass.
     OneWay,
+    /// The same in the other direction: requests arrive, and replies are held back.
+    OneWayBack,
     /// Bytes are swallowed, and a connection on which some were swallowed stays
     /// silent in that direction even after the mode changes.
     Blackhole,
@@ -100,7 +102,10 @@
             LinkMode::OneWay if to_server => {
                 let _ = mode.wait_for(|m| *m != LinkMode::OneWay).await;
             }
-            LinkMode::Open | LinkMode::Reset | LinkMode::OneWay => {}
+            LinkMode::OneWayBack if !to_server => {
+                let _ = mode.wait_for(|m| *m != LinkMode::OneWayBack).await;
+            }
+            LinkMode::Open | LinkMode::Reset | LinkMode::OneWay | LinkMode::OneWayBack => {}
         }
         if to.write_all(&buffer[..size]).await.is_err() {
             return;
--- a/crates/soak/src/recorder.rs
+++ b/crates/soak/src/recorder.rs
@@ -9,6 +9,9 @@
 use std::time::Instant;
 
 use chervil_base::HashMap;
+use chervil_base::HashSet;
+
+use crate::platform;
 
 /// Time after the last unplanned fault from which on the bounds on planned
 /// changes apply again.
@@ -29,6 +32,14 @@
     failed: u64,
     /// End of the last unplanned fault; `None` before the first one.
     unplanned_until: Option<Instant>,
+    /// Time at which each host was last killed, started or resumed, by port.
+    disturbed_at: HashMap<u16, Instant>,
+    /// Times at which callers sent queries.
+    queries: Vec<Instant>,
+    /// Requests that have arrived at each service.
+    arrived: HashMap<Box<str>, HashSet<Box<str>>>,
+    /// Times of the arrivals beyond the first of a request, by service.
+    extra: HashMap<Box<str>, Vec<Instant>>,
 }
 
 /// Handle on the shared observations of a run.
@@ -58,6 +69,30 @@
         self.lock().runs.entry(request.into()).or_default().push(backend.into());
     }
 
+    /// Records that a request has arrived at a backend server of a service, executed or not.
+    pub fn record_arrival(&self, service: &str, request: &str) {
+        let mut seen = self.lock();
+        let is_first = seen.arrived.entry(service.into()).or_default().insert(request.into());
+        if !is_first {
+            seen.extra.entry(service.into()).or_default().push(Instant::now());
+        }
+    }
+
+    /// Records that a caller sends a query.
+    pub fn record_query(&self) {
+        self.lock().queries.push(Instant::now());
+    }
+
+    /// Records that a host was killed, started, suspended or resumed.
+    pub fn host_disturbed(&self, port: u16) {
+        self.lock().disturbed_at.insert(port, Instant::now());
+    }
+
+    /// Whether a host was disturbed after a time.
+    pub fn was_disturbed(&self, port: u16, since: Instant) -> bool {
+        self.lock().disturbed_at.get(&port).is_some_and(|at| *at >= since)
+    }
+
     /// Counts a request that succeeded.
     pub fn record_success(&self) {
         self.lock().answered += 1;
@@ -113,6 +148,7 @@
                 ));
             }
         }
+        found.extend(seen.exceeded_budgets());
         seen.violations.extend(found);
         Summary {
             answered: seen.answered,
@@ -121,3 +157,34 @@
         }
     }
 }
+
+impl Observations {
+    /// Services of shards that got more extra requests in some window than the limit allows. The
+    /// queries count in that window, the one before or the one half a window before, whichever
+    /// has most.
+    fn exceeded_budgets(&self) -> Vec<String> {
+        let (ratio, slack) = platform::RETRY_LIMIT;
+        let window = Duration::from_secs(platform::RETRY_WINDOW_S);
+        let count = |times: &[Instant], from: Instant| {
+            let end = times.partition_point(|t| *t < from + window);
+            end - times.partition_point(|t| *t < from)
+        };
+        let allowed = |from: Instant| {
+            let starts = [from, from - window / 2, from - window];
+            let most = starts.map(|start| count(&self.queries, start)).into_iter().max();
+            ratio * most.unwrap_or(0) as f64 + slack
+        };
+        let shards = self.extra.iter().filter(|(service, _)| service.starts_with("shard"));
+        let mut exceeded = Vec::new();
+        for (service, times) in shards {
+            let over = times.iter().find(|t| count(times, **t) as f64 > allowed(**t));
+            if let Some(from) = over {
+                let (extra, allowed) = (count(times, *from), allowed(*from));
+                exceeded.push(format!(
+                    "{service} got {extra} extra requests in {window:?}, {allowed} allowed"
+                ));
+            }
+        }
+        exceeded
+    }
+}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -19,6 +19,7 @@
 use tokio::task::JoinSet;
 use tokio::time;
 
+use crate::announcement::Announcement;
 use crate::backend::BackendMode;
 use crate::caller;
 use crate::caller::Rotation;
@@ -45,6 +46,22 @@
 /// Age of the copy from which the store is restored.
 const COPY_AGE: Duration = Duration::from_secs(3);
 
+/// Pause that a backend server asks for.
+const PAUSE: Duration = Duration::from_millis(1_200);
+
+/// Pause between two faults of the second series in milliseconds: minimum, and exclusive maximum.
+const LATER_FAULT_PAUSE_MS: (u64, u64) = (400, 1_400);
+
+/// Hosts from which on relays send the queries of others, so that a backend server cannot tell
+/// which host a request came from.
+const RELAYED_HOSTS: usize = 12;
+
+/// Time before the first host is replaced by one of the other program.
+const UPGRADE_DELAY: Duration = Duration::from_secs(2);
+
+/// Log line of a host that cannot read what another one says.
+const UNREADABLE: &str = "cannot decode registry events of another host";
+
 /// Rate limit that one backend server names, in requests per second.
 const LIMITED_RATE: f64 = 4.0;
 
@@ -99,6 +116,12 @@
     pub hosts: usize,
     /// Path of the chervillink program.
     pub binary: PathBuf,
+    /// Path of the program that the hosts run first, if it is another build. They are
+    /// replaced one after the other.
+    pub previous: Option<PathBuf>,
+    /// Whether backend servers announce that they leave or want a pause, and links to them lose
+    /// replies. Not for seeds that failed before these faults existed.
+    pub later_faults: bool,
     /// Directory for settings and logs of the hosts; created if missing.
     pub dir: PathBuf,
 }
@@ -140,7 +163,13 @@
 
     let end = Instant::now() + options.fault_time + RECOVERY_TIME;
     let callers = harness.start_callers(&recorder, &mut rng, end);
-    harness.inject_faults(options, &mut rng).await;
+    let upgrade = options.previous.as_ref().map(|_| harness.clone().upgrade(options.clone()));
+    let upgrade = upgrade.map(tokio::spawn);
+    tokio::join!(harness.inject_faults(options, &mut rng), harness.inject_later_faults(options),);
+    if let Some(upgrade) = upgrade {
+        // Panics are violations of the soak itself.
+        upgrade.await.unwrap_or_else(|error| recorder.record_violation(error.to_string()));
+    }
     harness.clear_faults();
     callers.join_all().await;
 
@@ -156,6 +185,7 @@
         ));
     }
     recovered.violations.into_iter().for_each(|v| recorder.record_violation(v));
+    harness.check_logs();
     Ok(recorder.finish())
 }
 
@@ -187,7 +217,8 @@
                 link.address,
                 cpu_share,
             );
-            let host = Host::start(name, ports[0], &options.binary, &options.dir, &settings)
+            let binary = options.previous.as_ref().unwrap_or(&options.binary);
+            let host = Host::start(name, ports[0], binary, &options.dir, &settings)
                 .context(SetupSnafu { action: "start a host" })?;
             harness.set_in_rotation(ports[0], true);
             harness.hosts.push(Arc::new(Mutex::new(host)));
@@ -258,6 +289,56 @@
         running.join_all().await;
     }
 
+    /// Injects a second series of faults beside the first one, with draws of its own so that
+    /// earlier seeds keep their first one.
+    async fn inject_later_faults(self: &Arc<Harness>, options: &Options) {
+        let (start, mut running) = (Instant::now(), JoinSet::new());
+        let mut rng = SmallRng::seed_from_u64(!options.seed);
+        while options.later_faults && start.elapsed() < options.fault_time {
+            let fault = Fault::random_later(&mut rng, self.operator.replicas.len());
+            if fault.is_planned() && options.hosts >= RELAYED_HOSTS {
+                continue;
+            }
+            let duration = Fault::random_duration(&mut rng);
+            if !fault.is_planned() {
+                self.recorder.unplanned_fault_until(Instant::now() + duration);
+            }
+            running.spawn(self.clone().inject(fault, duration));
+            let (min, max) = LATER_FAULT_PAUSE_MS;
+            time::sleep(Duration::from_millis(rng.random_range(min..max))).await;
+        }
+        running.join_all().await;
+    }
+
+    /// Replaces the hosts one after the other by hosts of the new program, spread over the time
+    /// of the faults.
+    async fn upgrade(self: Arc<Harness>, options: Options) {
+        time::sleep(UPGRADE_DELAY).await;
+        let pause = options.fault_time.saturating_sub(UPGRADE_DELAY) / options.hosts as u32;
+        for host in 0..self.hosts.len() {
+            lock(&self.hosts[host]).set_binary(&options.binary);
+            let next = time::Instant::now() + pause;
+            self.stop(host).await;
+            time::sleep_until(next).await;
+        }
+    }
+
+    /// Records a violation if a host could not read what another one said.
+    fn check_logs(&self) {
+        for host in &self.hosts {
+            let host = lock(host);
+            let unreadable = host.log().map(|log| log.matches(UNREADABLE).count());
+            match unreadable {
+                Ok(0) => {}
+                Ok(count) => self.recorder.record_violation(format!(
+                    "{} could not read {count} replies of other hosts",
+                    host.name
+                )),
+                Err(error) => self.recorder.record_violation(format!("no log: {error}")),
+            }
+        }
+    }
+
     /// Injects one fault and undoes it after `duration`.
     async fn inject(self: Arc<Harness>, fault: Fault, duration: Duration) {
         match fault {
@@ -302,9 +383,12 @@
                 JoinSet::from_iter(kills).join_all().await;
             }
             Fault::PauseHost(host) => {
+                let port = lock(&self.hosts[host]).port;
+                self.recorder.host_disturbed(port);
                 self.signal(host, Signal::STOP);
                 time::sleep(duration).await;
                 self.signal(host, Signal::CONT);
+                self.recorder.host_disturbed(port);
                 self.recorder.unplanned_fault_until(Instant::now());
             }
             Fault::StopHost(host) => self.stop(host).await,
@@ -322,6 +406,23 @@
                 self.operator.restore(replica);
             }
             Fault::ChangeConfig => self.operator.write_config(),
+            Fault::AnnounceLeaving(backend) => {
+                let replica = &self.operator.replicas[backend];
+                replica.backend.set_announcement(Some(Announcement::Leaving));
+                time::sleep(duration + Duration::from_millis(platform::CHANGE_BOUND_MS)).await;
+                self.operator.replace(replica);
+            }
+            Fault::AskForPause(backend) => {
+                let server = &self.operator.replicas[backend].backend;
+                // Its leaving is not taken back.
+                if !server.is_leaving() {
+                    server.set_announcement(Some(Announcement::Pause(PAUSE)));
+                    time::sleep(duration).await;
+                    if !server.is_leaving() {
+                        server.set_announcement(None);
+                    }
+                }
+            }
         }
     }
 
@@ -386,6 +487,7 @@
     /// Starts a host unless it runs.
     fn restart(&self, host: usize) {
         let mut host = lock(&self.hosts[host]);
+        self.recorder.host_disturbed(host.port);
         if matches!(host.has_exited(), Ok(true))
             && let Err(error) = host.spawn()
         {
@@ -405,6 +507,7 @@
             replica.backend.set_mode(BackendMode::Healthy);
             replica.backend.set_limit(None);
             self.operator.restore(replica);
+            self.operator.replace(replica);
         }
         for index in 0..self.hosts.len() {
             self.signal(index, Signal::CONT);
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -12,19 +12,22 @@
     /// Seconds during which new faults are injected.
     seconds: u64,
     hosts: usize,
+    /// See `Options::later_faults`.
+    later_faults: bool,
 }
 
 /// Regular runs, the third with relays, and each run that once failed, with its cause.
-const CASES: [Case; 5] = [
-    Case { seed: 1, seconds: 5, hosts: 3 },
-    Case { seed: 2, seconds: 5, hosts: 3 },
-    Case { seed: 3, seconds: 5, hosts: 13 },
+const CASES: [Case; 6] = [
+    Case { seed: 1, seconds: 5, hosts: 3, later_faults: false },
+    Case { seed: 2, seconds: 5, hosts: 3, later_faults: false },
+    Case { seed: 3, seconds: 5, hosts: 13, later_faults: false },
+    Case { seed: 4, seconds: 8, hosts: 3, later_faults: true },
     // After three lost answers to requests with the same path and body, further
     // such requests were refused for two minutes.
-    Case { seed: 53, seconds: 12, hosts: 4 },
+    Case { seed: 53, seconds: 12, hosts: 4, later_faults: false },
     // After a kill of all hosts, one took up the empty state of another that had named too
     // low a revision, and served nothing from then on.
-    Case { seed: 633, seconds: 12, hosts: 4 },
+    Case { seed: 633, seconds: 12, hosts: 4, later_faults: false },
 ];
 
 /// Guards against answers that belong to another request, quotes that run twice,
@@ -34,10 +37,18 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn guarantees_hold_under_faults() {
     let binary = binary();
-    for Case { seed, seconds, hosts } in CASES {
+    for Case { seed, seconds, hosts, later_faults } in CASES {
         let dir = std::env::temp_dir().join(format!("chervil-soak-{}-{seed}", std::process::id()));
         let fault_time = Duration::from_secs(seconds);
-        let options = Options { seed, fault_time, hosts, binary: binary.clone(), dir: dir.clone() };
+        let options = Options {
+            seed,
+            fault_time,
+            hosts,
+            binary: binary.clone(),
+            previous: None,
+            later_faults,
+            dir: dir.clone(),
+        };
 
         let summary = run::run(&options).await.unwrap();
 
