Bound the pause that a backend server may ask for by a setting

A property test of the header's values: whatever a server names, the process lives on, and the pause is within the setting.

--- a/crates/chervillink/src/main.rs
+++ b/crates/chervillink/src/main.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
 
 use chervil_adapter::headers;
 use chervil_adapter::settings;
@@ -24,12 +25,16 @@
 
 const BINARY: &str = "chervillink";
 
+/// Largest value of `--max-pause`.
+const MAX_PAUSE_SETTING: Duration = Duration::from_secs(24 * 60 * 60);
+
 const USAGE: &str = "
 Runs one chervillink host, which forwards the requests of callers to backend
 servers.
 
 Usage:
-    chervillink [--settings FILE] [--metrics ADDRESS] [--log-level LEVEL] [--check]
+    chervillink [--settings FILE] [--metrics ADDRESS] [--log-level LEVEL]
+                [--max-pause SECONDS] [--check]
     chervillink --help | --version
 
 Options:
@@ -39,6 +44,9 @@
                        on the host's IP address].
     --log-level LEVEL  Least severe level to log: critical, error, warn, info,
                        debug or trace [default: info].
+    --max-pause SECONDS
+                       Longest pause that a backend server may ask for
+                       [default: 60].
     --check            Check the settings and exit.
 ";
 
@@ -46,6 +54,7 @@
     settings: Option<PathBuf>,
     metrics: Option<SocketAddr>,
     log_level: Option<String>,
+    max_pause: Option<Duration>,
     check: bool,
 }
 
@@ -69,16 +78,25 @@
     let settings = args.opt_value_from_os_str("--settings", |s| Ok::<_, String>(PathBuf::from(s)));
     let metrics = args.opt_value_from_str("--metrics");
     let log_level = args.opt_value_from_str("--log-level");
+    let max_pause = args.opt_value_from_fn("--max-pause", parse_seconds);
     let parsed = Args {
         check: args.contains("--check"),
         settings: settings.map_err(|e| format!("{e}; see --help"))?,
         metrics: metrics.map_err(|e| format!("{e}; see --help"))?,
         log_level: log_level.map_err(|e| format!("{e}; see --help"))?,
+        max_pause: max_pause.map_err(|e| format!("{e}; see --help"))?,
     };
     reject_unexpected(args).map_err(|e| e.to_string())?;
     Ok(parsed)
 }
 
+/// Parses a time of up to a day.
+fn parse_seconds(text: &str) -> Result<Duration, String> {
+    let seconds = text.parse::<f64>().ok().and_then(|s| Duration::try_from_secs_f64(s).ok());
+    let time = seconds.filter(|time| *time <= MAX_PAUSE_SETTING);
+    time.ok_or_else(|| format!("{text} is not a number of seconds from 0 to 86400"))
+}
+
 fn run(args: Args) -> ExitCode {
     let Some(path) = args.settings.or_else(settings::path_from_env) else {
         return fail(
@@ -92,6 +110,7 @@
         Err(error) => return fail(BINARY, EXIT_USAGE, error),
     };
     settings.host.metrics = args.metrics.unwrap_or(settings.host.metrics);
+    settings.host.bounds.max_pause = args.max_pause.unwrap_or(settings.host.bounds.max_pause);
     if args.check {
         println!("{} is valid", path.display());
         return ExitCode::SUCCESS;
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -197,13 +197,9 @@
     /// Records that a backend server wants no request of this host for a while.
     pub fn pause_server(&self, key: BackendKey, time: Duration) {
         let now = self.now();
-        let mut state = self.state();
-        let Some(backend) = state.fleet.get_mut(key) else { return };
-        let id = backend.entry.id.clone();
-        let is_new = backend.pause.ask(time, backend.phase, now);
-        drop(state);
+        let paused = self.state().pause_server(key, time, now);
         self.metrics.count("servers.pauses");
-        if is_new {
+        if let Some(id) = paused {
             let ms = time.as_millis() as u64;
             spdlog::info!("backend asks for a pause", kv: { id = &*id, ms });
         }
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -58,6 +58,8 @@
         pub retry_limit: RetryLimit,
         /// Requests to cold backend servers.
         pub warmup_limit: WarmupLimit,
+        /// Longest pause of a backend server that asks for one.
+        pub max_pause: Duration,
     }
 
     /// A backend server chosen for an attempt.
@@ -207,6 +209,19 @@
         self.fleet.mark_at_connection_limit(id, now, now + AT_LIMIT_TIME)
     }
 
+    /// Records that a backend server wants no request of this host for a while. Returns its id if
+    /// it was not paused before.
+    pub fn pause_server(
+        &mut self,
+        key: BackendKey,
+        time: Duration,
+        now: Instant,
+    ) -> Option<Box<str>> {
+        let backend = self.fleet.get_mut(key)?;
+        let is_new = backend.pause.ask(time, self.bounds.max_pause, backend.phase, now);
+        is_new.then(|| backend.entry.id.clone())
+    }
+
     /// Records that a backend server has named a rate limit. Returns whether there was none
     /// before; unknown ids are ignored.
     pub fn name_limit(&mut self, id: &str, rate: f64, now: Instant) -> bool {
--- a/crates/front/tests/announcements.rs
+++ b/crates/front/tests/announcements.rs
@@ -4,13 +4,16 @@
 mod support;
 
 use std::time::Duration;
+use std::time::UNIX_EPOCH;
 
 use chervil_front::registry::Event;
 use chervil_front::reply::parse_retry_after;
 use chervil_route::config::Target;
+use proptest::prelude::*;
 use tokio::time;
 
 use crate::support::ADDRESS;
+use crate::support::BOUNDS;
 use crate::support::Backend;
 use crate::support::ScriptedRegistry;
 use crate::support::Step;
@@ -200,3 +203,38 @@
     assert_eq!(later("Sat, 05 Dec 2026 10:00:30 GMT"), Some(Duration::from_secs(30)));
     assert_eq!(later("Sat, 05 Dec 2026 09:00:00 GMT"), None);
 }
+
+/// Values of the header: numbers of all sizes, dates, and any other text.
+fn header_value() -> impl Strategy<Value = String> {
+    prop_oneof![
+        any::<f64>().prop_map(|n| n.to_string()),
+        any::<i64>().prop_map(|n| n.to_string()),
+        "[-+]?[0-9]{0,30}(\\.[0-9]{0,30})?(e[-+]?[0-9]{1,6})?",
+        (0u64..1 << 37).prop_map(|s| httpdate::fmt_http_date(UNIX_EPOCH + Duration::from_secs(s))),
+        ".{0,40}",
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against a header that ends the process, or stops requests to a server for longer
+    /// than the settings allow.
+    #[test]
+    fn any_retry_after_gives_a_bounded_pause(text in header_value(), date in header_value()) {
+        let time = parse_retry_after(&text, Some(&date));
+
+        let host = core();
+        let now = host.now();
+        let mut state = host.state();
+        state.fleet.upsert(entry("i-0", "quote", ADDRESS), now);
+        let key = state.fleet.key("i-0").unwrap();
+        if let Some(time) = time {
+            prop_assert!(!time.is_zero());
+            state.pause_server(key, time, now);
+        }
+        let wait = state.fleet.get(key).unwrap().pause.wait(now);
+        prop_assert!(wait <= BOUNDS.max_pause.mul_f64(1.2), "{text:?}: {wait:?}");
+        prop_assert_eq!(wait.is_zero(), time.is_none());
+    }
+}
--- a/crates/front/tests/support/mod.rs
+++ b/crates/front/tests/support/mod.rs
@@ -44,6 +44,7 @@
 use chervil_route::peers::Peer;
 use chervil_route::peers::PeerTable;
 use chervil_route::relay::Location;
+use chervil_route::server_pause::DEFAULT_MAX_PAUSE;
 use chervil_route::warmup::WarmupLimit;
 use hyper::header::HeaderName;
 use rand::SeedableRng as _;
@@ -291,6 +292,7 @@
 pub const BOUNDS: Bounds = Bounds {
     retry_limit: RetryLimit { ratio: 0.2, slack: 104.0, window: Duration::from_secs(10) },
     warmup_limit: WarmupLimit { overshoot: 1.5, slack: 5.0 },
+    max_pause: DEFAULT_MAX_PAUSE,
 };
 
 pub fn location() -> Location {
--- a/crates/route/src/server_pause.rs
+++ b/crates/route/src/server_pause.rs
@@ -9,8 +9,8 @@
 
 use chervil_base::value;
 
-/// Longest pause, whatever a server asks for.
-const MAX_PAUSE: Duration = Duration::from_secs(60);
+/// Longest pause that hosts keep unless their settings state another one.
+pub const DEFAULT_MAX_PAUSE: Duration = Duration::from_secs(60);
 
 /// Part of the pause by which hosts come back later, each by its phase.
 const SPREAD: f64 = 0.2;
@@ -31,12 +31,12 @@
 }
 
 impl ServerPause {
-    /// Records that the server wants nothing for a while. A pause in force is not shortened.
-    /// `phase` (0 to 1) must differ between hosts. Returns whether the server was not paused
-    /// before.
-    pub fn ask(&mut self, time: Duration, phase: f64, now: Instant) -> bool {
+    /// Records that the server wants nothing for a while, `max` at most. A pause in force is not
+    /// shortened. `phase` (0 to 1) must differ between hosts. Returns whether the server was not
+    /// paused before.
+    pub fn ask(&mut self, time: Duration, max: Duration, phase: f64, now: Instant) -> bool {
         let is_new = !self.is_paused(now);
-        let end = now + time.min(MAX_PAUSE).mul_f64(1.0 + SPREAD * phase);
+        let end = now + time.min(max).mul_f64(1.0 + SPREAD * phase);
         self.until = self.until.max(Some(end));
         is_new
     }
--- a/crates/route/tests/server_pause.rs
+++ b/crates/route/tests/server_pause.rs
@@ -7,6 +7,7 @@
 
 use chervil_route::fleet::BackendEntry;
 use chervil_route::obstacle::Obstacle;
+use chervil_route::server_pause::DEFAULT_MAX_PAUSE;
 use chervil_route::server_pause::ServerPause;
 
 use crate::support::chosen_ids;
@@ -25,7 +26,7 @@
         let now = Instant::now();
         let mut pauses = vec![ServerPause::default(); hosts as usize];
         for (host, pause) in pauses.iter_mut().enumerate() {
-            pause.ask(WISH, host as f64 / f64::from(hosts), now);
+            pause.ask(WISH, DEFAULT_MAX_PAUSE, host as f64 / f64::from(hosts), now);
         }
         let (mut early, mut first_tenth) = (0, 0);
 
@@ -53,8 +54,8 @@
     let now = Instant::now();
     let mut pause = ServerPause::default();
 
-    let first = pause.ask(WISH, 0.0, now);
-    let second = pause.ask(WISH / 10, 0.0, now);
+    let first = pause.ask(WISH, DEFAULT_MAX_PAUSE, 0.0, now);
+    let second = pause.ask(WISH / 10, DEFAULT_MAX_PAUSE, 0.0, now);
 
     assert!(first && !second);
     assert_eq!(pause.wait(now), WISH);
@@ -66,7 +67,7 @@
     let now = Instant::now();
     let mut pause = ServerPause::default();
 
-    pause.ask(Duration::from_secs(86_400), 1.0, now);
+    pause.ask(Duration::from_secs(86_400), DEFAULT_MAX_PAUSE, 1.0, now);
 
     assert!(pause.wait(now) <= Duration::from_secs(72));
 }
