--- a/crates/soak/src/announcement.rs
+++ b/crates/soak/src/announcement.rs
@@ -52,6 +52,9 @@
     /// Returns what the request violates, if anything. A host that was disturbed since it heard
     /// the announcement is excused.
     pub fn record(&mut self, host: u16, recorder: &Recorder) -> Option<String> {
+        if recorder.is_unaware(host) {
+            return None;
+        }
         let now = Instant::now();
         let heard = self.hosts.get_mut(&host).filter(|h| !recorder.was_disturbed(host, h.at));
         let Some(heard) = heard else {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -25,7 +25,7 @@
     --seconds S     Seconds during which new faults are injected [default: 12].
     --hosts N       Number of hosts [default: 4].
     --previous FILE Program of another build, which the hosts run first. They are replaced
-                    one after the other. Backend servers announce nothing then.
+                    one after the other.
 ";
 
 struct Args {
@@ -82,7 +82,7 @@
             hosts: args.hosts,
             binary: args.binary.clone(),
             previous: args.previous.clone(),
-            later_faults: args.previous.is_none(),
+            later_faults: true,
             dir: dir.clone(),
         };
         match run::run(&options).await {
--- a/crates/soak/src/recorder.rs
+++ b/crates/soak/src/recorder.rs
@@ -34,6 +34,8 @@
     unplanned_until: Option<Instant>,
     /// Time at which each host was last killed, started or resumed, by port.
     disturbed_at: HashMap<u16, Instant>,
+    /// Hosts of a build that does not know the announcements of backend servers, by port.
+    unaware: HashSet<u16>,
     /// Times at which callers sent queries.
     queries: Vec<Instant>,
     /// Requests that have arrived at each service.
@@ -88,6 +90,21 @@
         self.lock().disturbed_at.insert(port, Instant::now());
     }
 
+    /// Sets whether a host runs a build that does not know the announcements of backend servers.
+    pub fn set_unaware(&self, port: u16, is_unaware: bool) {
+        let mut seen = self.lock();
+        if is_unaware {
+            seen.unaware.insert(port);
+        } else {
+            seen.unaware.remove(&port);
+        }
+    }
+
+    /// Whether a host runs such a build.
+    pub fn is_unaware(&self, port: u16) -> bool {
+        self.lock().unaware.contains(&port)
+    }
+
     /// Whether a host was disturbed after a time.
     pub fn was_disturbed(&self, port: u16, since: Instant) -> bool {
         self.lock().disturbed_at.get(&port).is_some_and(|at| *at >= since)
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -220,6 +220,7 @@
             let binary = options.previous.as_ref().unwrap_or(&options.binary);
             let host = Host::start(name, ports[0], binary, &options.dir, &settings)
                 .context(SetupSnafu { action: "start a host" })?;
+            harness.recorder.set_unaware(ports[0], options.previous.is_some());
             harness.set_in_rotation(ports[0], true);
             harness.hosts.push(Arc::new(Mutex::new(host)));
             harness.store_links.push(link);
@@ -319,6 +320,8 @@
             lock(&self.hosts[host]).set_binary(&options.binary);
             let next = time::Instant::now() + pause;
             self.stop(host).await;
+            let port = lock(&self.hosts[host]).port;
+            self.recorder.set_unaware(port, false);
             time::sleep_until(next).await;
         }
     }
