Decide in route which attempts may have arrived, and may have run

Two places of front kept their own counts of sent and executed attempts, mixed with input and output, and both had the fault of unconfirmed requests. One account without I/O takes their place, and each failure states once how the attempt ended.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -11,6 +11,7 @@
 use std::time::Instant;
 
 use chervil_base::value;
+use chervil_route::attempts::End;
 use chervil_route::crashes::MAX_CRASHES_PER_SEND;
 use chervil_route::health::Outcome;
 use socket2::SockRef;
@@ -89,6 +90,18 @@
     }
 }
 
+impl Failure {
+    /// How the attempt ended, as far as the backend server is concerned.
+    pub fn end(&self) -> End {
+        match self {
+            Failure::Unreachable | Failure::NotSent | Failure::ConnectionLimit => End::Unsent,
+            Failure::Refused | Failure::Full | Failure::Paused => End::NotRun,
+            Failure::Unacknowledged => End::Unconfirmed,
+            Failure::Lost | Failure::Disconnected | Failure::ErrorReply(_) => End::MayHaveRun,
+        }
+    }
+}
+
 /// Records the outcome of an attempt on drop, so that an attempt whose future is
 /// cancelled is recorded as well.
 struct OutcomeGuard {
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -7,6 +7,8 @@
 use chervil_base::value;
 use chervil_route::admission;
 use chervil_route::admission::Signal;
+use chervil_route::attempts::Attempts;
+use chervil_route::attempts::End;
 use chervil_route::config::Gather;
 use chervil_route::config::Route;
 use chervil_route::fleet::BackendKey;
@@ -84,11 +86,7 @@
     spec: RequestSpec,
     /// Backend servers to leave out of the next choice.
     tried: Vec<BackendKey>,
-    in_flight: u32,
-    /// Finished attempts that executed or may have executed the request.
-    executed: u32,
-    /// Attempts, without those that ended before any byte of the request was sent.
-    sent: u32,
+    attempts: Attempts,
     /// Time of the next hedge, or of the next search for a backend server; `None`
     /// if neither is due.
     next_send: Option<Instant>,
@@ -96,8 +94,6 @@
     reply: Option<Reply>,
     /// Whether all attempts have failed and no further one is allowed.
     exhausted: bool,
-    /// Whether an attempt sent the request and got no acknowledgement.
-    unacknowledged: bool,
     /// Whether a full backend server refused an attempt.
     met_full: bool,
 }
@@ -126,7 +122,7 @@
 }
 
 /// Attempts in flight; dropping them cancels them.
-type Attempts = FuturesUnordered<BoxFuture<'static, Completion>>;
+type RunningAttempts = FuturesUnordered<BoxFuture<'static, Completion>>;
 
 /// A running query and its attempts.
 struct Query<'a> {
@@ -134,7 +130,7 @@
     route: &'a Route,
     spec: RequestSpec,
     shards: Vec<ShardState>,
-    attempts: Attempts,
+    running: RunningAttempts,
     hedge_delay: Duration,
     typical_latency: Duration,
     extra: u32,
@@ -181,7 +177,7 @@
         let wake = query.next_wakeup().min(end);
         tokio::select! {
             Ok(()) = links_lost.changed() => {}
-            Some(completion) = query.attempts.next() => query.on_completion(completion),
+            Some(completion) = query.running.next() => query.on_completion(completion),
             () = time::sleep_until(wake.into()) => query.send_due(core.now()),
         }
     }
@@ -196,8 +192,8 @@
         drop(state);
         let shards = gather.shards.iter().map(|s| ShardState::new(s.clone(), spec.for_shard()));
         let shards = shards.collect();
-        let attempts = Attempts::new();
-        Query { core, route, spec, shards, attempts, hedge_delay, typical_latency, extra: 0 }
+        let running = RunningAttempts::new();
+        Query { core, route, spec, shards, running, hedge_delay, typical_latency, extra: 0 }
     }
 
     fn progress(&self, gather: &Gather) -> Progress {
@@ -258,7 +254,7 @@
         let Some(choice) = choice else {
             shard.tried.clear();
             let limit_wait = self.core.state().limit_wait(&shard.service, now);
-            if server_limit::gives_up_shard(limit_wait, shard.in_flight) {
+            if server_limit::gives_up_shard(limit_wait, shard.attempts.in_flight()) {
                 shard.next_send = None;
                 shard.exhausted = true;
                 return false;
@@ -268,13 +264,12 @@
             return false;
         };
         shard.tried.push(choice.key);
-        shard.in_flight += 1;
-        shard.sent += 1;
+        shard.attempts.start();
         shard.next_send = Some(now + self.hedge_delay);
         let attempt = attempt::run(self.core.clone(), choice, shard.spec.clone());
         let completion =
             async move { Completion { shard: index, started: now, result: attempt.await } };
-        self.attempts.push(completion.boxed());
+        self.running.push(completion.boxed());
         true
     }
 
@@ -286,7 +281,7 @@
             if shard.reply.is_some() || shard.exhausted || shard.next_send.is_none_or(|a| a > now) {
                 continue;
             }
-            if shard.in_flight > 0 && self.core.record_overdue_reply(self.hedge_delay) {
+            if shard.attempts.in_flight() > 0 && self.core.record_overdue_reply(self.hedge_delay) {
                 shard.next_send = Some(now + MIN_SEARCH_BACKOFF);
                 continue;
             }
@@ -302,14 +297,14 @@
         let shard = &mut self.shards[index];
         shard.next_send = None;
         if is_blocked {
-            shard.exhausted = shard.in_flight == 0;
+            shard.exhausted = shard.attempts.in_flight() == 0;
             return;
         }
-        if shard.sent == 0 {
+        if !shard.attempts.is_next_extra() {
             self.send(index);
             return;
         }
-        let allowed = shard.executed + shard.in_flight < self.route.max_attempts;
+        let allowed = shard.attempts.allow_another(self.route.max_attempts);
         if allowed && self.core.try_spend_retry(&shard.service) {
             if self.send(index) {
                 self.extra += 1;
@@ -317,7 +312,7 @@
                 let service = &self.shards[index].service;
                 self.core.state().refund_retry(service);
             }
-        } else if shard.in_flight == 0 {
+        } else if shard.attempts.in_flight() == 0 {
             shard.exhausted = true;
         }
     }
@@ -325,30 +320,18 @@
     fn on_completion(&mut self, completion: Completion) {
         let now = self.core.now();
         let shard = &mut self.shards[completion.shard];
-        shard.in_flight -= 1;
         match completion.result {
             Ok(reply) => {
-                shard.executed += 1;
+                shard.attempts.finish(End::MayHaveRun);
                 shard.reply.get_or_insert(reply);
                 let latency = now.duration_since(completion.started);
                 self.core.state().latency(self.route).record(latency);
             }
-            Err(Failure::Unreachable | Failure::NotSent | Failure::ConnectionLimit) => {
-                shard.sent -= 1;
-                self.retry_unanswered(completion.shard);
-            }
-            Err(Failure::Unacknowledged) => {
-                shard.unacknowledged = true;
-                self.retry_unanswered(completion.shard);
-            }
-            Err(failure @ (Failure::Refused | Failure::Full | Failure::Paused)) => {
+            Err(failure) => {
+                shard.attempts.finish(failure.end());
                 shard.met_full |= failure == Failure::Full;
                 self.retry_unanswered(completion.shard);
             }
-            Err(Failure::Lost | Failure::Disconnected | Failure::ErrorReply(_)) => {
-                shard.executed += 1;
-                self.retry_unanswered(completion.shard);
-            }
         }
     }
 
@@ -364,9 +347,9 @@
     /// backend servers that were tried.
     fn describe_missing(&self, shard: &ShardState) -> Box<str> {
         let reason = match shard {
-            ShardState { sent: 0, .. } => "no_server",
-            ShardState { in_flight: 0, .. } => "failed",
-            ShardState { .. } => "late",
+            shard if !shard.attempts.is_next_extra() => "no_server",
+            shard if shard.attempts.in_flight() == 0 => "failed",
+            _ => "late",
         };
         let state = self.core.state();
         let tried = shard.tried.iter().filter_map(|k| state.fleet.get(*k));
@@ -378,8 +361,7 @@
         let unanswered = self.shards.iter().filter(|s| s.reply.is_none());
         let missing: Vec<Box<str>> = unanswered.map(|s| self.describe_missing(s)).collect();
         if self.shards.len() - missing.len() < gather.required_shards() {
-            let may_have_run =
-                self.shards.iter().any(|s| s.unacknowledged || s.executed + s.in_flight > 0);
+            let may_have_run = self.shards.iter().any(|s| s.attempts.may_have_run());
             if !may_have_run && self.core.has_lost_links() && self.spend_repeat() {
                 return GatherOutcome::OutOfReach { sent: false };
             }
@@ -389,7 +371,7 @@
         if missing.is_empty() && !self.spec.was_disconnected() {
             self.core.state().crashes.acquit(self.spec.digest);
         }
-        drain_late_replies(std::mem::take(&mut self.attempts));
+        drain_late_replies(std::mem::take(&mut self.running));
         let replies: Vec<&Reply> = self.shards.iter().filter_map(|s| s.reply.as_ref()).collect();
         let stamps = replies.iter().filter_map(|r| r.stamp.clone()).collect();
         let body = merge::merge_top_k(replies.iter().map(|r| &*r.body), gather.top_k);
@@ -398,7 +380,7 @@
 }
 
 /// Reads late replies in the background for up to `LATE_REPLY_WAIT`.
-fn drain_late_replies(mut attempts: Attempts) {
+fn drain_late_replies(mut attempts: RunningAttempts) {
     if attempts.is_empty() {
         return;
     }
@@ -415,14 +397,11 @@
             service,
             spec,
             tried: Vec::new(),
-            in_flight: 0,
-            executed: 0,
-            sent: 0,
+            attempts: Attempts::default(),
             next_send: None,
             backoff: MIN_SEARCH_BACKOFF,
             reply: None,
             exhausted: false,
-            unacknowledged: false,
             met_full: false,
         }
     }
--- a/crates/front/src/single.rs
+++ b/crates/front/src/single.rs
@@ -7,6 +7,8 @@
 use std::time::Instant;
 
 use chervil_base::value;
+use chervil_route::attempts::Attempts;
+use chervil_route::attempts::End;
 use chervil_route::config::Route;
 use chervil_route::fleet::BackendKey;
 use tokio::task::JoinError;
@@ -75,14 +77,11 @@
     tried: Vec<BackendKey>,
     asked: Vec<Box<str>>,
     tasks: JoinSet<(Instant, Result<Reply, Failure>)>,
-    /// Attempts, without those that ended before any byte of the request was sent.
-    sent: u32,
+    attempts: Attempts,
+    /// Attempts of which no byte was sent.
+    unsent: u32,
     /// Attempts for which no connection could be opened.
     unreachable: usize,
-    /// Failed attempts that executed or may have executed the request.
-    executed: u32,
-    /// Whether an attempt sent the request and got no acknowledgement.
-    unacknowledged: bool,
     /// Last reply with an error status, forwarded if no attempt succeeds.
     error_reply: Option<Box<Reply>>,
     typical_latency: Duration,
@@ -138,10 +137,9 @@
             tried: Vec::new(),
             asked: Vec::new(),
             tasks: JoinSet::new(),
-            sent: 0,
+            attempts: Attempts::default(),
+            unsent: 0,
             unreachable: 0,
-            executed: 0,
-            unacknowledged: false,
             error_reply: None,
             typical_latency,
         }
@@ -155,7 +153,6 @@
         mut hedge_at: Option<Instant>,
         hedge_delay: Duration,
     ) -> SingleOutcome {
-        let mut unsent = 0;
         let mut links_lost = self.core.subscribe_links();
         while !self.send() {
             let now = self.core.now();
@@ -199,37 +196,8 @@
                     }
                     return SingleOutcome::Answered(Box::new(reply));
                 }
-                Err(
-                    failure @ (Failure::Unreachable | Failure::NotSent | Failure::ConnectionLimit),
-                ) => {
-                    self.unreachable += usize::from(failure == Failure::Unreachable);
-                    unsent += 1;
-                    self.sent -= 1;
-                    if self.tasks.is_empty() && (unsent >= MAX_UNSENT_ATTEMPTS || !self.send()) {
-                        return self.conclude(false);
-                    }
-                }
-                Err(
-                    failure @ (Failure::Refused
-                    | Failure::Full
-                    | Failure::Paused
-                    | Failure::Unacknowledged),
-                ) => {
-                    self.unacknowledged |= failure == Failure::Unacknowledged;
-                    if !self.send_another() && self.tasks.is_empty() {
-                        return self.conclude(false);
-                    }
-                }
-                Err(Failure::Lost | Failure::Disconnected) => {
-                    self.executed += 1;
-                    if !self.spec.idempotent || (!self.send_another() && self.tasks.is_empty()) {
-                        return self.conclude(false);
-                    }
-                }
-                Err(Failure::ErrorReply(reply)) => {
-                    self.executed += 1;
-                    self.error_reply = Some(reply);
-                    if !self.spec.idempotent || (!self.send_another() && self.tasks.is_empty()) {
+                Err(failure) => {
+                    if !self.go_on_after(failure) && self.tasks.is_empty() {
                         return self.conclude(false);
                     }
                 }
@@ -237,6 +205,26 @@
         }
     }
 
+    /// Starts another attempt after a failed one, if that is allowed. Returns whether it did.
+    fn go_on_after(&mut self, failure: Failure) -> bool {
+        let end = failure.end();
+        self.attempts.finish(end);
+        match failure {
+            Failure::Unreachable => self.unreachable += 1,
+            Failure::ErrorReply(reply) => self.error_reply = Some(reply),
+            _ => {}
+        }
+        match end {
+            // What the attempt that was not sent has spent, if anything, is for the next one.
+            End::Unsent => {
+                self.unsent += 1;
+                self.tasks.is_empty() && self.unsent < MAX_UNSENT_ATTEMPTS && self.send()
+            }
+            End::NotRun => self.send_another(),
+            End::Unconfirmed | End::MayHaveRun => self.spec.idempotent && self.send_another(),
+        }
+    }
+
     /// Starts an attempt at the best backend server that was not tried yet. If
     /// there is none, returns false and allows all again.
     fn send(&mut self) -> bool {
@@ -248,7 +236,7 @@
         };
         self.tried.push(choice.key);
         self.asked.push(choice.id.clone());
-        self.sent += 1;
+        self.attempts.start();
         let attempt = attempt::run(self.core.clone(), choice, self.spec.clone());
         self.tasks.spawn(async move { (now, attempt.await) });
         true
@@ -260,11 +248,10 @@
         if self.spec.was_disconnected() && self.core.is_blocked(self.spec.digest) {
             return false;
         }
-        let running = self.tasks.len() as u32;
-        if self.executed + running >= self.route.max_attempts {
+        if !self.attempts.allow_another(self.route.max_attempts) {
             return false;
         }
-        let is_extra = self.sent > 0;
+        let is_extra = self.attempts.is_next_extra();
         if is_extra && !self.core.try_spend_retry(self.service) {
             return false;
         }
@@ -296,9 +283,7 @@
     fn conclude(&mut self, timed_out: bool) -> SingleOutcome {
         match self.error_reply.take() {
             Some(reply) => SingleOutcome::Answered(reply),
-            None if self.executed == 0 && !self.unacknowledged && self.tasks.is_empty() => {
-                SingleOutcome::NotRun
-            }
+            None if !self.attempts.may_have_run() => SingleOutcome::NotRun,
             None => SingleOutcome::Unknown { timed_out },
         }
     }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -7,6 +7,7 @@
 //! current time.
 
 pub mod admission;
+pub mod attempts;
 pub mod budget;
 pub mod config;
 pub mod crashes;
