Bound what waits for the confirmation and publication of a crash

Found by reading: a request that waits for the confirmation of a crash kept its body for up to 12 s, and a call to the registry on a connection that has gone silent never ended, after which no crash of this host was published any more. Only digest and count are kept; the call fails after a second and is made again.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -136,12 +136,19 @@
 
 /// What became of a request at backend servers that may have crashed.
 #[derive(Debug, Default)]
-struct Losses {
+pub struct Losses {
     disconnected: AtomicBool,
     /// Confirmed crashes.
     crashes: AtomicU32,
 }
 
+impl Losses {
+    /// Whether another crash counts against the request; counts it if so.
+    pub fn count_crash(&self) -> bool {
+        self.crashes.fetch_add(1, Ordering::Relaxed) < MAX_CRASHES_PER_SEND
+    }
+}
+
 /// A request to forward, shared by all of its attempts.
 #[derive(Clone, Debug)]
 pub struct RequestSpec {
@@ -161,7 +168,8 @@
     pub digest: u64,
     /// Set when the first attempt sends the request.
     sent: Arc<AtomicBool>,
-    losses: Arc<Losses>,
+    /// Shared by all attempts.
+    pub losses: Arc<Losses>,
 }
 
 impl RequestSpec {
@@ -185,11 +193,6 @@
         }
     }
 
-    /// Whether another crash counts against the request; counts it if so.
-    pub fn count_crash(&self) -> bool {
-        self.losses.crashes.fetch_add(1, Ordering::Relaxed) < MAX_CRASHES_PER_SEND
-    }
-
     /// Records that a backend server disconnected while it executed the request.
     pub fn record_disconnect(&self) {
         self.losses.disconnected.store(true, Ordering::Relaxed);
--- a/crates/front/src/crashes.rs
+++ b/crates/front/src/crashes.rs
@@ -19,9 +19,11 @@
 use tokio::time;
 
 use crate::attempt;
+use crate::attempt::Losses;
 use crate::attempt::RequestSpec;
 use crate::core::Core;
 use crate::outgoing::Outgoing;
+use crate::registry;
 use crate::registry::Registry;
 use crate::state::Choice;
 
@@ -46,6 +48,10 @@
 /// Time over which records are collected, so that one call publishes those of a server.
 const PUBLISH_DELAY: Duration = Duration::from_millis(100);
 
+/// Time after which a call to the registry counts as failed: its connection may be silent for
+/// good.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Pause after a call to the registry that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
@@ -58,11 +64,18 @@
 /// Requests that were lost with a connection, and crash records to publish.
 #[derive(Debug, Default)]
 pub struct Suspects {
-    by_server: Mutex<HashMap<BackendKey, Vec<RequestSpec>>>,
+    by_server: Mutex<HashMap<BackendKey, Vec<Suspect>>>,
     unpublished: Mutex<Vec<CrashRecord>>,
     wanted: Notify,
 }
 
+/// A request that a backend server may have crashed on.
+#[derive(Debug)]
+struct Suspect {
+    digest: u64,
+    losses: Arc<Losses>,
+}
+
 value! {
     /// The instance whose crash is to be confirmed.
     struct Instance {
@@ -99,14 +112,15 @@
 /// Starts to confirm that a backend server crashed which closed or reset a connection before
 /// its reply. The disconnect alone proves nothing, as connections break for many other reasons.
 pub fn suspect(core: &Arc<Core>, choice: &Choice, spec: &RequestSpec) {
+    let suspect = Suspect { digest: spec.digest, losses: spec.losses.clone() };
     let mut by_server = lock(&core.suspects.by_server);
     if let Some(waiting) = by_server.get_mut(&choice.key) {
         if waiting.len() < MAX_SUSPECTS {
-            waiting.push(spec.clone());
+            waiting.push(suspect);
         }
         return;
     }
-    by_server.insert(choice.key, vec![spec.clone()]);
+    by_server.insert(choice.key, vec![suspect]);
     drop(by_server);
     let started_at_ms = core.state().fleet.get(choice.key).and_then(|b| b.entry.started_at_ms);
     let instance = Instance {
@@ -121,7 +135,7 @@
         let crashed = confirm(&core, &instance).await;
         let waiting = lock(&core.suspects.by_server).remove(&instance.key).unwrap_or_default();
         if crashed {
-            waiting.iter().for_each(|spec| record(&core, &instance, spec));
+            waiting.iter().for_each(|suspect| record(&core, &instance, suspect));
         }
     });
 }
@@ -162,13 +176,13 @@
 
 /// Counts the crash of an instance against a request, unless enough of them count against it
 /// since its caller sent it.
-fn record(core: &Core, instance: &Instance, spec: &RequestSpec) {
-    if !spec.count_crash() {
+fn record(core: &Core, instance: &Instance, suspect: &Suspect) {
+    if !suspect.losses.count_crash() {
         return;
     }
     let start = instance.started_at_ms.unwrap_or_default();
     let server = digest::stable_hash(&format!("{} {start}", instance.id));
-    let (digest, now) = (spec.digest, core.now());
+    let (digest, now) = (suspect.digest, core.now());
     let mut state = core.state();
     let Some(record) = state.crashes.record_crash(digest, server, now) else { return };
     let crashes = state.crashes.count(digest);
@@ -203,7 +217,8 @@
             if records.is_empty() {
                 break;
             }
-            match registry.record_crashes(&records, CRASH_RETENTION).await {
+            let call = registry.record_crashes(&records, CRASH_RETENTION);
+            match registry::within(CALL_TIMEOUT, call).await {
                 Ok(()) => lock(&core.suspects.unpublished).retain(|r| !records.contains(r)),
                 Err(error) => {
                     core.metrics.count("crashes.unwritten");
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -27,6 +27,7 @@
 use crate::peers::PeerClients;
 use crate::peers::SyncReply;
 use crate::peers::SyncRequest;
+use crate::registry;
 use crate::registry::Changes;
 use crate::registry::Registry;
 use crate::registry::RegistryError;
@@ -251,8 +252,7 @@
             }
         };
         let timeout = REGISTRY_WAIT + REGISTRY_TIMEOUT;
-        let result = time::timeout(timeout, call).await;
-        match result.unwrap_or_else(|_| Err(timed_out(timeout))) {
+        match registry::within(timeout, call).await {
             Ok(changes) if changes.position.era < self.applied.era => {
                 let reason = "it states an era before that of this host's state";
                 self.registry_failed(&RegistryError::Unreadable { reason: reason.into() });
@@ -421,10 +421,10 @@
         let start = self.core.boot_time();
         let call = self.peers.sync(address, &request);
         let timeout = wait + PEER_TIMEOUT;
-        let reply = time::timeout(timeout, call).await.unwrap_or_else(|_| Err(timed_out(timeout)));
+        let reply = registry::within(timeout, call).await;
         // After a pause of this process, a reply that was sent long ago would look fresh.
         if self.core.boot_time().saturating_sub(start) > timeout + TIMER_SLACK {
-            return Err(timed_out(timeout));
+            return Err(RegistryError::timed_out(timeout));
         }
         reply
     }
@@ -505,11 +505,6 @@
     reply.age_ms.is_some_and(|a| Duration::from_millis(a) < stale)
 }
 
-fn timed_out(timeout: Duration) -> RegistryError {
-    let reason = format!("no reply within {} ms", timeout.as_millis());
-    RegistryError::Unreachable { reason: reason.into() }
-}
-
 /// Shows at a fixed interval that the process runs, to detect pauses.
 pub async fn watch_for_pauses(core: Arc<Core>) {
     loop {
--- a/crates/front/src/registry.rs
+++ b/crates/front/src/registry.rs
@@ -14,6 +14,7 @@
 use chervil_route::history::Position;
 use chervil_route::peers::Peer;
 use snafu::Snafu;
+use tokio::time;
 
 message! {
     /// A change in the registry, or a state that hosts have detected. Each event
@@ -155,6 +156,22 @@
     },
 }
 
+impl RegistryError {
+    /// The error of a call without a reply within `timeout`.
+    pub fn timed_out(timeout: Duration) -> RegistryError {
+        let reason = format!("no reply within {} ms", timeout.as_millis());
+        RegistryError::Unreachable { reason: reason.into() }
+    }
+}
+
+/// Waits for the result of a call, which fails after `timeout`.
+pub async fn within<Value, Call>(timeout: Duration, call: Call) -> Result<Value, RegistryError>
+where
+    Call: Future<Output = Result<Value, RegistryError>>,
+{
+    time::timeout(timeout, call).await.unwrap_or_else(|_| Err(RegistryError::timed_out(timeout)))
+}
+
 /// Read access to the registry, and the registration of this host.
 #[async_trait]
 pub trait Registry: Send + Sync {
