Renew a host's entry again if the registry does not reply

Found while looking for calls without a bound: a renewal on a connection that has gone silent waited for good. The entry of the host expired after 30 s, and another 30 s later the others divided the limits of the deployment among fewer hosts than use them.

renewal_without_a_reply_is_made_again, red before.

--- a/crates/front/src/registration.rs
+++ b/crates/front/src/registration.rs
@@ -9,6 +9,7 @@
 use tokio::time;
 
 use crate::core::Core;
+use crate::registry;
 use crate::registry::Registration;
 use crate::registry::Registry;
 use crate::registry::RegistryError;
@@ -19,6 +20,9 @@
 /// Interval at which the lease is renewed.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(10);
 
+/// Time after which a call counts as failed: its connection may be silent for good.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Delay before a failed registration or renewal is retried.
 const RETRY_DELAY: Duration = Duration::from_secs(2);
 
@@ -48,9 +52,10 @@
     let mut registration = if bootstrap { None } else { previous_registration(&core, &peer).await };
     loop {
         let result = match registration {
-            Some(current) => registry.renew(current).await,
+            Some(current) => registry::within(CALL_TIMEOUT, registry.renew(current)).await,
             None => {
-                registry.register(&host, &peer, LEASE_TTL).await.map(|new| registration = Some(new))
+                let call = registry.register(&host, &peer, LEASE_TTL);
+                registry::within(CALL_TIMEOUT, call).await.map(|new| registration = Some(new))
             }
         };
         match result {
--- a/crates/front/tests/registration.rs
+++ b/crates/front/tests/registration.rs
@@ -3,10 +3,20 @@
 mod support;
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
 
+use async_trait::async_trait;
 use chervil_front::registration;
+use chervil_front::registry::Changes;
+use chervil_front::registry::Registration;
+use chervil_front::registry::Registry;
+use chervil_front::registry::RegistryError;
+use chervil_route::crashes::CrashRecord;
 use chervil_route::peers::FORMAT;
 use chervil_route::peers::Peer;
+use tokio::time;
 
 use crate::support::ScriptedRegistry;
 use crate::support::core;
@@ -68,3 +78,57 @@
 
     assert_eq!(*registry.registered.lock().unwrap(), 1);
 }
+
+/// A registry whose first renewal gets no reply.
+#[derive(Default)]
+struct SilentRegistry {
+    renewals: AtomicU32,
+}
+
+#[async_trait]
+impl Registry for SilentRegistry {
+    async fn list(&self) -> Result<Changes, RegistryError> {
+        Err(RegistryError::HistoryLost)
+    }
+
+    async fn changes(&self, _revision: u64, _wait: Duration) -> Result<Changes, RegistryError> {
+        Err(RegistryError::HistoryLost)
+    }
+
+    async fn register(
+        &self,
+        _host: &str,
+        _peer: &Peer,
+        _ttl: Duration,
+    ) -> Result<Registration, RegistryError> {
+        Ok(Registration { lease: LEASE })
+    }
+
+    async fn record_crashes(
+        &self,
+        _records: &[CrashRecord],
+        _ttl: Duration,
+    ) -> Result<(), RegistryError> {
+        Ok(())
+    }
+
+    async fn renew(&self, _registration: Registration) -> Result<(), RegistryError> {
+        if self.renewals.fetch_add(1, Ordering::Relaxed) == 0 {
+            std::future::pending::<()>().await;
+        }
+        Ok(())
+    }
+}
+
+/// Guards against a host whose entry expires because a renewal waits for good, on a connection
+/// to the registry that has gone silent.
+#[tokio::test(start_paused = true)]
+async fn renewal_without_a_reply_is_made_again() {
+    let (core, registry) = (core(), Arc::new(SilentRegistry::default()));
+    let calls = registry.clone();
+    tokio::spawn(registration::maintain(core, calls, "own".into(), peer(0), true));
+
+    time::sleep(Duration::from_secs(28)).await;
+
+    assert!(registry.renewals.load(Ordering::Relaxed) >= 2);
+}
