Decide in route what shows that a server has crashed

The evidence was weighed between calls to the network. It is collected there now, and one function without I/O says what it shows. The log line of a crash keeps to the rate of other lines.

--- a/crates/front/src/crashes.rs
+++ b/crates/front/src/crashes.rs
@@ -14,6 +14,7 @@
 use chervil_base::value;
 use chervil_route::crashes::CRASH_RETENTION;
 use chervil_route::crashes::CrashRecord;
+use chervil_route::crashes::Evidence;
 use chervil_route::fleet::BackendKey;
 use tokio::sync::Notify;
 use tokio::time;
@@ -22,6 +23,7 @@
 use crate::attempt::Losses;
 use crate::attempt::RequestSpec;
 use crate::core::Core;
+use crate::logs::Category;
 use crate::outgoing::Outgoing;
 use crate::registry;
 use crate::registry::Registry;
@@ -85,15 +87,6 @@
         max_connections: usize,
         started_at_ms: Option<u64>,
     }
-
-    /// What the probe of a server shows.
-    #[derive(Copy, Eq)]
-    enum Probe {
-        /// It accepts connections, or can't be reached.
-        NoCrash,
-        /// Its port refuses connections.
-        Refused,
-    }
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -132,7 +125,7 @@
     };
     let core = core.clone();
     tokio::spawn(async move {
-        let crashed = confirm(&core, &instance).await;
+        let crashed = collect_evidence(&core, &instance).await.shows_crash();
         let waiting = lock(&core.suspects.by_server).remove(&instance.key).unwrap_or_default();
         if crashed {
             waiting.iter().for_each(|suspect| record(&core, &instance, suspect));
@@ -140,37 +133,35 @@
     });
 }
 
-/// Whether an instance has crashed: its port refuses connections, and that is not due to this
-/// host. While the links are in doubt or lost, only the registry can tell.
-async fn confirm(core: &Arc<Core>, instance: &Instance) -> bool {
+/// Collects evidence on whether an instance has crashed, until the links of this host are not in
+/// doubt. If they were lost, only the registry can tell.
+async fn collect_evidence(core: &Arc<Core>, instance: &Instance) -> Evidence {
     time::sleep(PROBE_DELAY).await;
-    if probe(core, instance).await == Probe::NoCrash {
-        return false;
-    }
-    let (start, mut were_lost) = (core.now(), false);
-    let is_over = || core.now().duration_since(start) >= EVIDENCE_TIMEOUT;
-    while core.has_links_in_doubt() && !is_over() {
-        were_lost |= core.has_lost_links();
-        time::sleep(LINK_POLL).await;
-    }
-    let has_ended = || core.state().fleet.get(instance.key).is_none();
-    while were_lost && !has_ended() && !is_over() {
+    let mut evidence = Evidence { refuses: refuses(core, instance).await, ..Evidence::default() };
+    let start = core.now();
+    while evidence.refuses && core.now().duration_since(start) < EVIDENCE_TIMEOUT {
+        evidence.links_lost |= core.has_lost_links();
+        evidence.has_ended = core.state().fleet.get(instance.key).is_none();
+        if !core.has_links_in_doubt() && evidence.shows_crash() {
+            break;
+        }
         time::sleep(LINK_POLL).await;
     }
-    !were_lost || has_ended()
+    evidence
 }
 
-async fn probe(core: &Arc<Core>, instance: &Instance) -> Probe {
+/// Whether the port of an instance refuses connections. One that is accepted is kept.
+async fn refuses(core: &Arc<Core>, instance: &Instance) -> bool {
     let permit = core.pools().try_permit(instance.key, instance.max_connections);
     match time::timeout(PROBE_TIMEOUT, attempt::connect(instance.address)).await {
         Ok(Ok(stream)) => {
             if let Some(permit) = permit {
                 core.keep_connection(instance.key, stream, permit);
             }
-            Probe::NoCrash
+            false
         }
-        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Probe::Refused,
-        Ok(Err(_)) | Err(_) => Probe::NoCrash,
+        Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
+        Err(_) => false,
     }
 }
 
@@ -188,10 +179,12 @@
     let crashes = state.crashes.count(digest);
     drop(state);
     core.metrics.count("crashes.seen");
-    spdlog::warn!(
-        "backend refuses connections after losing a request; crash counted against the request",
-        kv: { request = digest, backend = &*instance.id, crashes }
-    );
+    if core.log_limiter.allows(Category::Notable, now) {
+        spdlog::warn!(
+            "backend refuses connections after losing a request; crash counted against the request",
+            kv: { request = digest, backend = &*instance.id, crashes }
+        );
+    }
     let mut unpublished = lock(&core.suspects.unpublished);
     if unpublished.len() >= MAX_UNPUBLISHED {
         unpublished.remove(0);
--- a/crates/route/src/crashes.rs
+++ b/crates/route/src/crashes.rs
@@ -67,6 +67,29 @@
     }
 }
 
+value! {
+    /// What a host knows of a server that disconnected while it executed a request.
+    ///
+    /// Load pattern: a host whose links are cut may see refused connections from all servers, and
+    /// a request that crashes all servers of a host looks the same to it.
+    #[derive(Copy, Default)]
+    pub struct Evidence {
+        /// Whether its port refuses connections.
+        pub refuses: bool,
+        /// Whether the links to all servers were lost meanwhile.
+        pub links_lost: bool,
+        /// Whether the registry shows that the instance has ended.
+        pub has_ended: bool,
+    }
+}
+
+impl Evidence {
+    /// Whether it shows that the server has crashed.
+    pub fn shows_crash(&self) -> bool {
+        self.refuses && (!self.links_lost || self.has_ended)
+    }
+}
+
 impl CrashTracker {
     /// Whether the request has crashed too many backend servers to be sent again.
     pub fn is_blocked(&self, digest: u64, now: Instant) -> bool {
--- a/crates/route/tests/crashes.rs
+++ b/crates/route/tests/crashes.rs
@@ -7,6 +7,7 @@
 use chervil_route::crashes::CRASH_RETENTION;
 use chervil_route::crashes::CrashRecord;
 use chervil_route::crashes::CrashTracker;
+use chervil_route::crashes::Evidence;
 use chervil_route::crashes::MAX_CRASHES_PER_SEND;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
@@ -176,3 +177,20 @@
     assert!(digests.len() <= 4_096, "{}", digests.len());
     assert!(tracker.count(9_999) <= 16);
 }
+
+/// Guards against a crash that a cut host counts although the server runs, and against one that
+/// does not count because it took down all servers that a host talks to.
+#[test]
+fn refused_connection_shows_a_crash_unless_the_links_are_the_cause() {
+    for (refuses, links_lost, has_ended, shows_crash) in [
+        (false, false, false, false),
+        (false, false, true, false),
+        (true, false, false, true),
+        (true, true, false, false),
+        (true, true, true, true),
+    ] {
+        let evidence = Evidence { refuses, links_lost, has_ended };
+
+        assert_eq!(evidence.shows_crash(), shows_crash, "{evidence:?}");
+    }
+}
