--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -228,6 +228,9 @@
         OutcomeGuard { outcome: Outcome::Abandoned, start: core.now(), core: core.clone(), choice };
     let result = send(&core, &guard.choice, &spec).await;
     guard.outcome = outcome(&result);
+    if result == Err(Failure::Unacknowledged) {
+        core.metrics.count("attempts.unconfirmed");
+    }
     if result == Err(Failure::Disconnected) {
         spec.record_disconnect();
         crashes::suspect(&core, &guard.choice, &spec);
