Keep the first half of a soak run to planned faults

The second series of faults cut links from the beginning, so that the bounds on planned changes were suspended for the whole run.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -163,8 +163,10 @@
 
     let end = Instant::now() + options.fault_time + RECOVERY_TIME;
     let callers = harness.start_callers(&recorder, &mut rng, end);
-    let upgrade = options.previous.as_ref().map(|_| harness.clone().upgrade(options.clone()));
-    let upgrade = upgrade.map(tokio::spawn);
+    let upgrade = options.previous.is_some().then(|| {
+        let harness = harness.clone();
+        tokio::spawn(harness.upgrade(options.clone()))
+    });
     tokio::join!(harness.inject_faults(options, &mut rng), harness.inject_later_faults(options),);
     if let Some(upgrade) = upgrade {
         // Panics are violations of the soak itself.
@@ -291,20 +293,25 @@
     }
 
     /// Injects a second series of faults beside the first one, with draws of its own so that
-    /// earlier seeds keep their first one.
+    /// earlier seeds keep their first one. As there, faults in the first half of the time are
+    /// planned ones, so that the bounds on planned changes apply.
     async fn inject_later_faults(self: &Arc<Harness>, options: &Options) {
         let (start, mut running) = (Instant::now(), JoinSet::new());
         let mut rng = SmallRng::seed_from_u64(!options.seed);
         while options.later_faults && start.elapsed() < options.fault_time {
             let fault = Fault::random_later(&mut rng, self.operator.replicas.len());
-            if fault.is_planned() && options.hosts >= RELAYED_HOSTS {
-                continue;
-            }
             let duration = Fault::random_duration(&mut rng);
-            if !fault.is_planned() {
-                self.recorder.unplanned_fault_until(Instant::now() + duration);
+            let is_possible = if fault.is_planned() {
+                options.hosts < RELAYED_HOSTS
+            } else {
+                start.elapsed() >= options.fault_time / 2
+            };
+            if is_possible {
+                if !fault.is_planned() {
+                    self.recorder.unplanned_fault_until(Instant::now() + duration);
+                }
+                running.spawn(self.clone().inject(fault, duration));
             }
-            running.spawn(self.clone().inject(fault, duration));
             let (min, max) = LATER_FAULT_PAUSE_MS;
             time::sleep(Duration::from_millis(rng.random_range(min..max))).await;
         }
