--- a/bench/upgrade.sh
+++ b/bench/upgrade.sh
@@ -25,8 +25,9 @@
 SOURCE=$BUILDS/$COMMIT
 if [ ! -x "$SOURCE/chervillink" ]; then
     mkdir -p "$SOURCE"
-    git archive "$COMMIT" | tar -x -C "$SOURCE"
-    # All earlier builds share their dependencies.
+    # All earlier builds share their dependencies. Cargo tells their own sources apart by the
+    # time of modification, which must not be that of the commit.
+    git archive "$COMMIT" | tar -x -m -C "$SOURCE"
     (cd "$SOURCE" && CARGO_TARGET_DIR=$BUILDS/target cargo build --locked --quiet -p chervillink)
     cp "$BUILDS/target/debug/chervillink" "$SOURCE/chervillink"
 fi
