--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -67,7 +67,7 @@
 def reset(writer):
     """Closes a connection with a reset."""
     sock = writer.get_extra_info("socket")
-    if sock is not None:
+    if sock is not None and sock.fileno() >= 0:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
     writer.transport.abort()
 
