End an outage of the registry when another host shows that it is over

Cause: a host remembers that its last call to the registry failed, and forgets it only at its own next call that succeeds. A host that follows another one makes no such call. When its sources are lost, it reads the registry at the first try, takes the 2.1 s of the change-over for an outage, and holds removals back for 2.3 s more. The backoff outlived the outage in the same way.

Evidence: with logs of the hosts kept, each of the five remaining ones logs "registry lost" once in the outage, and "holding back removals" 11 s later without a failed call between. Ruled out: a change-over that takes too long by itself, and a hold of the outage that is still on (it ends after 2.3 s).

Change: route/outage.rs decides what ends an outage: a call that succeeds, or data of any host that were in sync with the registry after the last failed call.

--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -11,6 +11,7 @@
 use std::time::Instant;
 
 use chervil_route::history::Position;
+use chervil_route::outage::Outage;
 use chervil_route::pause;
 use chervil_route::peers::FORMAT;
 use chervil_route::peers::Upstream;
@@ -61,10 +62,6 @@
 /// events.
 const UPSTREAM_POLL_PAUSE: Duration = Duration::from_millis(300);
 
-/// First backoff after a failed call to the registry; it doubles with each
-/// further failure.
-const INITIAL_BACKOFF: Duration = Duration::from_millis(150);
-
 /// Longest backoff of a host that may be the upstream of others.
 const MAX_UPSTREAM_BACKOFF: Duration = Duration::from_millis(1_000);
 
@@ -141,9 +138,7 @@
     settled: Position,
     /// Whether polling for changes suffices; otherwise the full state is needed.
     has_state: bool,
-    /// Time of the next call to the registry while it is failing.
-    retry_at: Option<Instant>,
-    backoff: Duration,
+    outage: Outage,
     own_name: Box<str>,
     /// The host that answered the last poll, if any.
     followed: Option<Box<str>>,
@@ -189,8 +184,7 @@
             source_settled: Position::default(),
             settled: Position::default(),
             has_state: false,
-            retry_at: None,
-            backoff: INITIAL_BACKOFF,
+            outage: Outage::default(),
             own_name: settings.name.clone(),
             followed: None,
             has_followers: false,
@@ -219,7 +213,7 @@
     fn next_source(&mut self) -> Source {
         let now = self.core.now();
         let seeds_first = self.seeds_first_until.is_some_and(|until| now < until);
-        let retry_at = self.retry_at.filter(|at| *at > now);
+        let retry_at = self.outage.retry_at(now);
         if !self.has_state {
             if !self.seeds.is_empty() && (seeds_first || retry_at.is_some()) {
                 self.seed_index += 1;
@@ -267,7 +261,6 @@
                 Duration::ZERO
             }
             Ok(changes) => {
-                self.registry_recovered(polled_at);
                 self.apply_changes(changes, polled_at);
                 self.propagation_limit.mul_f64(POLL_FRACTION)
             }
@@ -288,6 +281,12 @@
 
     fn apply_changes(&mut self, changes: Changes, polled_at: Instant) {
         let Changes { events, position } = changes;
+        // A single failed call must not delay the removal of a server that leaves. A host that
+        // gets its data from another one relies on that one to hold removals back.
+        let outage = self.record_contact(REGISTRY, polled_at);
+        if outage.is_some_and(|o| o >= self.heartbeat * EXPIRY_HEARTBEATS) {
+            self.replica.hold_removals();
+        }
         self.advance(REGISTRY, position);
         self.replica.apply_events(Batch {
             source: REGISTRY.into(),
@@ -316,31 +315,22 @@
     fn registry_failed(&mut self, error: &RegistryError) {
         self.core.metrics.count("registry.failed");
         let now = self.core.now();
-        if self.retry_at.is_none() {
+        let max_backoff = if self.has_followers { MAX_UPSTREAM_BACKOFF } else { MAX_BACKOFF };
+        if self.outage.record_failure(max_backoff, now) {
             let error = error.to_string();
             spdlog::warn!("registry lost", kv: { error = error.as_str() });
         }
-        self.retry_at = Some(now + self.backoff);
-        let max_backoff = if self.has_followers { MAX_UPSTREAM_BACKOFF } else { MAX_BACKOFF };
-        self.backoff = (self.backoff * 2).min(max_backoff);
     }
 
-    /// Removals are held back only after an outage in which entries can have expired: a
-    /// single failed call must not delay the news of a server that leaves. While any host on
-    /// the way of this one's data reaches the registry, there is no outage.
-    fn registry_recovered(&mut self, polled_at: Instant) {
-        self.backoff = INITIAL_BACKOFF;
-        if self.retry_at.take().is_none() {
-            return;
-        }
+    /// Records that the registry was reachable at `at`, as data of `source` show. Returns how
+    /// long the outage was that this ends, if any.
+    fn record_contact(&mut self, source: &str, at: Instant) -> Option<Duration> {
         let synced_at = self.core.state().synced_at;
-        // A host that never had a state has nothing to remove.
-        let outage = synced_at.map_or(Duration::ZERO, |at| polled_at.duration_since(at));
+        let outage = self.outage.record_contact(synced_at, at)?;
         let ms = outage.as_millis() as u64;
-        spdlog::info!("registry back", kv: { revision = self.cursor.position.revision, outage_ms = ms });
-        if synced_at.is_some() && outage >= self.heartbeat * EXPIRY_HEARTBEATS {
-            self.replica.hold_removals();
-        }
+        let revision = self.cursor.position.revision;
+        spdlog::info!("registry back", kv: { revision, outage_ms = ms, source });
+        Some(outage)
     }
 
     async fn poll_upstream(&mut self, upstream: &Upstream) -> Duration {
@@ -385,7 +375,7 @@
             Ok(reply)
                 if !reply.events.is_empty()
                     && self.is_not_behind(&reply)
-                    && (is_recent(&reply, stale) || self.retry_at.is_some()) =>
+                    && (is_recent(&reply, stale) || self.outage.is_ongoing()) =>
             {
                 let age = reply.age_ms.map_or("unknown".into(), |a| a.to_string());
                 let seed = address.to_string();
@@ -457,6 +447,10 @@
             let (kind, events) = (&**kind, skipped.len());
             spdlog::debug!("skipping events of another host's later version", kv: { kind, events, source });
         }
+        let synced_at = reply.age_ms.and_then(|ms| now.checked_sub(Duration::from_millis(ms)));
+        if let Some(at) = synced_at {
+            self.record_contact(source, at);
+        }
         let position = reply.cursor.position;
         self.advance(source, position);
         self.cursor = reply.cursor;
@@ -469,9 +463,8 @@
             self.cursor = Cursor::default();
             return Ok(());
         }
-        let age = reply.age_ms.map(Duration::from_millis);
-        if let Some(synced_at) = age.and_then(|a| now.checked_sub(a)) {
-            self.mark_synced(synced_at);
+        if let Some(at) = synced_at {
+            self.mark_synced(at);
         }
         Ok(())
     }
--- a/crates/front/tests/follow.rs
+++ b/crates/front/tests/follow.rs
@@ -438,3 +438,44 @@
 
     assert_eq!(held, HashSet::from_iter(["a".into(), "b".into(), "later".into()]));
 }
+
+/// A host that has servers "a" and "c", lost the registry, and now follows a host that reached
+/// it again, which lists "a" and "b".
+async fn start_follower_after_an_outage() -> ReplicaHost {
+    let upstream_registry = ScriptedRegistry::default();
+    let state = vec![configuration(3), server("a"), server("b")];
+    upstream_registry.lists.lock().unwrap().push(changes(7, state));
+    upstream_registry.changes.lock().unwrap().push(changes(7, vec![]));
+    let (upstream, address) = start_upstream(upstream_registry).await;
+    until(|| upstream.lifecycle.is_ready()).await;
+    let registry = ScriptedRegistry::default();
+    registry.lists.lock().unwrap().push(full_list(ADDRESS, vec![server("c")]));
+    registry.changes.lock().unwrap().push(unreachable());
+    let host = start_alone(registry);
+    // The upstream is at an address that does not answer until the calls have failed.
+    until(|| registry_calls(&host) > 3).await;
+    let mut state = host.core.state();
+    state.peers.insert("upstream".into(), peer(address, 500));
+    let now = host.core.now();
+    state.peers.avoid("upstream", now);
+    drop(state);
+    // A last call to the registry may still be failing.
+    until(|| host.core.state().synced_at > Some(now + Duration::from_millis(200))).await;
+    host
+}
+
+/// Guards against a host that keeps sending to a server that has left, since it takes the loss
+/// of the host that it follows for the end of an outage that is long over (DRAIN).
+#[tokio::test]
+async fn outage_that_is_over_does_not_hold_back_later_removals() {
+    let host = start_follower_after_an_outage().await;
+    until(|| !ids(&host.core).contains("c")).await;
+
+    let removal = changes(9, vec![Event::ServerRemoved("a".into()), server("later")]);
+    *host.registry.changes.lock().unwrap() = vec![removal, changes(9, vec![])];
+    let now = host.core.now();
+    host.core.state().peers.avoid("upstream", now + Duration::from_secs(60));
+
+    until(|| ids(&host.core).contains("later")).await;
+    assert!(!ids(&host.core).contains("a"));
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,7 +1,7 @@
 //! Decisions of one host: route matching, backend server selection, hedging,
 //! retry budgets, limits that backend servers name, merging of shard results,
 //! detection of degraded backend servers and of requests that crash them, and the
-//! choice of the upstream for registry updates.
+//! choice of the upstream for registry updates, and outages of the registry.
 //!
 //! The crate performs no I/O and does not read the clock; callers pass in the
 //! current time.
@@ -19,6 +19,7 @@
 pub mod links;
 pub mod merge;
 pub mod obstacle;
+pub mod outage;
 pub mod pause;
 pub mod peers;
 pub mod progress;
