Request the full state if a source that held removals back is lost

A host follows another one that is back from an outage and holds removals back. If that one is lost before the end of its hold, the next source, the registry or another host, is asked only for what came after the cursor. The held removals are from before, so that the host goes on sending to servers that have left, for good (DRAIN).

Cause: the cursor says how far the events of a source reached, and was used at other sources without regard to what the source had held back, although each reply states it (`settled`).

Change: while the source's state is incomplete, any other source must send its full state. From the registry, removals are held back until the lost host would have applied them. A full state of the registry that is older than what the host has is refused.

Result: removal_held_back_by_a_lost_host_is_taken_from_the_registry and ..._from_another_one failed before (server "a" still in use after 10 s, both) and pass now. What hosts say to each other is unchanged.

--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -229,6 +229,18 @@
         }
     }
 
+    /// Whether the source of the latest data has held some back. It passes them on later;
+    /// another source must send its full state, since they are from before the cursor.
+    fn lacks_events(&self) -> bool {
+        self.source_settled < self.cursor.position
+    }
+
+    /// Whether data of the registry would take this host back: to an earlier era, or, if they are
+    /// the full state in place of what this host has, to an earlier position.
+    fn is_from_before(&self, position: Position, full: bool) -> bool {
+        position.era < self.applied.era || (full && self.has_state && position < self.applied)
+    }
+
     /// Age from which data of a host are stale; `depth` is the number of hosts
     /// between it and the registry.
     fn stale_after(&self, depth: u32) -> Duration {
@@ -238,21 +250,22 @@
     async fn poll_registry(&mut self) -> Duration {
         let polled_at = self.core.now();
         let position = self.cursor.position;
+        let full = !self.has_state || self.lacks_events();
         let call = async {
-            if self.has_state {
-                self.registry.changes(position.revision, REGISTRY_WAIT).await
-            } else {
+            if full {
                 self.registry.list().await
+            } else {
+                self.registry.changes(position.revision, REGISTRY_WAIT).await
             }
         };
         let timeout = REGISTRY_WAIT + REGISTRY_TIMEOUT;
         match registry::within(timeout, call).await {
-            Ok(changes) if changes.position.era < self.applied.era => {
-                let reason = "it states an era before that of this host's state";
+            Ok(changes) if self.is_from_before(changes.position, full) => {
+                let reason = "it states a position before that of this host's state";
                 self.registry_failed(&RegistryError::Unreadable { reason: reason.into() });
                 Duration::ZERO
             }
-            Ok(changes) if self.has_state && changes.position.era != position.era => {
+            Ok(changes) if !full && changes.position.era != position.era => {
                 spdlog::warn!(
                     "registry was restored from an older copy; listing it again",
                     kv: { era = changes.position.era, previous = position.era }
@@ -261,7 +274,7 @@
                 Duration::ZERO
             }
             Ok(changes) => {
-                self.apply_changes(changes, polled_at);
+                self.apply_changes(changes, polled_at, full);
                 self.propagation_limit.mul_f64(POLL_FRACTION)
             }
             Err(RegistryError::HistoryLost) => {
@@ -279,21 +292,20 @@
         }
     }
 
-    fn apply_changes(&mut self, changes: Changes, polled_at: Instant) {
+    fn apply_changes(&mut self, changes: Changes, polled_at: Instant, full: bool) {
         let Changes { events, position } = changes;
         // A single failed call must not delay the removal of a server that leaves. A host that
         // gets its data from another one relies on that one to hold removals back.
         let outage = self.record_contact(REGISTRY, polled_at);
+        let synced_at = self.core.state().synced_at;
         if outage.is_some_and(|o| o >= self.heartbeat * EXPIRY_HEARTBEATS) {
-            self.replica.hold_removals();
+            self.replica.hold_removals(self.core.now());
+        } else if let Some(at) = synced_at.filter(|_| self.lacks_events()) {
+            // The source before was holding removals back when it was in sync last.
+            self.replica.hold_removals(at);
         }
         self.advance(REGISTRY, position);
-        self.replica.apply_events(Batch {
-            source: REGISTRY.into(),
-            position,
-            events,
-            full: !self.has_state,
-        });
+        self.replica.apply_events(Batch { source: REGISTRY.into(), position, events, full });
         self.cursor = Cursor { boot: 0, serial: 0, position };
         self.source_settled = position;
         self.mark_synced(polled_at);
@@ -341,7 +353,10 @@
         } else {
             FIRST_POLL_WAIT
         };
-        let result = self.request_events(upstream.address, wait, stale).await;
+        let is_other_source = self.replica.source() != &*upstream.host;
+        let cursor =
+            if is_other_source && self.lacks_events() { Cursor::default() } else { self.cursor };
+        let result = self.request_events(upstream.address, cursor, wait, stale).await;
         let now = self.core.now();
         let (problem, pause) = match result {
             Ok(reply) if is_recent(&reply, stale) && self.is_not_behind(&reply) => {
@@ -369,7 +384,7 @@
     /// accepted too, since it is better than none, but not one that is behind this host's.
     async fn poll_seed(&mut self, address: SocketAddr) -> Duration {
         let stale = self.stale_after(0);
-        let result = self.request_events(address, Duration::ZERO, stale).await;
+        let result = self.request_events(address, self.cursor, Duration::ZERO, stale).await;
         let now = self.core.now();
         match result {
             Ok(reply)
@@ -395,6 +410,7 @@
     async fn request_events(
         &mut self,
         address: SocketAddr,
+        cursor: Cursor,
         wait: Duration,
         stale: Duration,
     ) -> Result<SyncReply, RegistryError> {
@@ -402,7 +418,7 @@
         let age = synced_at.map(|at| self.core.now().duration_since(at).as_millis() as u64);
         let request = SyncRequest {
             host: self.own_name.clone(),
-            cursor: self.cursor,
+            cursor,
             wait_ms: wait.as_millis() as u64,
             stale_ms: stale.as_millis() as u64,
             age_ms: age,
--- a/crates/front/src/replica.rs
+++ b/crates/front/src/replica.rs
@@ -93,13 +93,23 @@
         }
     }
 
-    /// Holds back removals of backend servers, because the registry is back after an
-    /// outage.
-    pub fn hold_removals(&mut self) {
-        self.hold_until = Some(self.core.now() + REMOVAL_HOLD);
+    /// Host that sent the latest events, or [`REGISTRY`].
+    pub fn source(&self) -> &str {
+        &self.source
+    }
+
+    /// Holds back removals of backend servers, because the registry is back since `back_at` at
+    /// the latest after an outage.
+    pub fn hold_removals(&mut self, back_at: Instant) {
+        let until = back_at + REMOVAL_HOLD;
+        let ms = until.saturating_duration_since(self.core.now()).as_millis() as u64;
+        if ms == 0 {
+            return;
+        }
+        self.hold_until = self.hold_until.max(Some(until));
         spdlog::info!(
             "holding back removals of backend servers after an outage of the registry",
-            kv: { ms = REMOVAL_HOLD.as_millis() as u64, held = self.held_removals.len() }
+            kv: { ms, held = self.held_removals.len() }
         );
     }
 
@@ -111,7 +121,7 @@
             "registry was restored from an older copy; keeping to what it no longer states for a while",
             kv: { ms = time.as_millis() as u64, era = self.position.era }
         );
-        self.hold_removals();
+        self.hold_removals(self.core.now());
     }
 
     /// Whether the state of this host is that of the registry at the position of the latest
--- a/crates/front/tests/follow.rs
+++ b/crates/front/tests/follow.rs
@@ -31,6 +31,7 @@
 use crate::support::replica::start;
 use crate::support::replica::start_alone;
 use crate::support::replica::start_upstream;
+use crate::support::replica::start_upstream_with;
 use crate::support::replica::unreachable;
 use crate::support::server;
 use crate::support::until;
@@ -454,11 +455,9 @@
     let host = start_alone(registry);
     // The upstream is at an address that does not answer until the calls have failed.
     until(|| registry_calls(&host) > 3).await;
-    let mut state = host.core.state();
-    state.peers.insert("upstream".into(), peer(address, 500));
     let now = host.core.now();
-    state.peers.avoid("upstream", now);
-    drop(state);
+    host.core.state().peers.insert("upstream".into(), peer(address, 500));
+    host.core.state().peers.avoid("upstream", now);
     // A last call to the registry may still be failing.
     until(|| host.core.state().synced_at > Some(now + Duration::from_millis(200))).await;
     host
@@ -479,3 +478,64 @@
     until(|| ids(&host.core).contains("later")).await;
     assert!(!ids(&host.core).contains("a"));
 }
+
+/// A host that follows "returning", which is back from an outage and holds the removal of "a"
+/// back; its registry and "other" have the state that follows, in which "a" is gone.
+async fn start_follower_of_a_holding_host(other: SocketAddr) -> ReplicaHost {
+    let removal = vec![server("new"), Event::ServerRemoved("a".into())];
+    let returning = registry_after_an_outage(vec![changes(9, removal), changes(9, vec![])]);
+    let (returning, address) = start_upstream(returning).await;
+    until(|| ids(&returning.core).contains("new")).await;
+    let registry = ScriptedRegistry::default();
+    let other = Event::Host("other".into(), peer(other, 499));
+    let first =
+        full_list(ADDRESS, vec![Event::Host("returning".into(), peer(address, 500)), other]);
+    let later = changes(9, vec![configuration(3), server("new")]);
+    registry.lists.lock().unwrap().extend([first, later]);
+    registry.changes.lock().unwrap().push(changes(9, vec![]));
+    let host = start_alone(registry);
+    until(|| ids(&host.core).contains("new")).await;
+    assert!(ids(&host.core).contains("a"));
+    host
+}
+
+/// Stops `host` from using these sources, and returns whether it removes server "a" then. The
+/// time is several times that of a change of the source.
+async fn removes_server_without(host: &ReplicaHost, sources: &[&str]) -> bool {
+    let now = host.core.now();
+    for source in sources {
+        host.core.state().peers.avoid(source, now + Duration::from_secs(60));
+    }
+    let removed = until(|| !ids(&host.core).contains("a"));
+    tokio::time::timeout(Duration::from_secs(10), removed).await.is_ok()
+}
+
+/// Guards against a server that is used for good after it has left, since the host that held its
+/// removal back was lost before the end of the hold, and the registry is asked only for what came
+/// later (DRAIN).
+#[tokio::test]
+async fn removal_held_back_by_a_lost_host_is_taken_from_the_registry() {
+    let host = start_follower_of_a_holding_host(ADDRESS).await;
+
+    assert!(removes_server_without(&host, &["returning", "other", "upstream"]).await);
+}
+
+/// Guards against the same when another host takes the place of the lost one.
+#[tokio::test]
+async fn removal_held_back_by_a_lost_host_is_taken_from_another_one() {
+    let other_registry = ScriptedRegistry::default();
+    let state = vec![configuration(3), server("a")];
+    other_registry.lists.lock().unwrap().push(changes(5, state));
+    other_registry.changes.lock().unwrap().push(changes(5, vec![]));
+    let other_journal = journal();
+    let (other, address) = start_upstream_with(other_registry, other_journal.clone()).await;
+    until(|| other.lifecycle.is_ready()).await;
+    other_journal.admit("follower", Instant::now());
+    let removal = changes(8, vec![Event::ServerRemoved("a".into())]);
+    let later = [removal, changes(9, vec![server("new")]), changes(9, vec![])];
+    *other.registry.changes.lock().unwrap() = later.into();
+    until(|| ids(&other.core).contains("new")).await;
+    let host = start_follower_of_a_holding_host(address).await;
+
+    assert!(removes_server_without(&host, &["returning", "upstream"]).await);
+}
