Check the links to the servers of each availability zone

Cause: whether the links to all backend servers are lost was decided by three random ones of all zones. With three quarters of the servers behind the cut, these are often all out of reach. A server to which the host had no connection left to open counted as out of reach, too.

Ruled out: servers of the zone that are down or slow (they run what the other hosts of the zone send).

Change: a check connects to two servers of the host's own zone and one of each other zone that have room for a connection, the own ones first. The log line of lost links names the zones that were asked.

Result: host_of_a_zone_that_is_cut_off_keeps_its_links_to_that_zone failed before (503, "no host reaches the backend servers"), as check_covers_each_zone_and_begins_with_the_own_one has no counterpart there; both pass now.

--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -314,19 +314,20 @@
     }
 
     /// Backend servers to which a check of the links connects.
-    pub fn check_targets(&self, limit: usize) -> Vec<CheckTarget> {
-        self.state().check_targets(limit)
+    pub fn check_targets(&self) -> Vec<CheckTarget> {
+        self.state().check_targets(&mut self.pools())
     }
 
-    /// Ends a check of the links.
-    pub fn finish_link_check(&self) -> Check {
+    /// Ends a check of the links in which the host connected to servers of these availability
+    /// zones.
+    pub fn finish_link_check(&self, zones: &[Box<str>]) -> Check {
         let silence = self.link_silence().map_or("none".into(), |s| s.as_millis().to_string());
         let check = self.links().finish_check();
         if check == Check::Lost {
             self.metrics.count("links.lost");
             spdlog::warn!(
                 "links to all backend servers are lost; passing requests to other hosts",
-                kv: { silent_ms = silence.as_str() }
+                kv: { silent_ms = silence.as_str(), zones = zones.join(" ").as_str() }
             );
             // What this host has seen of the servers since says nothing about them.
             self.reports().degraded.clear();
--- a/crates/front/src/links.rs
+++ b/crates/front/src/links.rs
@@ -13,12 +13,9 @@
 use crate::core::Core;
 use crate::state::CheckTarget;
 
-/// Most backend servers that a check connects to.
-const MAX_TARGETS: usize = 3;
-
-/// Time after which a check also connects to the next backend server. The first one mostly
-/// accepts before that, so that a check opens a single connection.
-const TARGET_DELAY: Duration = Duration::from_millis(10);
+/// Time after which a check connects to all of its backend servers. The first one mostly accepts
+/// before that, so that a check opens a single connection.
+const OTHERS_DELAY: Duration = Duration::from_millis(10);
 
 /// Time within which a backend server must accept a connection: several round trips between
 /// availability zones.
@@ -32,13 +29,14 @@
     loop {
         core.link_check_wanted().await;
         loop {
-            let targets = core.check_targets(MAX_TARGETS);
+            let targets = core.check_targets();
             if targets.is_empty() {
                 core.abandon_link_check();
                 break;
             }
+            let zones: Vec<Box<str>> = targets.iter().map(|t| t.zone.clone()).collect();
             connect_to_any(&core, targets).await;
-            match core.finish_link_check() {
+            match core.finish_link_check(&zones) {
                 Check::Working => break,
                 Check::Lost | Check::StillLost => time::sleep(LOST_INTERVAL).await,
             }
@@ -49,10 +47,11 @@
 /// Connects to backend servers until one accepts, which counts as a sign.
 async fn connect_to_any(core: &Arc<Core>, targets: Vec<CheckTarget>) {
     let start = core.now();
-    let delays = (0..).map(|i| TARGET_DELAY * i);
-    let connects = targets.into_iter().zip(delays).map(|(target, delay)| async move {
-        time::sleep(delay).await;
-        accepts(core, &target, start).await
+    let connects = targets.into_iter().enumerate().map(|(i, target)| async move {
+        if i > 0 {
+            time::sleep(OTHERS_DELAY).await;
+        }
+        accepts(core, target, start).await
     });
     let mut connects: FuturesUnordered<_> = connects.collect();
     while let Some(accepted) = connects.next().await {
@@ -63,12 +62,10 @@
 }
 
 /// Whether a backend server accepts a connection, which is kept for requests.
-async fn accepts(core: &Arc<Core>, target: &CheckTarget, start: Instant) -> bool {
-    let permit = core.pools().try_permit(target.key, target.max_connections);
-    let Some(permit) = permit else { return false };
+async fn accepts(core: &Arc<Core>, target: CheckTarget, start: Instant) -> bool {
     let left = ACCEPT_TIMEOUT.saturating_sub(core.now().duration_since(start));
     let opened = time::timeout(left, attempt::connect(target.address)).await;
     let Ok(Ok(stream)) = opened else { return false };
-    core.keep_connection(target.key, stream, permit);
+    core.keep_connection(target.key, stream, target.permit);
     true
 }
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -36,6 +36,7 @@
 use chervil_route::server_limit;
 use chervil_route::warmup::WarmupLimit;
 use rand::RngExt as _;
+use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
 use rustc_hash::FxHasher;
 
@@ -81,14 +82,15 @@
 
 value! {
     /// A backend server to which a check of the links connects.
-    #[derive(Copy)]
     pub struct CheckTarget {
         /// Key in the fleet.
         pub key: BackendKey,
         /// Address for requests.
         pub address: std::net::SocketAddr,
-        /// Most connections that this host may have open to it.
-        pub max_connections: usize,
+        /// Its availability zone.
+        pub zone: Box<str>,
+        /// Permit for the connection.
+        pub permit: Arc<()>,
     }
 }
 
@@ -456,13 +458,21 @@
         }
     }
 
-    /// Random backend servers, `limit` at most, to which a check of the links connects.
-    pub fn check_targets(&mut self, limit: usize) -> Vec<CheckTarget> {
-        let keys = self.fleet.sample_eligible(limit, &mut self.rng);
+    /// Backend servers to which a check of the links connects, and to each of which `pools` has
+    /// room for a connection. Those of the host's own availability zone come first.
+    pub fn check_targets(&mut self, pools: &mut Pools) -> Vec<CheckTarget> {
+        let mut permits = HashMap::default();
+        let mut rng = SmallRng::from_rng(&mut self.rng);
+        let has_room = |key| {
+            let service = self.fleet.get(key).map_or("", |b| &*b.entry.service);
+            let max_connections = (self.own_connections(service) as usize).max(1);
+            let permit = pools.try_permit(key, max_connections);
+            permit.is_some_and(|permit| permits.insert(key, permit).is_none())
+        };
+        let keys = self.fleet.sample_zones(&self.location.zone, has_room, &mut rng);
         let target = |key| {
-            let entry = &self.fleet.get(key)?.entry;
-            let max_connections = (self.own_connections(&entry.service) as usize).max(1);
-            Some(CheckTarget { key, address: entry.address, max_connections })
+            let (entry, permit) = (&self.fleet.get(key)?.entry, permits.remove(&key)?);
+            Some(CheckTarget { key, address: entry.address, zone: entry.zone.clone(), permit })
         };
         keys.into_iter().filter_map(target).collect()
     }
--- a/crates/front/tests/stranded.rs
+++ b/crates/front/tests/stranded.rs
@@ -357,3 +357,31 @@
         assert!(!host.core.has_lost_links(), "{step:?}");
     }
 }
+
+/// Guards against a host that takes its links for lost when its availability zone is cut off
+/// from the others, although the servers of its own zone are in reach (BUDGET): requests that
+/// run there would be executed by another host once more.
+#[tokio::test]
+async fn host_of_a_zone_that_is_cut_off_keeps_its_links_to_that_zone() {
+    let own = Backend::start(vec![Step::Reply(reply(200, "fine"))]).await;
+    let cut = cut_links(Cut::Refuses).await.addresses;
+    let mut servers = vec![entry("i-own", "quote", own.address)];
+    for i in 0..9 {
+        let zone = ["east", "south", "west"][i % 3].into();
+        servers.push(BackendEntry { zone, ..entry(&format!("i-{i}"), "a", cut[i % 3]) });
+    }
+    let mut routes = routes();
+    routes.push(route("/cut/", Target::One("a".into()), true));
+
+    for _ in 0..12 {
+        let host = start_host(routes.clone(), servers.clone()).await;
+        host.ask("GET", "/cut/1", "").await;
+        until(|| !host.core.has_links_in_doubt() || host.core.has_lost_links()).await;
+        let answer = host.ask("GET", "/safe/1", "").await;
+
+        assert_eq!(status(&answer), 200, "{answer}");
+        let metrics = host.core.metrics.text();
+        assert!(metrics.contains("links.checks"), "{metrics}");
+        assert!(!metrics.contains("links.lost"), "{metrics}");
+    }
+}
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -13,12 +13,13 @@
 use chervil_base::value;
 use rand::RngExt as _;
 use rand::rngs::SmallRng;
-use rand::seq::IteratorRandom as _;
+use rand::seq::SliceRandom as _;
 use rustc_hash::FxHasher;
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
 use crate::health::Health;
+use crate::links;
 use crate::obstacle::Obstacle;
 use crate::server_limit::ServerLimit;
 use crate::server_pause::ServerPause;
@@ -443,10 +444,31 @@
         times.min().unwrap_or_default()
     }
 
-    /// Random eligible backend servers, `limit` at most.
-    pub fn sample_eligible(&self, limit: usize, rng: &mut SmallRng) -> Vec<BackendKey> {
-        let keys = self.backends.keys().filter(|key| self.is_eligible(*key));
-        keys.sample(rng, limit)
+    /// Random eligible backend servers of each availability zone for a check of the links, those
+    /// of `own_zone` first. `is_usable` tells whether a check can connect to one.
+    pub fn sample_zones<IsUsable>(
+        &self,
+        own_zone: &str,
+        mut is_usable: IsUsable,
+        rng: &mut SmallRng,
+    ) -> Vec<BackendKey>
+    where
+        IsUsable: FnMut(BackendKey) -> bool,
+    {
+        let mut keys: Vec<BackendKey> =
+            self.backends.keys().filter(|key| self.is_eligible(*key)).collect();
+        keys.shuffle(rng);
+        let zone = |key: BackendKey| self.backends.get(key).map_or("", |b| &*b.entry.zone);
+        let mut left: HashMap<&str, usize> = HashMap::default();
+        keys.retain(|key| {
+            let zone = zone(*key);
+            let left = left.entry(zone).or_insert_with(|| links::checked_servers(zone == own_zone));
+            let is_sampled = *left > 0 && is_usable(*key);
+            *left -= usize::from(is_sampled);
+            is_sampled
+        });
+        keys.sort_by_key(|key| zone(*key) != own_zone);
+        keys
     }
 
     /// Chooses the eligible backend server with the lowest estimated cost. None if
--- a/crates/route/src/links.rs
+++ b/crates/route/src/links.rs
@@ -5,9 +5,13 @@
 //! itself looks as if its server were slow or down, and a host that treats it so keeps its
 //! callers waiting and reports working servers as degraded.
 //!
+//! A cut often takes a part of the servers: when an availability zone is cut off from the others,
+//! its hosts reach the servers of their own zone only, where their requests go on.
+//!
 //! Any sign of any server shows that the links work. If an attempt fails or is overdue and
 //! there was none since it began, the links are in doubt, and the host checks them: it
-//! connects to a few servers. If none accepts, the links are lost until one does.
+//! connects to servers of each availability zone, as those of one say nothing about the others.
+//! If none accepts, the links are lost until one does.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -22,6 +26,13 @@
 /// Shortest such time: replies that have come may still wait to be read by a busy host.
 const MIN_SILENCE: Duration = Duration::from_millis(20);
 
+/// Backend servers of the host's own availability zone to which a check connects. A single one
+/// may be down.
+const CHECKED_IN_OWN_ZONE: usize = 2;
+
+/// The same for each other zone.
+const CHECKED_IN_OTHER_ZONE: usize = 1;
+
 value! {
     /// What a host knows of its links to the backend servers.
     #[derive(Copy, Default)]
@@ -52,6 +63,11 @@
     }
 }
 
+/// Backend servers of one availability zone to which a check of the links connects.
+pub fn checked_servers(is_own_zone: bool) -> usize {
+    if is_own_zone { CHECKED_IN_OWN_ZONE } else { CHECKED_IN_OTHER_ZONE }
+}
+
 impl Links {
     /// Records a sign of a backend server. Returns whether the links were lost before.
     pub fn record_sign(&mut self, now: Instant) -> bool {
--- a/crates/route/tests/links.rs
+++ b/crates/route/tests/links.rs
@@ -1,6 +1,8 @@
 //! Hosts that are cut off from all backend servers: when they notice, and whom they find to
 //! execute their requests.
 
+mod support;
+
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -8,6 +10,7 @@
 
 use chervil_base::HashMap;
 use chervil_base::HashSet;
+use chervil_route::fleet::BackendEntry;
 use chervil_route::links::Check;
 use chervil_route::links::Links;
 use chervil_route::peers::FORMAT;
@@ -19,6 +22,9 @@
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
 
+use crate::support::entry;
+use crate::support::fleet;
+
 const MS: Duration = Duration::from_millis(1);
 
 /// Links of a host that has heard of a server at `now`.
@@ -228,3 +234,43 @@
         assert!(host % 3 != 2, "{}", relay.host);
     }
 }
+
+/// Guards against a check that judges all servers by those of some availability zones: a host
+/// whose zone is cut off reaches only the servers of its own.
+#[test]
+fn check_covers_each_zone_and_begins_with_the_own_one() {
+    let now = Instant::now();
+    let zones = ["north", "east", "south", "west"];
+    let entries: Vec<BackendEntry> = (0..120)
+        // Most servers are in one other zone.
+        .map(|i| entry(&format!("i-{i}"), if i < 100 { "south" } else { zones[i % 4] }))
+        .collect();
+    let fleet = fleet(&entries, now);
+    for seed in 0..20 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+
+        let keys = fleet.sample_zones("north", |_| true, &mut rng);
+
+        let sampled: Vec<&str> = keys.iter().map(|k| &*fleet.get(*k).unwrap().entry.zone).collect();
+        assert_eq!(sampled[..2], ["north"; 2]);
+        assert_eq!(
+            HashSet::from_iter(sampled[2..].iter().copied()),
+            HashSet::from_iter(["east", "south", "west"])
+        );
+        assert_eq!(sampled.len(), 5);
+    }
+}
+
+/// Guards against a verdict about servers to which the host has no connection left to open: its
+/// requests in the zone that it reaches use them all.
+#[test]
+fn check_connects_to_servers_that_have_room() {
+    let now = Instant::now();
+    let entries: Vec<BackendEntry> = (0..8).map(|i| entry(&format!("i-{i}"), "north")).collect();
+    let fleet = fleet(&entries, now);
+    let free = fleet.key("i-5").unwrap();
+
+    let keys = fleet.sample_zones("north", |key| key == free, &mut SmallRng::seed_from_u64(1));
+
+    assert_eq!(keys, [free]);
+}
