Count the executions of a request over all hosts that have it

Cause: the attempt limit of a route holds for an attempt of the caller, and each host that had the request counted from zero: the host that passes it on, one that takes it, and the next one if that one gives it back. A query that a relay gave back was also counted again as a first request, so that it earned retries twice.

Change: a passed request and the outcome of a host that gives it back state its executions, those in flight included (route/attempts.rs). What the route does not allow is not passed on; the attempts in flight may still end it. Version 2 of the messages: hosts of earlier builds get only requests that were not executed, get no executed request back, and one that they may have sent is declined, so that it is not executed again.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -12,6 +12,7 @@
 
 use chervil_base::value;
 use chervil_route::attempts::End;
+use chervil_route::attempts::Executions;
 use chervil_route::crashes::MAX_CRASHES_PER_SEND;
 use chervil_route::health::Outcome;
 use socket2::SockRef;
@@ -166,8 +167,10 @@
     pub is_repeat: bool,
     /// Identifies repetitions of the request by its caller.
     pub digest: u64,
-    /// Set when the first attempt sends the request.
-    sent: Arc<AtomicBool>,
+    /// Executions for the hosts that had the request before, or gave it back.
+    pub executed: Executions,
+    /// Attempts of this host that have sent the request.
+    sends: Arc<AtomicU32>,
     /// Shared by all attempts.
     pub losses: Arc<Losses>,
 }
@@ -188,7 +191,8 @@
             idempotent,
             is_repeat: false,
             digest,
-            sent: Arc::default(),
+            executed: Executions::default(),
+            sends: Arc::default(),
             losses: Arc::default(),
         }
     }
@@ -203,14 +207,19 @@
         self.losses.disconnected.load(Ordering::Relaxed)
     }
 
-    /// The same request for one shard of a query. Whether it was sent is recorded for each shard.
+    /// The same request for one shard of a query. Its attempts are counted for each shard.
     pub fn for_shard(&self) -> RequestSpec {
-        RequestSpec { sent: Arc::default(), ..self.clone() }
+        RequestSpec { sends: Arc::default(), ..self.clone() }
+    }
+
+    /// Attempts of this host that have sent the request.
+    pub fn sends(&self) -> u32 {
+        self.sends.load(Ordering::Relaxed)
     }
 
     /// Whether an attempt of this host has sent the request.
     pub fn was_sent(&self) -> bool {
-        self.sent.load(Ordering::Relaxed)
+        self.sends() > 0
     }
 
     /// Time until the deadline.
@@ -271,7 +280,7 @@
     let sent_at = core.now();
     let message = spec.request.encode(&choice.id, left, &core.names);
     core.metrics.attempt_sent();
-    spec.sent.store(true, Ordering::Relaxed);
+    spec.sends.fetch_add(1, Ordering::Relaxed);
     let result = connection.exchange(&message, &spec.request, &core.names).await;
     let reply = match result {
         Ok(reply) => reply,
--- a/crates/front/src/execute.rs
+++ b/crates/front/src/execute.rs
@@ -37,19 +37,25 @@
     soft_deadline: Instant,
 ) -> Executed<GatherOutcome> {
     let task = Task::Query { gather, soft_deadline };
-    let mut outcome = GatherOutcome::OutOfReach { sent: false };
+    let mut was_sent = false;
     if !core.has_lost_links() {
-        if let Some(passed) = relay::pass_to_relay(core, route, task, &spec).await {
+        if let Some(passed) = relay::pass_to_relay(core, route, task, &mut spec).await {
             return passed.into_gathered();
         }
-        outcome = gather::run(core, route, gather, spec.clone(), soft_deadline).await;
-        spec.is_repeat = true;
+        match gather::run(core, route, gather, spec.clone(), soft_deadline).await {
+            GatherOutcome::OutOfReach { sent, executed } => {
+                was_sent = sent;
+                spec.executed = executed;
+                spec.is_repeat = true;
+            }
+            outcome => return Executed { relay: Box::default(), outcome },
+        }
     }
-    if matches!(outcome, GatherOutcome::OutOfReach { .. })
-        && let Some(passed) = relay::pass_to_helper(core, route, task, &spec).await
-    {
+    if let Some(passed) = relay::pass_to_helper(core, route, task, &mut spec).await {
         return passed.into_gathered();
     }
+    let sent = was_sent || spec.executed.any();
+    let outcome = GatherOutcome::OutOfReach { sent, executed: spec.executed };
     Executed { relay: Box::default(), outcome }
 }
 
@@ -63,16 +69,19 @@
     // With lost links it is not counted here.
     let is_counted = !core.has_lost_links();
     let mut result = single::run(core, route, service, spec.clone()).await;
-    if let SingleOutcome::OutOfReach { sent } = result.outcome {
+    if let SingleOutcome::OutOfReach { sent, executed } = result.outcome {
         spec.is_repeat = is_counted;
-        if let Some(passed) =
-            relay::pass_to_helper(core, route, Task::Single { service }, &spec).await
-        {
+        spec.executed = executed;
+        let task = Task::Single { service };
+        if let Some(passed) = relay::pass_to_helper(core, route, task, &mut spec).await {
             return passed.into_single();
         }
-        if !sent && !core.has_lost_links() {
-            result.outcome = SingleOutcome::NotRun;
-        }
+        let sent = sent || spec.executed.any();
+        result.outcome = if sent || core.has_lost_links() {
+            SingleOutcome::OutOfReach { sent, executed: spec.executed }
+        } else {
+            SingleOutcome::NotRun
+        };
     }
     Executed { relay: Box::default(), outcome: result }
 }
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -9,6 +9,7 @@
 use chervil_route::admission::Signal;
 use chervil_route::attempts::Attempts;
 use chervil_route::attempts::End;
+use chervil_route::attempts::Executions;
 use chervil_route::config::Gather;
 use chervil_route::config::Route;
 use chervil_route::fleet::BackendKey;
@@ -64,8 +65,10 @@
         },
         /// The backend servers are out of reach of this host.
         OutOfReach {
-            /// Whether the query was sent to a backend server before.
+            /// Whether this host has sent the query to a backend server.
             sent: bool,
+            /// Executions by now, over all hosts.
+            executed: Executions,
         },
         /// Fewer shards replied than the route requires.
         TooFewShards {
@@ -146,7 +149,7 @@
 ) -> GatherOutcome {
     let (start, deadline) = (core.now(), spec.deadline);
     if core.has_lost_links() {
-        return GatherOutcome::OutOfReach { sent: false };
+        return GatherOutcome::OutOfReach { sent: false, executed: spec.executed };
     }
     if let Err(refusal) = core.state().admit(route, gather, start) {
         let reason = refusal.reason.into();
@@ -168,9 +171,13 @@
             admitted.signal = query.signal(progress);
             break;
         };
-        if may_hand_over && *links_lost.borrow_and_update() && !progress.has_enough() {
+        if may_hand_over
+            && *links_lost.borrow_and_update()
+            && !progress.has_enough()
+            && query.allows_more(gather)
+        {
             if query.spend_repeat() {
-                return GatherOutcome::OutOfReach { sent: query.was_sent() };
+                return query.out_of_reach();
             }
             may_hand_over = false;
         }
@@ -190,7 +197,10 @@
         let latency = state.latency(route);
         let (hedge_delay, typical_latency) = (latency.hedge_delay(), latency.median());
         drop(state);
-        let shards = gather.shards.iter().map(|s| ShardState::new(s.clone(), spec.for_shard()));
+        let shards = gather.shards.iter().enumerate().map(|(i, service)| {
+            let attempts = Attempts::after(spec.executed.of(i));
+            ShardState::new(service.clone(), spec.for_shard(), attempts, route.max_attempts)
+        });
         let shards = shards.collect();
         let running = RunningAttempts::new();
         Query { core, route, spec, shards, running, hedge_delay, typical_latency, extra: 0 }
@@ -205,11 +215,27 @@
         }
     }
 
-    /// Whether the query was sent to any backend server.
+    /// Executions by now, over all hosts.
+    fn executed(&self) -> Executions {
+        self.shards.iter().map(|s| s.attempts.executions(s.spec.sends())).collect()
+    }
+
+    /// Whether the route allows another host to send the query to enough shards.
+    fn allows_more(&self, gather: &Gather) -> bool {
+        let (shards, required) = (self.shards.len(), gather.required_shards());
+        self.executed().allow_more(self.route.max_attempts, shards, required)
+    }
+
+    /// Whether this host has sent the query to any backend server.
     fn was_sent(&self) -> bool {
         self.shards.iter().any(|s| s.spec.was_sent())
     }
 
+    /// The outcome if another host may send the query.
+    fn out_of_reach(&self) -> GatherOutcome {
+        GatherOutcome::OutOfReach { sent: self.was_sent(), executed: self.executed() }
+    }
+
     /// What the query says about the load of the backend servers.
     fn signal(&self, progress: Progress) -> Signal {
         let full = self.shards.iter().filter(|s| s.met_full).count();
@@ -224,8 +250,12 @@
     }
 
     /// Sends the first request for a shard and credits the retry budget with it, unless it
-    /// repeats that of another host.
+    /// repeats that of another host. A shard that other hosts have asked as often as the route
+    /// allows is not asked.
     fn send_first(&mut self, shard: usize) {
+        if self.shards[shard].exhausted {
+            return;
+        }
         if !self.spec.is_repeat {
             self.core.state().credit_retry_budget(&self.shards[shard].service, self.core.now());
         }
@@ -347,6 +377,7 @@
     /// backend servers that were tried.
     fn describe_missing(&self, shard: &ShardState) -> Box<str> {
         let reason = match shard {
+            shard if !shard.attempts.is_next_extra() && shard.exhausted => "attempts_used",
             shard if !shard.attempts.is_next_extra() => "no_server",
             shard if shard.attempts.in_flight() == 0 => "failed",
             _ => "late",
@@ -362,8 +393,13 @@
         let missing: Vec<Box<str>> = unanswered.map(|s| self.describe_missing(s)).collect();
         if self.shards.len() - missing.len() < gather.required_shards() {
             let may_have_run = self.shards.iter().any(|s| s.attempts.may_have_run());
-            if !may_have_run && self.core.has_lost_links() && self.spend_repeat() {
-                return GatherOutcome::OutOfReach { sent: false };
+            let gave_up = !may_have_run || !self.was_sent();
+            if gave_up
+                && self.core.has_lost_links()
+                && self.allows_more(gather)
+                && self.spend_repeat()
+            {
+                return GatherOutcome::OutOfReach { sent: false, executed: self.executed() };
             }
             let timed_out = self.core.now() >= self.spec.deadline;
             return GatherOutcome::TooFewShards { may_have_run, timed_out, missing };
@@ -392,16 +428,21 @@
 }
 
 impl ShardState {
-    fn new(service: Box<str>, spec: RequestSpec) -> ShardState {
+    fn new(
+        service: Box<str>,
+        spec: RequestSpec,
+        attempts: Attempts,
+        max_attempts: u32,
+    ) -> ShardState {
         ShardState {
             service,
             spec,
             tried: Vec::new(),
-            attempts: Attempts::default(),
+            exhausted: !attempts.allow_another(max_attempts),
+            attempts,
             next_send: None,
             backoff: MIN_SEARCH_BACKOFF,
             reply: None,
-            exhausted: false,
             met_full: false,
         }
     }
--- a/crates/front/src/handle.rs
+++ b/crates/front/src/handle.rs
@@ -196,7 +196,7 @@
             let summary = Summary { detail, ..Summary::new("refused", "no_backend") };
             (answer::unavailable(text, retry_after), summary)
         }
-        SingleOutcome::OutOfReach { sent } => answer_out_of_reach(core, sent),
+        SingleOutcome::OutOfReach { sent, .. } => answer_out_of_reach(core, sent),
         SingleOutcome::Answered(reply) => answer_reply(*reply),
         SingleOutcome::Unknown { timed_out } => {
             let reason = if timed_out { "deadline" } else { "connection_lost" };
@@ -217,7 +217,7 @@
             let answer = answer::unavailable("the query cannot be served now\n", retry_after);
             (answer, Summary { detail: reason, ..Summary::new("refused", "not_admitted") })
         }
-        GatherOutcome::OutOfReach { sent } => answer_out_of_reach(core, sent),
+        GatherOutcome::OutOfReach { sent, .. } => answer_out_of_reach(core, sent),
         GatherOutcome::TooFewShards { may_have_run, timed_out, missing } => {
             let answer = failure_answer(may_have_run, timed_out);
             let reason = if timed_out { "deadline" } else { "too_few_parts" };
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -13,6 +13,7 @@
 use chervil_base::value;
 use chervil_route::config::Gather;
 use chervil_route::config::Route;
+use chervil_route::peers::FORMAT_WITH_EXECUTIONS;
 use chervil_route::relay::Relay;
 use hyper::Method;
 use tokio::time;
@@ -115,7 +116,7 @@
     core: &Arc<Core>,
     route: &Route,
     task: Task<'_>,
-    spec: &RequestSpec,
+    spec: &mut RequestSpec,
 ) -> Option<Passed> {
     pass_on(core, route, task, spec, false).await
 }
@@ -127,42 +128,51 @@
     core: &Arc<Core>,
     route: &Route,
     task: Task<'_>,
-    spec: &RequestSpec,
+    spec: &mut RequestSpec,
 ) -> Option<Passed> {
     pass_on(core, route, task, spec, true).await
 }
 
+/// Offers a request to other hosts until one has its outcome. What those did that give it back is
+/// recorded in `spec`.
 async fn pass_on(
     core: &Arc<Core>,
     route: &Route,
     task: Task<'_>,
-    spec: &RequestSpec,
+    spec: &mut RequestSpec,
     lost: bool,
 ) -> Option<Passed> {
     let digest = core.state().route_digest(&route.name)?;
     let offer = Offer { route: route.name.clone(), digest };
-    let mut spec = spec.clone();
     let max_offers = if lost { MAX_HELPER_OFFERS } else { MAX_RELAY_OFFERS };
     for _ in 0..max_offers {
         if spec.time_left(core).is_zero() {
             return None;
         }
-        let relay = choose(core, task, lost)?;
+        let relay = choose(core, task, spec.executed.any(), lost)?;
         let client = core.relays().get(relay.address);
         if !accepts(core, &client, &relay, &offer, lost).await {
             continue;
         }
-        let request = RelayedRequest::new(offer.clone(), &spec, task, core.now());
-        match send(core, &client, &request, &spec).await {
+        let request = RelayedRequest::new(offer.clone(), spec, task, core.now());
+        match send(core, &client, &request, spec).await {
             // The other host took another version of the route after it had accepted the
             // offer, and has sent nothing.
             Sent::Declined => {
                 avoid(core, &relay, "another version of the route", DECLINED_RELAY_PAUSE)
             }
-            // It has counted the request, and spent an extra one for each that it had sent.
-            Sent::Done(RelayReply::OutOfReach { sent }) if spec.idempotent || !sent => {
+            // It has counted the request, and spent an extra one for each that it had sent. A host
+            // of an earlier build does not say what was executed, unless nothing was sent.
+            Sent::Done(RelayReply::OutOfReach { sent, executed })
+                if !sent || (spec.idempotent && executed.is_some()) =>
+            {
                 avoid(core, &relay, "links lost", DECLINED_HELPER_PAUSE);
                 spec.is_repeat = true;
+                spec.executed = executed.unwrap_or_default();
+                let (shards, required) = route.target.shard_counts();
+                if !spec.executed.allow_more(route.max_attempts, shards, required) {
+                    return None;
+                }
             }
             Sent::Done(reply) => {
                 let (relay, reply) = (relay.host, Some(reply));
@@ -179,12 +189,17 @@
 }
 
 /// The host to which a request is offered next.
-fn choose(core: &Core, task: Task<'_>, lost: bool) -> Option<Relay> {
+///
+/// A query that a relay gave back after it was executed is gathered by this host.
+fn choose(core: &Core, task: Task<'_>, was_executed: bool, lost: bool) -> Option<Relay> {
     let (mut state, now) = (core.state(), core.now());
     match task {
-        _ if lost => state.choose_helper(matches!(task, Task::Query { .. }), now),
-        Task::Query { gather, .. } => state.choose_relay(gather, now),
-        Task::Single { .. } => None,
+        _ if lost => {
+            let min_format = if was_executed { FORMAT_WITH_EXECUTIONS } else { 0 };
+            state.choose_helper(matches!(task, Task::Query { .. }), min_format, now)
+        }
+        Task::Query { gather, .. } if !was_executed => state.choose_relay(gather, now),
+        Task::Query { .. } | Task::Single { .. } => None,
     }
 }
 
--- a/crates/front/src/relay_service.rs
+++ b/crates/front/src/relay_service.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use chervil_route::attempts::Executions;
 use chervil_route::config::Config;
 use chervil_route::config::Route;
 use chervil_route::config::Target;
@@ -58,6 +59,11 @@
     let digest = request.digest.unwrap_or_else(|| crashes::request_digest(&outgoing, None));
     let mut spec = RequestSpec::new(core, outgoing, digest, timeout, route.idempotent);
     spec.is_repeat = request.repeated;
+    let Some(executed) = executions(route, &request) else {
+        core.metrics.count("relay.attempts_used");
+        return answer::plain_text(StatusCode::OK, "null\n");
+    };
+    spec.executed = executed;
     let start = core.now();
     let id = spec.request.request_id.clone();
     let Some(reply) = execute(core, route, &request, spec).await else {
@@ -75,6 +81,18 @@
     }
 }
 
+/// Executions of a request before; `None` if this host must not execute it again. A host of an
+/// earlier build does not state those of a request that it may have sent.
+fn executions(route: &Route, request: &RelayedRequest) -> Option<Executions> {
+    let executed = match &request.executed {
+        Some(executed) => executed.clone(),
+        None if request.repeated && route.idempotent => return None,
+        None => Executions::default(),
+    };
+    let (shards, required) = route.target.shard_counts();
+    executed.allow_more(route.max_attempts, shards, required).then_some(executed)
+}
+
 /// Executes a request here; it is not passed on again. None if the route does not allow what
 /// the request states.
 async fn execute(
@@ -95,18 +113,18 @@
             let soft_deadline = core.now() + request.soft_timeout().min(route.timeout);
             core.metrics.count("relay.served");
             let outcome = gather::run(core, route, gather, spec, soft_deadline).await;
-            Some(RelayReply::from_gathered(outcome).for_format(request.format))
+            Some(RelayReply::from_gathered(outcome).for_query_of(request.format))
         }
         (target, Some(service)) if target.has_service(service) => {
             core.metrics.count("relay.served");
             let mut result = single::run(core, route, service, spec).await;
             // Only the servers of this service: another host would fare no better.
-            if result.outcome == (SingleOutcome::OutOfReach { sent: false })
+            if matches!(result.outcome, SingleOutcome::OutOfReach { sent: false, .. })
                 && !core.has_lost_links()
             {
                 result.outcome = SingleOutcome::NotRun;
             }
-            Some(RelayReply::from_single(result))
+            Some(RelayReply::from_single(result).for_single_of(request.format))
         }
         _ => None,
     }
--- a/crates/front/src/relayed.rs
+++ b/crates/front/src/relayed.rs
@@ -7,7 +7,9 @@
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use chervil_base::message;
+use chervil_route::attempts::Executions;
 use chervil_route::peers::FORMAT;
+use chervil_route::peers::FORMAT_WITH_EXECUTIONS;
 use hyper::header::HeaderValue;
 
 use crate::attempt::RequestSpec;
@@ -60,6 +62,9 @@
         /// does not say.
         #[serde(default)]
         pub digest: Option<u64>,
+        /// Executions by now; `None` if the sending host does not say.
+        #[serde(default)]
+        pub executed: Option<Executions>,
     }
 
     /// Outcome of a request that was passed to another host.
@@ -95,6 +100,9 @@
         OutOfReach {
             /// Whether it had sent the request to a backend server before.
             sent: bool,
+            /// Executions by now, over all hosts; `None` if it does not say.
+            #[serde(default)]
+            executed: Option<Executions>,
         },
         /// A backend server replied to a request to a single one.
         Answered {
@@ -144,6 +152,7 @@
             repeated: spec.is_repeat,
             format: FORMAT,
             digest: Some(spec.digest),
+            executed: Some(spec.executed.clone()),
         }
     }
 
@@ -179,7 +188,9 @@
             GatherOutcome::Refused { reason, retry_after } => {
                 RelayReply::Refused { reason, retry_ms: retry_after.as_millis() as u64 }
             }
-            GatherOutcome::OutOfReach { sent } => RelayReply::OutOfReach { sent },
+            GatherOutcome::OutOfReach { sent, executed } => {
+                RelayReply::OutOfReach { sent, executed: Some(executed) }
+            }
             GatherOutcome::TooFewShards { may_have_run, timed_out, missing } => {
                 RelayReply::TooFewShards { may_have_run, timed_out, missing }
             }
@@ -187,14 +198,26 @@
     }
 
     /// The same outcome for a host that passed a query and has this version of the messages: the
-    /// first ones do not know that a relay may be out of reach of the servers.
-    pub fn for_format(self, format: u32) -> RelayReply {
+    /// first ones do not know that a relay may be out of reach of the servers, and those that
+    /// follow would pass the query on without its executions.
+    pub fn for_query_of(self, format: u32) -> RelayReply {
+        match self {
+            RelayReply::OutOfReach { sent, .. }
+                if format == 0 || (sent && format < FORMAT_WITH_EXECUTIONS) =>
+            {
+                let missing = Vec::new();
+                RelayReply::TooFewShards { may_have_run: sent, timed_out: false, missing }
+            }
+            other => other,
+        }
+    }
+
+    /// The same for a request to a single backend server.
+    pub fn for_single_of(self, format: u32) -> RelayReply {
         match self {
-            RelayReply::OutOfReach { sent } if format == 0 => RelayReply::TooFewShards {
-                may_have_run: sent,
-                timed_out: false,
-                missing: Vec::new(),
-            },
+            RelayReply::OutOfReach { sent: true, .. } if format < FORMAT_WITH_EXECUTIONS => {
+                RelayReply::Unknown { timed_out: false, asked: Vec::new() }
+            }
             other => other,
         }
     }
@@ -208,7 +231,9 @@
                 RelayReply::Answered { status: reply.status, head, body, asked }
             }
             SingleOutcome::NotRun => RelayReply::NotRun { asked },
-            SingleOutcome::OutOfReach { sent } => RelayReply::OutOfReach { sent },
+            SingleOutcome::OutOfReach { sent, executed } => {
+                RelayReply::OutOfReach { sent, executed: Some(executed) }
+            }
             SingleOutcome::Unknown { timed_out } => RelayReply::Unknown { timed_out, asked },
         }
     }
@@ -228,7 +253,9 @@
             RelayReply::TooFewShards { may_have_run, timed_out, missing } => {
                 GatherOutcome::TooFewShards { may_have_run, timed_out, missing }
             }
-            RelayReply::OutOfReach { sent } => GatherOutcome::OutOfReach { sent },
+            RelayReply::OutOfReach { sent, executed } => {
+                GatherOutcome::OutOfReach { sent, executed: executed.unwrap_or_default() }
+            }
             RelayReply::Answered { .. }
             | RelayReply::NotRun { .. }
             | RelayReply::Unknown { .. } => {
@@ -250,7 +277,10 @@
             RelayReply::Unknown { timed_out, asked } => {
                 (SingleOutcome::Unknown { timed_out }, asked)
             }
-            RelayReply::OutOfReach { sent } => (SingleOutcome::OutOfReach { sent }, Vec::new()),
+            RelayReply::OutOfReach { sent, executed } => {
+                let executed = executed.unwrap_or_default();
+                (SingleOutcome::OutOfReach { sent, executed }, Vec::new())
+            }
             RelayReply::Merged { .. }
             | RelayReply::Refused { .. }
             | RelayReply::TooFewShards { .. } => return None,
--- a/crates/front/src/single.rs
+++ b/crates/front/src/single.rs
@@ -9,6 +9,7 @@
 use chervil_base::value;
 use chervil_route::attempts::Attempts;
 use chervil_route::attempts::End;
+use chervil_route::attempts::Executions;
 use chervil_route::config::Route;
 use chervil_route::fleet::BackendKey;
 use tokio::task::JoinError;
@@ -43,8 +44,10 @@
         /// lost, or those of the service refuse its connections. Another host may send the
         /// request.
         OutOfReach {
-            /// Whether the request was sent to a backend server before.
+            /// Whether this host has sent the request to a backend server.
             sent: bool,
+            /// Executions by now, over all hosts.
+            executed: Executions,
         },
         /// A backend server may have executed the request.
         Unknown {
@@ -96,10 +99,8 @@
     spec: RequestSpec,
 ) -> SingleResult {
     if core.has_lost_links() {
-        return SingleResult {
-            outcome: SingleOutcome::OutOfReach { sent: false },
-            asked: Vec::new(),
-        };
+        let outcome = SingleOutcome::OutOfReach { sent: false, executed: spec.executed };
+        return SingleResult { outcome, asked: Vec::new() };
     }
     let (hedge_delay, typical_latency) = {
         let mut state = core.state();
@@ -115,8 +116,13 @@
     let mut outcome = request.run(search_deadline, hedge_at, hedge_delay).await;
     let refuses_connections = request.is_unreachable() && core.now() < search_deadline;
     let is_out_of_reach = core.has_lost_links() || refuses_connections;
-    if outcome == SingleOutcome::NotRun && is_out_of_reach && request.spend_repeat() {
-        outcome = SingleOutcome::OutOfReach { sent: false };
+    let gave_up = match outcome {
+        SingleOutcome::NotRun => true,
+        SingleOutcome::Unknown { timed_out } => !timed_out && !request.spec.was_sent(),
+        _ => false,
+    };
+    if gave_up && is_out_of_reach && request.spend_repeat() {
+        outcome = SingleOutcome::OutOfReach { sent: false, executed: request.executed() };
     }
     SingleResult { outcome, asked: request.asked }
 }
@@ -133,11 +139,11 @@
             core,
             route,
             service,
-            spec,
             tried: Vec::new(),
             asked: Vec::new(),
             tasks: JoinSet::new(),
-            attempts: Attempts::default(),
+            attempts: Attempts::after(spec.executed.of(0)),
+            spec,
             unsent: 0,
             unreachable: 0,
             error_reply: None,
@@ -158,14 +164,15 @@
             let now = self.core.now();
             let wait = self.core.state().limit_wait(self.service, now).unwrap_or_default();
             if now + wait >= search_deadline {
-                return SingleOutcome::NotRun;
+                return self.conclude(false);
             }
             time::sleep(SEARCH_INTERVAL).await;
         }
         loop {
             let timer = hedge_at.unwrap_or(self.spec.deadline).min(self.spec.deadline);
             if *links_lost.borrow_and_update() && self.may_hand_over() {
-                return SingleOutcome::OutOfReach { sent: self.spec.was_sent() };
+                let (sent, executed) = (self.spec.was_sent(), self.executed());
+                return SingleOutcome::OutOfReach { sent, executed };
             }
             let finished = tokio::select! {
                 Ok(()) = links_lost.changed() => continue,
@@ -270,7 +277,16 @@
     /// Whether another host may send the request, since the links of this one are lost: it
     /// was not sent yet, or may be sent once more.
     fn may_hand_over(&self) -> bool {
-        !self.spec.was_sent() || (self.spec.idempotent && self.spend_repeat())
+        if !self.spec.was_sent() {
+            return true;
+        }
+        let allowed = self.executed().allow_more(self.route.max_attempts, 1, 1);
+        self.spec.idempotent && allowed && self.spend_repeat()
+    }
+
+    /// Executions by now, over all hosts.
+    fn executed(&self) -> Executions {
+        [self.attempts.executions(self.spec.sends())].into_iter().collect()
     }
 
     /// Spends an extra request if the request was sent, so that another host may send it
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -320,9 +320,14 @@
     }
 
     /// The host to which a request is passed that this one cannot send to any backend server.
-    pub fn choose_helper(&mut self, is_query: bool, now: Instant) -> Option<Relay> {
+    pub fn choose_helper(
+        &mut self,
+        is_query: bool,
+        min_format: u32,
+        now: Instant,
+    ) -> Option<Relay> {
         let (peers, rng) = (&self.peers, &mut self.rng);
-        self.relay_health.choose_helper(peers, &self.location, is_query, rng, now)
+        self.relay_health.choose_helper(peers, &self.location, is_query, min_format, rng, now)
     }
 
     /// Records that a host accepted an offer.
--- a/crates/front/tests/builds.rs
+++ b/crates/front/tests/builds.rs
@@ -15,6 +15,7 @@
 use chervil_front::registry::Event;
 use chervil_front::relayed::RelayReply;
 use chervil_front::relayed::RelayedRequest;
+use chervil_route::attempts::Executions;
 use chervil_route::crashes::CrashRecord;
 use chervil_route::peers::FORMAT;
 use chervil_route::peers::Peer;
@@ -293,6 +294,7 @@
     assert!(report.degraded.contains("a"));
     assert_eq!(later, Reports::default());
     assert_eq!((request.format, request.repeated), (0, false));
+    assert_eq!(request.executed, None);
     assert!(outcome.is_ok());
     assert_eq!(peer.format, 0);
     assert_eq!(reply.settled_position().revision, 3);
@@ -303,12 +305,42 @@
 #[test]
 fn outcome_for_an_earlier_build_is_one_that_it_knows() {
     for sent in [false, true] {
-        let outcome = RelayReply::OutOfReach { sent };
+        let outcome = RelayReply::OutOfReach { sent, executed: None };
 
-        let old = serde_json::to_value(outcome.clone().for_format(0)).unwrap();
-        let current = outcome.clone().for_format(FORMAT);
+        let old = serde_json::to_value(outcome.clone().for_query_of(0)).unwrap();
+        let current = outcome.clone().for_query_of(FORMAT);
 
         assert_eq!(old["TooFewShards"]["may_have_run"], sent);
         assert_eq!(current, outcome);
     }
 }
+
+/// Guards against hosts of an earlier build that pass a request on without its executions (BUDGET)
+/// if the host to which they passed it gives it back.
+#[test]
+fn executed_request_is_not_given_back_to_a_host_of_an_earlier_build() {
+    let given_back = |sent| RelayReply::OutOfReach { sent, executed: Some(Executions::default()) };
+    let is_given_back = |reply| matches!(reply, RelayReply::OutOfReach { .. });
+
+    for (format, sent, expected) in
+        [(1, true, false), (1, false, true), (FORMAT, true, true), (FORMAT, false, true)]
+    {
+        assert_eq!(is_given_back(given_back(sent).for_query_of(format)), expected);
+        assert_eq!(is_given_back(given_back(sent).for_single_of(format)), expected);
+    }
+}
+
+/// Guards against executions that a host of the other build cannot read, or takes for none.
+#[test]
+fn executions_are_read_by_hosts_of_both_builds() {
+    let executed = Executions::from_iter([0, 2]);
+    let reply = RelayReply::OutOfReach { sent: true, executed: Some(executed.clone()) };
+
+    let sent = serde_json::to_value(reply).unwrap();
+    let old: RelayReply = serde_json::from_str(r#"{"OutOfReach":{"sent":true}}"#).unwrap();
+    let current: RelayReply = serde_json::from_value(sent.clone()).unwrap();
+
+    assert_eq!(sent, json!({ "OutOfReach": { "sent": true, "executed": [0, 2] } }));
+    assert_eq!(old, RelayReply::OutOfReach { sent: true, executed: None });
+    assert_eq!(current, RelayReply::OutOfReach { sent: true, executed: Some(executed) });
+}
--- /dev/null
+++ b/crates/front/tests/passed_on.rs
@@ -0,0 +1,263 @@
+//! Requests that are passed from host to host: the route limits their executions over all of them.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use chervil_base::HashSet;
+use chervil_front::client::Client;
+use chervil_front::core::Core;
+use chervil_front::peers;
+use chervil_front::state::Bounds;
+use chervil_route::budget::RetryLimit;
+use chervil_route::config::Route;
+use chervil_route::config::Target;
+use chervil_route::fleet::BackendEntry;
+use chervil_route::peers::FORMAT_WITH_EXECUTIONS;
+use chervil_route::peers::Peer;
+use hyper::Method;
+use serde_json::Value;
+use serde_json::json;
+use tokio::net::TcpListener;
+
+use crate::support::BOUNDS;
+use crate::support::Backend;
+use crate::support::Step;
+use crate::support::TestHost;
+use crate::support::core_with;
+use crate::support::entry;
+use crate::support::gather;
+use crate::support::journal;
+use crate::support::peer;
+use crate::support::read_message;
+use crate::support::reply;
+use crate::support::route;
+use crate::support::start_host;
+use crate::support::start_host_with;
+use crate::support::status;
+
+/// A query over two shards, and a request to one server, of each of which the route allows
+/// `max_attempts` executions.
+fn routes(max_attempts: u32) -> Vec<Route> {
+    let routes = [
+        route("/all/", gather(&["a", "b"], 1.0), true),
+        route("/safe/", Target::One("quote".into()), true),
+    ];
+    routes.map(|r| Route { max_attempts, ..r }).into()
+}
+
+/// Services that a request to this path needs.
+fn needed(path: &str) -> &'static [&'static str] {
+    if path == "/all/1" { &["a", "b"] } else { &["quote"] }
+}
+
+/// Servers of which those that a request needs read it, never reply and accept no further
+/// connection, while the others refuse connections: a host that has sent the request finds its
+/// links lost.
+async fn start_going_silent(path: &str) -> Vec<BackendEntry> {
+    let mut entries = Vec::new();
+    for service in ["a", "b", "quote"] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        entries.push(entry(&format!("i-{service}"), service, listener.local_addr().unwrap()));
+        if needed(path).contains(&service) {
+            tokio::spawn(async move {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                drop(listener);
+                while read_message(&mut stream).await.is_some() {}
+            });
+        }
+    }
+    entries
+}
+
+/// Servers of all services that execute each request and fail, two of each.
+struct FailingServers {
+    servers: Vec<(&'static str, Backend)>,
+}
+
+impl FailingServers {
+    async fn start() -> FailingServers {
+        let mut servers = Vec::new();
+        for service in ["a", "a", "b", "b", "quote", "quote"] {
+            servers.push((service, Backend::start(vec![Step::Reply(reply(500, "no"))]).await));
+        }
+        FailingServers { servers }
+    }
+
+    fn entries(&self) -> Vec<BackendEntry> {
+        let servers = self.servers.iter().enumerate();
+        servers.map(|(i, (service, b))| entry(&format!("i-{i}"), service, b.address)).collect()
+    }
+
+    /// Requests that the servers of a service have executed.
+    fn executed(&self, service: &str) -> usize {
+        let servers = self.servers.iter().filter(|(s, _)| *s == service);
+        servers.map(|(_, b)| b.received().len()).sum()
+    }
+}
+
+/// State of a host that earns a hundred retries with each request.
+fn core_with_retries() -> Arc<Core> {
+    let retry_limit = RetryLimit { ratio: 100.0, ..BOUNDS.retry_limit };
+    core_with(Bounds { retry_limit, ..BOUNDS })
+}
+
+/// Starts a host that executes requests for others and has retries to spend, and returns its
+/// address for them.
+async fn start_helper(routes: Vec<Route>, entries: Vec<BackendEntry>) -> (TestHost, SocketAddr) {
+    let helper = start_host_with(core_with_retries(), routes, entries).await;
+    let now = helper.core.now();
+    for service in ["a", "b", "quote"] {
+        helper.core.state().credit_retry_budget(service, now);
+    }
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (core, lifecycle) = (helper.core.clone(), helper.lifecycle.clone());
+    tokio::spawn(peers::serve(listener, core, journal(), lifecycle));
+    (helper, address)
+}
+
+/// Starts a host that loses its links once it has sent a request to this path, and knows these
+/// other hosts.
+async fn start_losing_links(routes: Vec<Route>, path: &str, helpers: &[Peer]) -> TestHost {
+    let host = start_host(routes, start_going_silent(path).await).await;
+    for (i, helper) in helpers.iter().enumerate() {
+        host.core.state().peers.insert(format!("helper-{i}").into(), helper.clone());
+    }
+    host
+}
+
+/// Guards against a request that runs on more servers than its route allows, since the host to
+/// which it is passed begins with none (BUDGET). One of two executions is used when the links are
+/// lost.
+#[tokio::test]
+async fn helper_uses_only_the_attempts_that_are_left() {
+    let servers = FailingServers::start().await;
+    let (_helper, address) = start_helper(routes(2), servers.entries()).await;
+    for path in ["/safe/1", "/all/1"] {
+        let host = start_losing_links(routes(2), path, &[peer(address, 10)]).await;
+
+        host.ask("GET", path, "").await;
+    }
+
+    assert_eq!(["quote", "a", "b"].map(|s| servers.executed(s)), [1; 3]);
+}
+
+/// Guards against the same with the last execution used, and against an answer that states that
+/// the request has not run.
+#[tokio::test]
+async fn request_without_attempts_left_is_not_passed_on() {
+    let servers = FailingServers::start().await;
+    let (_helper, address) = start_helper(routes(1), servers.entries()).await;
+    let mut statuses = HashSet::default();
+    for path in ["/safe/1", "/all/1"] {
+        let host = start_losing_links(routes(1), path, &[peer(address, 10)]).await;
+
+        statuses.insert(status(&host.ask("GET", path, "").await));
+    }
+
+    assert_eq!(["quote", "a", "b"].map(|s| servers.executed(s)), [0; 3]);
+    assert!(statuses.is_subset(&HashSet::from_iter([502, 504])), "{statuses:?}");
+}
+
+/// Guards against executions that are forgotten when a helper loses its links as well and gives the
+/// request back: the two that the route allows are used, by one host each.
+#[tokio::test]
+async fn executions_of_a_helper_that_gives_a_request_back_count() {
+    let servers = FailingServers::start().await;
+    let (_last, address) = start_helper(routes(2), servers.entries()).await;
+    for path in ["/safe/1", "/all/1"] {
+        let (helper, first) = start_helper(routes(2), start_going_silent(path).await).await;
+        // The helper with more CPU is asked first for queries; one at the time for the others.
+        let host = start_losing_links(routes(2), path, &[peer(first, 500)]).await;
+        let asking = host.ask("GET", path, "");
+        let joining = async {
+            support::until(|| helper.core.metrics.text().contains("relay.served 1")).await;
+            host.core.state().peers.insert("last".into(), peer(address, 10));
+        };
+
+        let (answer, ()) = tokio::join!(asking, joining);
+
+        assert!([502, 504].contains(&status(&answer)), "{answer}");
+    }
+
+    assert_eq!(["quote", "a", "b"].map(|s| servers.executed(s)), [0; 3]);
+}
+
+/// Guards against hosts of an earlier build that get a request which has been executed: they do
+/// not know its executions.
+#[tokio::test]
+async fn executed_request_is_not_passed_to_a_host_of_an_earlier_build() {
+    let servers = FailingServers::start().await;
+    let (_helper, address) = start_helper(routes(2), servers.entries()).await;
+    let earlier = Peer { format: FORMAT_WITH_EXECUTIONS - 1, ..peer(address, 10) };
+    for path in ["/safe/1", "/all/1"] {
+        let host = start_losing_links(routes(2), path, std::slice::from_ref(&earlier)).await;
+
+        let answer = host.ask("GET", path, "").await;
+
+        assert_eq!(status(&answer), 502, "{answer}");
+    }
+
+    assert_eq!(["quote", "a", "b"].map(|s| servers.executed(s)), [0; 3]);
+}
+
+/// Passes a request to a helper, as a host of an earlier build does.
+async fn pass_as_earlier_build(helper: &TestHost, address: SocketAddr, repeated: bool) -> Value {
+    let digest = helper.core.state().route_digest("/safe/").unwrap();
+    let request = json!({
+        "offer": { "route": "/safe/", "digest": digest },
+        // GET /safe/1 with the id "r-1".
+        "head": "R0VUIC9zYWZlLzEgSFRUUC8xLjENCngtaWQ6IHItMQ0K", "body": "", "id": "ci0x",
+        "no_body": false, "deadline_ms": 900, "soft_deadline_ms": 900,
+        "service": "quote", "repeated": repeated, "format": FORMAT_WITH_EXECUTIONS - 1,
+        "digest": 7,
+    });
+    Client::new(address).call(Method::POST, "/relay/query", Some(&request)).await.unwrap()
+}
+
+/// Guards against executing a request again that a host of an earlier build may have sent, and
+/// against declining what it has not sent.
+#[tokio::test]
+async fn request_of_an_earlier_build_is_executed_only_if_it_was_not_before() {
+    let servers = FailingServers::start().await;
+    let (helper, address) = start_helper(routes(2), servers.entries()).await;
+
+    let repeated = pass_as_earlier_build(&helper, address, true).await;
+    let after_repeated = servers.executed("quote");
+    let first = pass_as_earlier_build(&helper, address, false).await;
+
+    assert_eq!((repeated, after_repeated), (Value::Null, 0));
+    assert_eq!(first["Answered"]["status"], 500, "{first}");
+}
+
+/// Guards against a host that earns retries with a query of which a relay has earned them already
+/// and which it gave back.
+#[tokio::test]
+async fn query_that_a_relay_gave_back_is_counted_once() {
+    let given_back = json!({ "OutOfReach": { "sent": false, "executed": [] } }).to_string();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let relay = peer(listener.local_addr().unwrap(), 500);
+    tokio::spawn(async move {
+        let mut bodies = ["true".to_string(), given_back].into_iter().cycle();
+        let (mut stream, _) = listener.accept().await.unwrap();
+        while read_message(&mut stream).await.is_some() {
+            let body = bodies.next().unwrap();
+            let text = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+            support::write(&mut stream, &text, "").await;
+        }
+    });
+    let low = Backend::start(vec![Step::Reply(reply(200, "aaaaaaaaaaaaaaa1"))]).await;
+    let servers = vec![entry("i-a", "a", low.address), entry("i-b", "b", low.address)];
+    let host = start_host_with(core_with_retries(), routes(2), servers).await;
+    for i in 0..4 {
+        host.core.state().peers.insert(format!("relay-{i}").into(), relay.clone());
+    }
+    host.core.state().update_division(12);
+
+    let answer = host.ask("GET", "/all/1", "").await;
+
+    assert_eq!(status(&answer), 200, "{answer}");
+    assert!(!host.core.try_spend_retry("a"));
+}
--- a/crates/route/src/config.rs
+++ b/crates/route/src/config.rs
@@ -183,6 +183,14 @@
             Target::Gather(_) => false,
         }
     }
+
+    /// Number of shards that a request is sent to, and of those that must reply.
+    pub fn shard_counts(&self) -> (usize, usize) {
+        match self {
+            Target::One(_) | Target::Split(_) => (1, 1),
+            Target::Gather(gather) => (gather.shards.len(), gather.required_shards()),
+        }
+    }
 }
 
 impl Gather {
--- a/crates/route/src/peers.rs
+++ b/crates/route/src/peers.rs
@@ -47,7 +47,11 @@
 /// |---|---|
 /// | 0 | hosts that state none |
 /// | 1 | events of unknown kinds are skipped; a host that executes a passed request again does not earn by it |
-pub const FORMAT: u32 = 1;
+/// | 2 | a passed request and the outcome of a host that gives it back state its executions |
+pub const FORMAT: u32 = 2;
+
+/// First version that heeds the executions of a passed request.
+pub const FORMAT_WITH_EXECUTIONS: u32 = 2;
 
 /// Position of a host in the ranking; lower is better.
 type Rank = (u32, u64);
--- a/crates/route/src/relay.rs
+++ b/crates/route/src/relay.rs
@@ -164,18 +164,21 @@
     /// Chooses a host of the region for a request that this host cannot send to any backend
     /// server: at random among those that accepted an offer recently, if they are several,
     /// else among all that are not avoided. Queries go to relays while one is usable. Hosts of
-    /// an older version come last: some of them count a passed request once more.
+    /// an older version come last: some of them count a passed request once more. `min_format`
+    /// is the first version that can execute the request.
     pub fn choose_helper(
         &self,
         peers: &PeerTable,
         location: &Location,
         is_query: bool,
+        min_format: u32,
         rng: &mut SmallRng,
         now: Instant,
     ) -> Option<Relay> {
         let usable: Vec<(&str, &Peer)> = peers
             .ranked()
             .filter(|(host, p)| location.may_use(&p.zone) && self.is_usable(host, now))
+            .filter(|(_, p)| p.format >= min_format)
             .collect();
         let is_current = |(_, p): &(&str, &Peer)| p.format >= FORMAT;
         let current: Vec<(&str, &Peer)> = usable.iter().copied().filter(is_current).collect();
--- a/crates/route/tests/attempts.rs
+++ b/crates/route/tests/attempts.rs
@@ -5,6 +5,7 @@
 
 use chervil_route::attempts::Attempts;
 use chervil_route::attempts::End;
+use chervil_route::attempts::Executions;
 use chervil_route::budget::RetryBudget;
 use chervil_route::budget::RetryLimit;
 use rand::RngExt as _;
@@ -177,3 +178,50 @@
         assert_eq!(attempts.may_have_run(), may_have_run, "{end:?}");
     }
 }
+
+/// Guards against a request that each host which has it executes as often as the route allows
+/// (BUDGET).
+#[test]
+fn executions_for_other_hosts_count_towards_the_limit() {
+    let mut attempts = Attempts::after(1);
+    let first = attempts.allow_another(2);
+    attempts.start();
+    let second = attempts.allow_another(2);
+
+    assert!(first && !second);
+    assert!(!Attempts::after(2).allow_another(2));
+    assert!(Attempts::after(1).may_have_run());
+    // The host that passed the request has spent an extra one for it.
+    assert!(!Attempts::after(1).is_next_extra());
+}
+
+/// Guards against an attempt in flight that is forgotten when the request is passed on, and
+/// against one that was never sent and costs an execution.
+#[test]
+fn request_that_is_passed_on_states_what_may_be_executed() {
+    let mut attempts = Attempts::after(1);
+    for _ in 0..5 {
+        attempts.start();
+    }
+    let ends = [End::Unsent, End::NotRun, End::MayHaveRun];
+    ends.into_iter().for_each(|end| attempts.finish(end));
+
+    // Of the two in flight, one has been sent.
+    let executions = attempts.executions(3);
+
+    assert_eq!(executions, 3);
+    assert_eq!(Attempts::default().executions(0), 0);
+}
+
+/// Guards against a request that another host is asked to execute although too few shards may
+/// be asked again.
+#[test]
+fn executions_of_too_many_shards_end_a_query() {
+    let executed = Executions::from_iter([2, 0, 1]);
+
+    assert!(executed.allow_more(2, 3, 2));
+    assert!(!executed.allow_more(2, 3, 3));
+    assert!(executed.allow_more(3, 3, 3));
+    assert!(Executions::default().allow_more(1, 90, 90));
+    assert!(executed.any() && !Executions::from_iter([0, 0]).any());
+}
--- a/crates/route/tests/links.rs
+++ b/crates/route/tests/links.rs
@@ -175,7 +175,8 @@
                 let is_query = i % 2 == 0;
                 seen.requests += 1;
                 let helper = (0..8).find_map(|_| {
-                    let relay = health.choose_helper(&peers, &location, is_query, &mut rng, now)?;
+                    let relay =
+                        health.choose_helper(&peers, &location, is_query, 0, &mut rng, now)?;
                     if self.cut.contains(&relay.host) {
                         health.avoid(&relay.host, now + Duration::from_secs(1), now);
                         return None;
@@ -228,7 +229,7 @@
     for i in 0..200 {
         let health = RelayHealth::default();
         let now = Instant::now();
-        let relay = health.choose_helper(&peers, &location, i % 2 == 0, &mut rng, now).unwrap();
+        let relay = health.choose_helper(&peers, &location, i % 2 == 0, 0, &mut rng, now).unwrap();
 
         let host: usize = relay.host.trim_start_matches("host-").parse().unwrap();
         assert!(host % 3 != 2, "{}", relay.host);
