Do not refuse a request that ran before another host declined to send it

What callers saw: 503, which states that a request has not run and will not, for a query or a repeatable request that one host had sent before it lost its links, and that the host which took it did not send: it had no server, no room, or knew that the request crashes servers.

Cause: the outcome was that of the last host alone, which had sent nothing.

Change: a host that gets a request with executions, and sends it to no server, returns an unknown outcome (502 to the caller).

--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -82,6 +82,14 @@
     }
 }
 
+impl GatherOutcome {
+    /// The outcome of a query that servers have executed for other hosts and that this host does
+    /// not send. It is no refusal, which would state that the query has not run.
+    pub fn executed_elsewhere() -> GatherOutcome {
+        GatherOutcome::TooFewShards { may_have_run: true, timed_out: false, missing: Vec::new() }
+    }
+}
+
 /// Progress of one shard.
 struct ShardState {
     service: Box<str>,
@@ -152,6 +160,9 @@
         return GatherOutcome::OutOfReach { sent: false, executed: spec.executed };
     }
     if let Err(refusal) = core.state().admit(route, gather, start) {
+        if spec.executed.any() {
+            return GatherOutcome::executed_elsewhere();
+        }
         let reason = refusal.reason.into();
         return GatherOutcome::Refused { reason, retry_after: refusal.retry_after };
     }
--- a/crates/front/src/relay_service.rs
+++ b/crates/front/src/relay_service.rs
@@ -16,6 +16,7 @@
 use crate::core::Core;
 use crate::crashes;
 use crate::gather;
+use crate::gather::GatherOutcome;
 use crate::listen::Lifecycle;
 use crate::logs::Category;
 use crate::relayed::Offer;
@@ -23,6 +24,7 @@
 use crate::relayed::RelayedRequest;
 use crate::single;
 use crate::single::SingleOutcome;
+use crate::single::SingleResult;
 
 /// Most requests that a host executes for other hosts at once. More would take turns for
 /// its CPU for longer than most latency targets.
@@ -102,13 +104,20 @@
     spec: RequestSpec,
 ) -> Option<RelayReply> {
     let block_time = core.state().crashes.block_time(spec.digest, core.now());
+    let was_executed = spec.executed.any();
     match (&route.target, &request.service) {
         // The sending host has not heard of all crashes yet.
+        (Target::Gather(_), None) if !block_time.is_zero() && was_executed => {
+            Some(RelayReply::from_gathered(GatherOutcome::executed_elsewhere()))
+        }
         (Target::Gather(_), None) if !block_time.is_zero() => Some(RelayReply::Refused {
             reason: "suspect".into(),
             retry_ms: block_time.as_millis() as u64,
         }),
-        (_, Some(_)) if !block_time.is_zero() => Some(RelayReply::NotRun { asked: Vec::new() }),
+        (_, Some(_)) if !block_time.is_zero() => {
+            let outcome = not_run(was_executed);
+            Some(RelayReply::from_single(SingleResult { outcome, asked: Vec::new() }))
+        }
         (Target::Gather(gather), None) => {
             let soft_deadline = core.now() + request.soft_timeout().min(route.timeout);
             core.metrics.count("relay.served");
@@ -122,7 +131,7 @@
             if matches!(result.outcome, SingleOutcome::OutOfReach { sent: false, .. })
                 && !core.has_lost_links()
             {
-                result.outcome = SingleOutcome::NotRun;
+                result.outcome = not_run(was_executed);
             }
             Some(RelayReply::from_single(result).for_single_of(request.format))
         }
@@ -130,6 +139,12 @@
     }
 }
 
+/// The outcome of a request that this host sends to no server, and that was executed for other
+/// hosts before or not.
+fn not_run(was_executed: bool) -> SingleOutcome {
+    if was_executed { SingleOutcome::Unknown { timed_out: false } } else { SingleOutcome::NotRun }
+}
+
 /// Logs a request that was executed for another host, if the log rate allows it.
 fn log_served(core: &Core, id: &[u8], route: &Route, reply: &RelayReply, start: Instant) {
     let now = core.now();
--- a/crates/front/tests/passed_on.rs
+++ b/crates/front/tests/passed_on.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use chervil_base::HashSet;
+use chervil_base::digest;
 use chervil_front::client::Client;
 use chervil_front::core::Core;
 use chervil_front::peers;
@@ -13,6 +14,7 @@
 use chervil_route::budget::RetryLimit;
 use chervil_route::config::Route;
 use chervil_route::config::Target;
+use chervil_route::crashes::CrashRecord;
 use chervil_route::fleet::BackendEntry;
 use chervil_route::peers::FORMAT_WITH_EXECUTIONS;
 use chervil_route::peers::Peer;
@@ -261,3 +263,28 @@
     assert_eq!(status(&answer), 200, "{answer}");
     assert!(!host.core.try_spend_retry("a"));
 }
+
+/// Guards against a refusal, which states that a request has not run, for one that the host has
+/// sent before it passed it on (REFUSED): the helper has no server for it, or knows that it
+/// crashes servers.
+#[tokio::test]
+async fn executed_request_that_a_helper_does_not_send_is_not_refused() {
+    let mut statuses = Vec::new();
+    for path in ["/safe/1", "/all/1"] {
+        let (_helper, address) = start_helper(routes(2), Vec::new()).await;
+        let host = start_losing_links(routes(2), path, &[peer(address, 10)]).await;
+        statuses.push(status(&host.ask("GET", path, "").await));
+
+        let servers = FailingServers::start().await;
+        let (helper, address) = start_helper(routes(2), servers.entries()).await;
+        let digest = digest::request_digest(&format!("127.0.0.1 GET {path} HTTP/1.1"), b"");
+        let now = helper.core.now();
+        for crash in 0..3 {
+            helper.core.state().crashes.add(CrashRecord { digest, crash }, now);
+        }
+        let host = start_losing_links(routes(2), path, &[peer(address, 10)]).await;
+        statuses.push(status(&host.ask("GET", path, "").await));
+    }
+
+    assert_eq!(statuses, [502; 4]);
+}
