Keep open connections when the links are checked

Cause: a check took a permit for a connection to each server that it might ask. At the connection limit that closes the idle connection which was used least recently, although mostly the first server accepts and the others are not asked.

Change: servers with room for a connection are preferred, and a permit is taken only when the host connects.

Result: check_of_the_links_keeps_open_connections failed before ("closed by check 2") and passes now.

--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -315,7 +315,7 @@
 
     /// Backend servers to which a check of the links connects.
     pub fn check_targets(&self) -> Vec<CheckTarget> {
-        self.state().check_targets(&mut self.pools())
+        self.state().check_targets(&self.pools())
     }
 
     /// Ends a check of the links in which the host connected to servers of these availability
--- a/crates/front/src/links.rs
+++ b/crates/front/src/links.rs
@@ -51,7 +51,7 @@
         if i > 0 {
             time::sleep(OTHERS_DELAY).await;
         }
-        accepts(core, target, start).await
+        accepts(core, &target, start).await
     });
     let mut connects: FuturesUnordered<_> = connects.collect();
     while let Some(accepted) = connects.next().await {
@@ -62,10 +62,12 @@
 }
 
 /// Whether a backend server accepts a connection, which is kept for requests.
-async fn accepts(core: &Arc<Core>, target: CheckTarget, start: Instant) -> bool {
+async fn accepts(core: &Arc<Core>, target: &CheckTarget, start: Instant) -> bool {
+    let permit = core.pools().try_permit(target.key, target.max_connections);
+    let Some(permit) = permit else { return false };
     let left = ACCEPT_TIMEOUT.saturating_sub(core.now().duration_since(start));
     let opened = time::timeout(left, attempt::connect(target.address)).await;
     let Ok(Ok(stream)) = opened else { return false };
-    core.keep_connection(target.key, stream, target.permit);
+    core.keep_connection(target.key, stream, permit);
     true
 }
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -88,6 +88,11 @@
         (Arc::strong_count(&pool.permit) <= limit).then(|| pool.permit.clone())
     }
 
+    /// Whether fewer than `limit` connections are open, idle ones included.
+    pub fn has_room(&self, key: BackendKey, limit: usize) -> bool {
+        self.pools.get(&key).is_none_or(|pool| Arc::strong_count(&pool.permit) <= limit)
+    }
+
     /// Returns a connection to the pool. It is closed if the pool was removed.
     pub fn put(&mut self, key: BackendKey, connection: Connection) {
         if let Some(pool) = self.pools.get_mut(&key) {
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -89,8 +89,8 @@
         pub address: std::net::SocketAddr,
         /// Its availability zone.
         pub zone: Box<str>,
-        /// Permit for the connection.
-        pub permit: Arc<()>,
+        /// Most connections that this host may have open to it.
+        pub max_connections: usize,
     }
 }
 
@@ -463,22 +463,18 @@
         }
     }
 
-    /// Backend servers to which a check of the links connects, and to each of which `pools` has
-    /// room for a connection. Those of the host's own availability zone come first.
-    pub fn check_targets(&mut self, pools: &mut Pools) -> Vec<CheckTarget> {
-        let mut permits = HashMap::default();
+    /// Backend servers to which a check of the links connects, those of the host's own
+    /// availability zone first. Those to which `pools` has room for a connection are preferred.
+    pub fn check_targets(&mut self, pools: &Pools) -> Vec<CheckTarget> {
         let mut rng = SmallRng::from_rng(&mut self.rng);
-        let has_room = |key| {
-            let service = self.fleet.get(key).map_or("", |b| &*b.entry.service);
-            let max_connections = (self.own_connections(service) as usize).max(1);
-            let permit = pools.try_permit(key, max_connections);
-            permit.is_some_and(|permit| permits.insert(key, permit).is_none())
-        };
-        let keys = self.fleet.sample_zones(&self.location.zone, has_room, &mut rng);
         let target = |key| {
-            let (entry, permit) = (&self.fleet.get(key)?.entry, permits.remove(&key)?);
-            Some(CheckTarget { key, address: entry.address, zone: entry.zone.clone(), permit })
+            let entry = &self.fleet.get(key)?.entry;
+            let max_connections = (self.own_connections(&entry.service) as usize).max(1);
+            let (address, zone) = (entry.address, entry.zone.clone());
+            Some(CheckTarget { key, address, zone, max_connections })
         };
+        let has_room = |key| target(key).is_some_and(|t| pools.has_room(key, t.max_connections));
+        let keys = self.fleet.sample_zones(&self.location.zone, has_room, &mut rng);
         keys.into_iter().filter_map(target).collect()
     }
 
--- a/crates/front/tests/stranded.rs
+++ b/crates/front/tests/stranded.rs
@@ -385,3 +385,32 @@
         assert!(!metrics.contains("links.lost"), "{metrics}");
     }
 }
+
+/// Guards against a check of the links that closes connections which requests use: one that is
+/// refused leaves none, although the open one worked.
+#[tokio::test]
+async fn check_of_the_links_keeps_open_connections() {
+    let cut = cut_links(Cut::Refuses).await.addresses;
+    let used = Backend::start(vec![Step::Reply(reply(200, "fine"))]).await;
+    let unused = Backend::start(vec![Step::Reply(reply(200, "fine"))]).await;
+    let servers = vec![
+        entry("i-used", "quote", used.address),
+        entry("i-unused", "b", unused.address),
+        BackendEntry { zone: "east".into(), ..entry("i-cut", "a", cut[0]) },
+    ];
+    let mut routes = routes();
+    routes.push(route("/cut/", Target::One("a".into()), true));
+    let host = start_host(routes, servers).await;
+    // As many hosts as each server allows connections: one for each.
+    host.core.state().update_division(120);
+    host.ask("GET", "/safe/1", "").await;
+    let key = host.core.state().fleet.key("i-used").unwrap();
+    for check in 1..=8 {
+        host.ask("GET", "/cut/1", "").await;
+        until(|| !host.core.has_links_in_doubt()).await;
+
+        let metrics = host.core.metrics.text();
+        assert!(metrics.contains(&format!("links.checks {check}")), "{metrics}");
+        assert!(host.core.pools().has_idle(key), "closed by check {check}");
+    }
+}
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -445,25 +445,27 @@
     }
 
     /// Random eligible backend servers of each availability zone for a check of the links, those
-    /// of `own_zone` first. `is_usable` tells whether a check can connect to one.
-    pub fn sample_zones<IsUsable>(
+    /// of `own_zone` first. Servers for which `has_room` holds, to which a connection can be
+    /// opened without closing another one, are preferred.
+    pub fn sample_zones<HasRoom>(
         &self,
         own_zone: &str,
-        mut is_usable: IsUsable,
+        has_room: HasRoom,
         rng: &mut SmallRng,
     ) -> Vec<BackendKey>
     where
-        IsUsable: FnMut(BackendKey) -> bool,
+        HasRoom: Fn(BackendKey) -> bool,
     {
         let mut keys: Vec<BackendKey> =
             self.backends.keys().filter(|key| self.is_eligible(*key)).collect();
         keys.shuffle(rng);
+        keys.sort_by_cached_key(|key| !has_room(*key));
         let zone = |key: BackendKey| self.backends.get(key).map_or("", |b| &*b.entry.zone);
         let mut left: HashMap<&str, usize> = HashMap::default();
         keys.retain(|key| {
             let zone = zone(*key);
             let left = left.entry(zone).or_insert_with(|| links::checked_servers(zone == own_zone));
-            let is_sampled = *left > 0 && is_usable(*key);
+            let is_sampled = *left > 0;
             *left -= usize::from(is_sampled);
             is_sampled
         });
