Answer an earlier build for a request that it may have sent

What callers would see, while hosts are replaced: a host of an earlier build that has lost its links passes on a request that it may have sent.

Hosts of this build pass on no such request.

Result: request_of_an_earlier_build_is_executed_only_if_it_was_not_before failed before with this check (null), and passes now.

--- a/crates/front/src/relay_service.rs
+++ b/crates/front/src/relay_service.rs
@@ -61,14 +61,19 @@
     let digest = request.digest.unwrap_or_else(|| crashes::request_digest(&outgoing, None));
     let mut spec = RequestSpec::new(core, outgoing, digest, timeout, route.idempotent);
     spec.is_repeat = request.repeated;
-    let Some(executed) = executions(route, &request) else {
-        core.metrics.count("relay.attempts_used");
-        return answer::plain_text(StatusCode::OK, "null\n");
-    };
-    spec.executed = executed;
     let start = core.now();
     let id = spec.request.request_id.clone();
-    let Some(reply) = execute(core, route, &request, spec).await else {
+    let reply = match executions(route, &request) {
+        Some(executed) => {
+            spec.executed = executed;
+            execute(core, route, &request, spec).await
+        }
+        None => {
+            core.metrics.count("relay.attempts_used");
+            Some(executed_elsewhere(&request))
+        }
+    };
+    let Some(reply) = reply else {
         return answer::plain_text(StatusCode::OK, "null\n");
     };
     log_served(core, &id, route, &reply, start);
@@ -95,6 +100,18 @@
     executed.allow_more(route.max_attempts, shards, required).then_some(executed)
 }
 
+/// The outcome of a request that servers may have executed for other hosts and that this host does
+/// not send. The sending host does not look for another one then.
+fn executed_elsewhere(request: &RelayedRequest) -> RelayReply {
+    match request.service {
+        None => RelayReply::from_gathered(GatherOutcome::executed_elsewhere()),
+        Some(_) => RelayReply::from_single(SingleResult {
+            outcome: SingleOutcome::Unknown { timed_out: false },
+            asked: Vec::new(),
+        }),
+    }
+}
+
 /// Executes a request here; it is not passed on again. None if the route does not allow what
 /// the request states.
 async fn execute(
@@ -107,17 +124,12 @@
     let was_executed = spec.executed.any();
     match (&route.target, &request.service) {
         // The sending host has not heard of all crashes yet.
-        (Target::Gather(_), None) if !block_time.is_zero() && was_executed => {
-            Some(RelayReply::from_gathered(GatherOutcome::executed_elsewhere()))
-        }
+        _ if !block_time.is_zero() && was_executed => Some(executed_elsewhere(request)),
         (Target::Gather(_), None) if !block_time.is_zero() => Some(RelayReply::Refused {
             reason: "suspect".into(),
             retry_ms: block_time.as_millis() as u64,
         }),
-        (_, Some(_)) if !block_time.is_zero() => {
-            let outcome = not_run(was_executed);
-            Some(RelayReply::from_single(SingleResult { outcome, asked: Vec::new() }))
-        }
+        (_, Some(_)) if !block_time.is_zero() => Some(RelayReply::NotRun { asked: Vec::new() }),
         (Target::Gather(gather), None) => {
             let soft_deadline = core.now() + request.soft_timeout().min(route.timeout);
             core.metrics.count("relay.served");
@@ -131,7 +143,11 @@
             if matches!(result.outcome, SingleOutcome::OutOfReach { sent: false, .. })
                 && !core.has_lost_links()
             {
-                result.outcome = not_run(was_executed);
+                result.outcome = if was_executed {
+                    SingleOutcome::Unknown { timed_out: false }
+                } else {
+                    SingleOutcome::NotRun
+                };
             }
             Some(RelayReply::from_single(result).for_single_of(request.format))
         }
@@ -139,12 +155,6 @@
     }
 }
 
-/// The outcome of a request that this host sends to no server, and that was executed for other
-/// hosts before or not.
-fn not_run(was_executed: bool) -> SingleOutcome {
-    if was_executed { SingleOutcome::Unknown { timed_out: false } } else { SingleOutcome::NotRun }
-}
-
 /// Logs a request that was executed for another host, if the log rate allows it.
 fn log_served(core: &Core, id: &[u8], route: &Route, reply: &RelayReply, start: Instant) {
     let now = core.now();
