Decide in one function whether removals are held back

Cause: reading the diff, the two reasons for a hold stood among the steps that apply changes. Change: a function of their own; no change of behaviour.

--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -294,16 +294,7 @@
 
     fn apply_changes(&mut self, changes: Changes, polled_at: Instant, full: bool) {
         let Changes { events, position } = changes;
-        // A single failed call must not delay the removal of a server that leaves. A host that
-        // gets its data from another one relies on that one to hold removals back.
-        let outage = self.record_contact(REGISTRY, polled_at);
-        let synced_at = self.core.state().synced_at;
-        if outage.is_some_and(|o| o >= self.heartbeat * EXPIRY_HEARTBEATS) {
-            self.replica.hold_removals(self.core.now());
-        } else if let Some(at) = synced_at.filter(|_| self.lacks_events()) {
-            // The source before was holding removals back when it was in sync last.
-            self.replica.hold_removals(at);
-        }
+        self.hold_removals(polled_at);
         self.advance(REGISTRY, position);
         self.replica.apply_events(Batch { source: REGISTRY.into(), position, events, full });
         self.cursor = Cursor { boot: 0, serial: 0, position };
@@ -312,6 +303,22 @@
         self.has_state = true;
     }
 
+    /// Holds removals back if a call to the registry that began at `polled_at` ends an outage in
+    /// which entries can have expired: a single failed call must not delay the removal of a server
+    /// that leaves. A host that gets its data from another one relies on that one to hold
+    /// removals back, and takes over its hold.
+    fn hold_removals(&mut self, polled_at: Instant) {
+        let synced_at = self.core.state().synced_at;
+        let outage = self.record_contact(REGISTRY, polled_at);
+        if outage.is_some_and(|o| o >= self.heartbeat * EXPIRY_HEARTBEATS) {
+            self.replica.hold_removals(self.core.now());
+        } else if self.lacks_events()
+            && let Some(at) = synced_at
+        {
+            self.replica.hold_removals(at);
+        }
+    }
+
     /// Starts to apply data of a source that reach up to `position`.
     fn advance(&mut self, source: &str, position: Position) {
         let Position { era, revision } = position;
