--- a/crates/front/tests/passed_on.rs
+++ b/crates/front/tests/passed_on.rs
@@ -171,7 +171,7 @@
     let (_last, address) = start_helper(routes(2), servers.entries()).await;
     for path in ["/safe/1", "/all/1"] {
         let (helper, first) = start_helper(routes(2), start_going_silent(path).await).await;
-        // The helper with more CPU is asked first for queries; one at the time for the others.
+        // The other helper joins once this one executes the request.
         let host = start_losing_links(routes(2), path, &[peer(first, 500)]).await;
         let asking = host.ask("GET", path, "");
         let joining = async {
