--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -162,7 +162,7 @@
                 avoid(core, &relay, "another version of the route", DECLINED_RELAY_PAUSE)
             }
             // It has counted the request, and spent an extra one for each that it had sent. A host
-            // of an earlier build does not say what was executed, unless nothing was sent.
+            // of an earlier build does not state executions; without a send there are none.
             Sent::Done(RelayReply::OutOfReach { sent, executed })
                 if !sent || (spec.idempotent && executed.is_some()) =>
             {
