Add review case 7: a query that crashes one shard's servers

Cause: a query that has enough shards drops the attempts that are left 350 ms after its answer. A server that crashes on such an attempt later than that is not noticed, and no crash is counted against the query.

Change: review/7 with a script; the stand-in of a backend server may crash on one shard only, and the consumer counts answers that leave parts out.

--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -182,8 +182,8 @@
 
 class Backend:
     """A backend server at a fixed address. Each start is a new boot with a new id. A request
-    whose path contains `crashing` crashes it `crash_after_s` after it began to run; it is back
-    `down_s` later."""
+    whose path contains `crashing` crashes it `crash_after_s` after it began to run, if that is
+    not None; it is back `down_s` later."""
 
     def __init__(self, world, service, zone, crash_after_s=0.0, down_s=3.0, work_s=0.02):
         self.world, self.service, self.zone = world, service, zone
@@ -255,7 +255,7 @@
                     writer.write(response(421, request_id, b"", ["Not-Executed: 1"]))
                     continue
                 self.world.arrive(request_id, self)
-                if "crashing" in path:
+                if "crashing" in path and self.crash_after_s is not None:
                     # This server does not drop a request when its connection closes.
                     reason = f"request {request_id}"
                     asyncio.get_running_loop().call_later(
@@ -307,11 +307,13 @@
         # Time that an order takes, and outcomes of other consumers' orders by status.
         self.order_s = 0.3
         self.orders = {}
+        # Answers of other consumers' queries that leave parts out.
+        self.partial = 0
         self.directory = tempfile.TemporaryDirectory(prefix="chervil-review-")
         self.hosts = [Host(self, index) for index in range(hosts)]
 
     def arrive(self, request_id, backend):
-        self.arrivals.setdefault(request_id, []).append((now(), backend.id))
+        self.arrivals.setdefault(request_id, []).append(backend.service)
         self.record.write(f"request {request_id} reaches backend {backend.id}")
 
     async def start(self, services, config):
@@ -438,7 +440,9 @@
         writer.write(f"GET {path} HTTP/1.1\r\nHost: {hostname}\r\nRequest-Id: {request_id}\r\n"
                      f"Deadline-Ms: {deadline_ms}\r\n\r\n".encode())
         wait = leave_after_s if leave_after_s is not None else deadline_ms / 1e3 + 1
-        _, status, _, _ = await asyncio.wait_for(read_message(reader), timeout=wait)
+        _, status, headers, _ = await asyncio.wait_for(read_message(reader), timeout=wait)
+        if headers.get("missing-parts", "0") != "0" and "crashing" not in path:
+            world.partial += 1
     except asyncio.TimeoutError:
         pass
     except (OSError, asyncio.IncompleteReadError) as error:
