--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -61,6 +61,11 @@
         self.revision = 10
         self.is_down = False
         self.last_reader = None
+        # Hosts that the store turns away with 503.
+        self.refused = set()
+        # Called with the host at each call, and when a watch is answered.
+        self.on_call = lambda host: None
+        self.on_watch_end = lambda host: None
         self.servers = []
         self.changed = asyncio.Event()
 
@@ -120,7 +125,8 @@
                     if line.lower().startswith("content-length:"):
                         size = int(line.split(":")[1])
                 body = await reader.readexactly(size) if size else b""
-                if self.is_down:
+                self.on_call(host)
+                if self.is_down or host in self.refused:
                     status, reply = 503, {}
                 else:
                     status, reply = await self.handle(target, body, host)
@@ -128,6 +134,8 @@
                 writer.write(f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
                              f"Content-Length: {len(text)}\r\n\r\n".encode() + text)
                 await writer.drain()
+                if target.startswith("/kv-watch"):
+                    self.on_watch_end(host)
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
@@ -295,8 +303,7 @@
 
     def __init__(self, folder, hosts):
         if not os.access(BINARY, os.X_OK):
-            print("target/release/chervillink is missing: run the build of the deploy file")
-            sys.exit(2)
+            raise RuntimeError("target/release/chervillink is missing")
         self.record = Record(folder)
         self.store = Store(self.record)
         self.block = f"127.{random.randint(10, 250)}.{random.randint(1, 250)}"
@@ -341,6 +348,7 @@
         self.ip = f"{world.block}.{index + 1}"
         self.zone = ZONES[index % len(ZONES)]
         self.name = f"front-{self.zone}-{index + 1}"
+        self.cpu_share = 0.17
         self.process = None
         self.store_port = None
 
@@ -350,7 +358,7 @@
             "zones": {zone: "region-1" for zone in ZONES},
             "bind_addrs": {"front": f"{self.ip}:8226", "ready": f"{self.ip}:8227",
                            "control": f"{self.ip}:8224"},
-            "limits": {"cpu_share": 0.17, "cpu_cores": 1, "memory_mb": 182, "max_fds": 2870,
+            "limits": {"cpu_share": self.cpu_share, "cpu_cores": 1, "memory_mb": 182, "max_fds": 2870,
                        "link_mbps": 700.0, "disk_mb": 0},
             "fault_tolerance": {"machines": 2, "zones": 1, "regions": 0},
             "bounds": BOUNDS,
@@ -380,6 +388,7 @@
         log = open(os.path.join(self.world.directory.name, f"{self.name}.log"), "ab")
         environment = {"PATH": os.environ.get("PATH", ""), "HOME": self.world.directory.name,
                        "CHERVILLINK_SETTINGS": path}
+        self.started_at = now()
         self.process = subprocess.Popen([BINARY], env=environment, cwd=ROOT, stdout=log, stderr=log)
         self.world.record.write(f"start {self.name}")
 
@@ -400,9 +409,7 @@
                 self.world.record.write(f"{self.name} is ready")
                 return
             await asyncio.sleep(0.1)
-        print(f"{self.name} does not become ready")
-        self.world.stop()
-        sys.exit(2)
+        raise RuntimeError(f"{self.name} does not become ready")
 
     async def terminate(self):
         """SIGTERM, and SIGKILL after `grace_s`, as the platform does."""
@@ -414,6 +421,11 @@
         self.kill()
         self.world.record.write(f"{self.name} has ended")
 
+    def lose(self):
+        """A machine without power: its processes answer nothing, connections to them hang."""
+        self.world.record.write(f"{self.name} loses power")
+        self.process.send_signal(signal.SIGSTOP)
+
     def kill(self):
         if self.process is not None and self.process.poll() is None:
             self.process.kill()
