Share the fixture of one exchange between tests

Cause: two test files opened a connection to a scripted server in the same way, and the tests of malformed replies need it as well.

Change: crates/front/tests/support/exchange.rs; no test changes what it checks.

--- a/crates/front/tests/endless.rs
+++ b/crates/front/tests/endless.rs
@@ -5,51 +5,23 @@
 
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
-use bytes::Bytes;
-use chervil_front::exchange::Connection;
 use chervil_front::exchange::ExchangeError;
 use chervil_front::exchange::ReplyMemory;
-use chervil_front::outgoing::Outgoing;
 use chervil_front::reply::Reply;
 use futures::future::join_all;
-use hyper::HeaderMap;
-use hyper::Method;
-use hyper::header::HeaderValue;
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
-use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::time;
 
-use crate::support::names;
-
-/// Longest time that a reply without end may take to be given up, far longer than the
-/// transfer of the largest reply that is read.
-const TIMEOUT: Duration = Duration::from_secs(30);
+use crate::support::exchange::connect;
+use crate::support::exchange::exchange;
 
 /// Memory for all replies, as docs/decisions/13 states it, and one read on top for each
 /// connection.
 const MEMORY_LIMIT: usize = 24 * 1024 * 1024;
 
-/// A connection to a backend server, and the server's end of it.
-async fn connect(memory: &Arc<ReplyMemory>) -> (Connection, TcpStream) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
-    let (server, _) = listener.accept().await.unwrap();
-    (Connection::new(stream, Arc::new(()), memory.clone(), Instant::now()), server)
-}
-
-async fn exchange(connection: &mut Connection, id: &str) -> Result<Reply, ExchangeError> {
-    let mut headers = HeaderMap::new();
-    headers.insert("x-id", HeaderValue::from_str(id).unwrap());
-    let request = Outgoing::new(&Method::GET, "/", &headers, Bytes::new(), &names());
-    let names = names();
-    let exchange = connection.exchange(b"GET / HTTP/1.1\r\n\r\n", &request, &names);
-    time::timeout(TIMEOUT, exchange).await.expect("the exchange does not end")
-}
-
 fn reply(id: Option<&str>, body: &str) -> String {
     let id = id.map(|id| format!("x-id: {id}\r\n")).unwrap_or_default();
     let length = body.len();
--- a/crates/front/tests/support/mod.rs
+++ b/crates/front/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the fixtures")]
 
+pub mod exchange;
 pub mod replica;
 
 use std::net::SocketAddr;
