Move the parsing of reply heads to a module of its own

Cause: exchange.rs mixes reading from the socket with the parsing of heads, whose grammar is about to be checked in full.

--- /dev/null
+++ b/crates/front/src/head.rs
@@ -0,0 +1,183 @@
+//! Parsing of the heads of replies.
+
+use std::str;
+use std::time::Duration;
+
+use chervil_route::health::Load;
+use hyper::header;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
+
+use crate::exchange::ExchangeError;
+use crate::names::HeaderNames;
+use crate::outgoing::KEEP_ALIVE;
+use crate::outgoing::Outgoing;
+use crate::reply;
+use crate::reply::LimitHeader;
+use crate::reply::Reply;
+
+/// Maximum number of headers of a reply.
+pub const MAX_HEADERS: usize = 64;
+
+/// How the end of a reply's body is determined.
+pub enum Framing {
+    /// It has no body.
+    NoBody,
+    /// After this number of bytes.
+    Length(usize),
+    /// With the last chunk.
+    Chunked,
+    /// With the connection.
+    UntilEof,
+}
+
+/// Head of a reply.
+pub struct Head {
+    /// The reply, without its body.
+    pub reply: Reply,
+    /// How the end of its body is determined.
+    pub framing: Framing,
+    /// Whether the reply carries the id of the request that was sent; None if it
+    /// carries no id.
+    pub matches_request: Option<bool>,
+}
+
+/// Parses the head at the start of `buffer` and returns it with its size in
+/// bytes; `None` if it is incomplete.
+pub fn parse(
+    buffer: &[u8],
+    request: &Outgoing,
+    names: &HeaderNames,
+) -> Result<Option<(usize, Head)>, ExchangeError> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut parsed = httparse::Response::new(&mut headers);
+    let size = match parsed.parse(buffer) {
+        Ok(httparse::Status::Complete(size)) => size,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(_) => {
+            return Err(ExchangeError::InvalidReply {
+                reason: "malformed head, or more than 64 headers",
+            });
+        }
+    };
+    let mut reply = Reply::new(parsed.code.unwrap_or_default());
+    reply.closes = parsed.version == Some(0);
+    let mut fields =
+        HeaderFields { reply, content_length: None, transfer: None, matches_request: None };
+    for header in parsed.headers.iter() {
+        fields.apply(header, request, names)?;
+    }
+    let HeaderFields { mut reply, content_length, transfer, matches_request } = fields;
+    let text = |name: &HeaderName| {
+        let header = parsed.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name.as_str()))?;
+        str::from_utf8(header.value).ok().map(str::trim)
+    };
+    let retry_after = text(&header::RETRY_AFTER);
+    reply.pause = retry_after.and_then(|t| reply::parse_retry_after(t, text(&header::DATE)));
+    let status = reply.status;
+    // A length besides a transfer coding may hide the start of another reply.
+    reply.closes |= transfer.is_some() && content_length.is_some();
+    let framing = if request.expects_no_body || status < 200 || status == 204 || status == 304 {
+        Framing::NoBody
+    } else {
+        match transfer {
+            Some(Transfer::Chunked) => Framing::Chunked,
+            Some(Transfer::Other) => Framing::UntilEof,
+            None => content_length.map_or(Framing::UntilEof, Framing::Length),
+        }
+    };
+    Ok(Some((size, Head { reply, framing, matches_request })))
+}
+
+/// What the headers parsed so far say about a reply.
+struct HeaderFields {
+    reply: Reply,
+    content_length: Option<usize>,
+    transfer: Option<Transfer>,
+    matches_request: Option<bool>,
+}
+
+/// Last transfer coding of a reply.
+#[derive(Clone, Copy)]
+enum Transfer {
+    Chunked,
+    Other,
+}
+
+impl HeaderFields {
+    /// Takes over one header; headers that do not matter here are ignored.
+    fn apply(
+        &mut self,
+        header: &httparse::Header<'_>,
+        request: &Outgoing,
+        names: &HeaderNames,
+    ) -> Result<(), ExchangeError> {
+        let is = |name: &HeaderName| header.name.eq_ignore_ascii_case(name.as_str());
+        let text = || str::from_utf8(header.value).unwrap_or_default().trim();
+        let reply = &mut self.reply;
+        if is(&names.request_id) {
+            let matches = header.value == &*request.request_id;
+            self.matches_request = Some(matches && self.matches_request != Some(false));
+        } else if is(&names.stamp) {
+            let stamp = HeaderValue::from_bytes(header.value).ok();
+            reply.stamp = Some(
+                stamp.ok_or(ExchangeError::InvalidReply { reason: "malformed response stamp" })?,
+            );
+        } else if is(&names.load) {
+            reply.load = parse_load(text());
+        } else if is(&header::CONTENT_LENGTH) {
+            let size = text().parse::<usize>().ok();
+            if size.is_none() || self.content_length.is_some_and(|l| Some(l) != size) {
+                return Err(ExchangeError::InvalidReply {
+                    reason: "content-length malformed or repeated with another value",
+                });
+            }
+            self.content_length = size;
+        } else if is(&header::TRANSFER_ENCODING) {
+            let mut codings = text().rsplit(',').map(str::trim);
+            let is_chunked = codings.next().is_some_and(|c| c.eq_ignore_ascii_case("chunked"));
+            self.transfer = Some(if is_chunked { Transfer::Chunked } else { Transfer::Other });
+            // The body is encoded by the other codings.
+            reply.encoded |= !is_chunked || codings.next().is_some();
+        } else if is(&header::CONNECTION) {
+            reply.closes |= has_token(text(), "close");
+        } else if is(&KEEP_ALIVE) {
+            reply.idle_timeout = parse_keep_alive(text());
+        } else if is(&names.refused) {
+            reply.refused = true;
+        } else if is(&names.limit) {
+            reply.limit = parse_limit(text());
+        } else if is(&names.leaving) {
+            reply.leaving |= text() == "1";
+        } else if is(&names.warmup) {
+            reply.warmup_left = text().parse().ok().map(Duration::from_millis);
+        } else if is(&header::CONTENT_ENCODING) {
+            reply.encoded |= !text().eq_ignore_ascii_case("identity");
+        }
+        Ok(())
+    }
+}
+
+fn has_token(list: &str, token: &str) -> bool {
+    list.split(',').any(|t| t.trim().eq_ignore_ascii_case(token))
+}
+
+/// Parses the `timeout=` parameter of a `keep-alive` header, in seconds.
+fn parse_keep_alive(text: &str) -> Option<Duration> {
+    let timeout = text.split(',').find_map(|p| p.trim().strip_prefix("timeout="))?;
+    timeout.trim().parse().ok().map(Duration::from_secs)
+}
+
+/// Parses a rate in requests per second.
+fn parse_limit(text: &str) -> LimitHeader {
+    let rate = text.parse().ok().filter(|rate: &f64| rate.is_finite() && *rate >= 0.0);
+    rate.map_or(LimitHeader::Malformed, LimitHeader::Rate)
+}
+
+/// Parses `running,queued`.
+fn parse_load(text: &str) -> Option<Load> {
+    let mut numbers = text.split(',').map(|n| n.trim().parse::<u32>().ok());
+    let running = numbers.next()??;
+    let queued = numbers.next()??;
+    Some(Load { running, queued })
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod follow;
 pub mod gather;
 pub mod handle;
+pub mod head;
 pub mod host;
 pub mod journal;
 pub mod links;
