Treat a status outside 100 to 599 as no reply

Callers saw: a backend server answered with status 000. Its headers reached the caller, its response stamp among them, under status 502 made up by this host; with the header that states a refusal, the caller got 503, a promise that the request had not run. 600 to 999 were passed on as they were.

Cause: httparse accepts any three digits as a status, and the reply was taken as soon as its head parsed.

Change: the parser of heads rejects other codes (RFC 9110, section 15). Such a reply fails its attempt like any malformed one: it counts against the server, a request that may be repeated is sent elsewhere, any other gets 502 without a promise. Nothing after the parser can see such a status.

--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -39,7 +39,7 @@
 pub fn from_reply(reply: Reply) -> Answer {
     let headers = reply.headers();
     let mut answer = Response::new(Full::new(reply.body));
-    // Cannot fail: the parser accepts three-digit status codes only.
+    // Cannot fail: the parser accepts the status codes of HTTP only.
     *answer.status_mut() = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY);
     *answer.headers_mut() = headers;
     answer
--- a/crates/front/src/head.rs
+++ b/crates/front/src/head.rs
@@ -1,5 +1,6 @@
 //! Parsing of the heads of replies.
 
+use std::ops::RangeInclusive;
 use std::str;
 use std::time::Duration;
 
@@ -19,6 +20,9 @@
 /// Maximum number of headers of a reply.
 pub const MAX_HEADERS: usize = 64;
 
+/// Status codes of HTTP (RFC 9110, section 15).
+const STATUS_CODES: RangeInclusive<u16> = 100..=599;
+
 /// How the end of a reply's body is determined.
 pub enum Framing {
     /// It has no body.
@@ -60,7 +64,9 @@
             });
         }
     };
-    let mut reply = Reply::new(parsed.code.unwrap_or_default());
+    let status = parsed.code.filter(|code| STATUS_CODES.contains(code));
+    let status = status.ok_or(ExchangeError::InvalidReply { reason: "invalid status code" })?;
+    let mut reply = Reply::new(status);
     reply.closes = parsed.version == Some(0);
     let mut fields =
         HeaderFields { reply, content_length: None, transfer: None, matches_request: None };
@@ -74,7 +80,6 @@
     };
     let retry_after = text(&header::RETRY_AFTER);
     reply.pause = retry_after.and_then(|t| reply::parse_retry_after(t, text(&header::DATE)));
-    let status = reply.status;
     // A length besides a transfer coding may hide the start of another reply.
     reply.closes |= transfer.is_some() && content_length.is_some();
     let framing = if request.expects_no_body || status < 200 || status == 204 || status == 304 {
--- /dev/null
+++ b/crates/front/tests/malformed.rs
@@ -0,0 +1,170 @@
+//! Backend servers that send what the grammar of HTTP/1.1 does not allow (RFC 9112): it is no
+//! reply, whatever it looks like.
+
+mod support;
+
+use chervil_front::exchange::ExchangeError;
+use chervil_route::config::Target;
+
+use crate::support::Backend;
+use crate::support::Step;
+use crate::support::TestHost;
+use crate::support::entry;
+use crate::support::exchange::read_reply;
+use crate::support::gather;
+use crate::support::header;
+use crate::support::reply;
+use crate::support::route;
+use crate::support::start_host;
+use crate::support::status;
+
+/// Start of a head that fits request 1.
+const HEAD: &str = "HTTP/1.1 200 OK\r\nx-id: 1\r\nx-stamp: s\r\n";
+
+/// Fails unless `bytes` are read as an invalid reply.
+async fn assert_invalid(bytes: &[u8]) {
+    let result = read_reply(bytes).await;
+
+    let text = String::from_utf8_lossy(bytes);
+    assert!(matches!(result, Err(ExchangeError::InvalidReply { .. })), "{text:?}: {result:?}");
+}
+
+/// Body of a reply that must be valid.
+async fn read_body(bytes: &[u8]) -> Vec<u8> {
+    let text = String::from_utf8_lossy(bytes);
+    read_reply(bytes).await.unwrap_or_else(|e| panic!("{text:?}: {e}")).body.to_vec()
+}
+
+/// Starts a host with a route to a service of these backend servers.
+async fn start_quotes(idempotent: bool, backends: [&Backend; 2]) -> TestHost {
+    let entries = vec![
+        entry("i-0", "quote", backends[0].address),
+        entry("i-1", "quote", backends[1].address),
+    ];
+    start_host(vec![route("/q/", Target::One("quote".into()), idempotent)], entries).await
+}
+
+/// Replies of a backend server in trouble, with `{id}` for the request id.
+fn broken_replies() -> Vec<String> {
+    let sound = reply(200, "fine");
+    vec![sound.replace("200 X", "000 X"), sound.replace("200 X", "999 X")]
+}
+
+/// Guards against a broken reply that callers get as an answer, or that fails a request that
+/// another backend server can still execute.
+#[tokio::test]
+async fn idempotent_request_is_executed_elsewhere_after_a_broken_reply() {
+    for text in broken_replies() {
+        let broken = Backend::start(vec![Step::ReplyAndClose(text.clone())]).await;
+        let sound = Backend::start(vec![Step::Reply(reply(200, "fine"))]).await;
+
+        // One of the two orders makes the broken server the first choice.
+        for backends in [[&broken, &sound], [&sound, &broken]] {
+            let host = start_quotes(true, backends).await;
+            let answer = host.ask("GET", "/q/1", "").await;
+
+            assert_eq!(status(&answer), 200, "{text:?}: {answer}");
+            assert_eq!(header(&answer, "x-stamp").as_deref(), Some("s-200"), "{text:?}");
+            assert!(answer.ends_with("\r\n\r\nfine"), "{text:?}: {answer}");
+        }
+        assert!(!broken.received().is_empty(), "{text:?}");
+    }
+}
+
+/// Guards against a broken reply to a request that runs once at most which callers get as an
+/// answer, or as a statement that it has not run.
+#[tokio::test]
+async fn non_idempotent_request_is_answered_with_502_after_a_broken_reply() {
+    let refusing = |text: &String| text.replace("x-stamp", "x-refused: 1\r\nx-stamp");
+    let refusals = broken_replies().iter().map(refusing).collect();
+    for text in [broken_replies(), refusals].concat() {
+        let first = Backend::start(vec![Step::ReplyAndClose(text.clone())]).await;
+        let second = Backend::start(vec![Step::ReplyAndClose(text.clone())]).await;
+        let host = start_quotes(false, [&first, &second]).await;
+
+        let answer = host.ask("POST", "/q/1", "rope").await;
+
+        assert_eq!(status(&answer), 502, "{text:?}: {answer}");
+        assert_eq!(header(&answer, "x-stamp"), None, "{text:?}: {answer}");
+        assert_eq!(first.received().len() + second.received().len(), 1, "{text:?}");
+    }
+}
+
+/// Guards against a broken reply of a shard that becomes a part of an answer.
+#[tokio::test]
+async fn broken_reply_is_no_part_of_a_query() {
+    for text in broken_replies() {
+        let record = "0123456789abcdef";
+        let a = Backend::start(vec![Step::Reply(reply(200, record))]).await;
+        let b = Backend::start(vec![Step::ReplyAndClose(text.clone())]).await;
+        let entries = vec![entry("i-a", "a", a.address), entry("i-b", "b", b.address)];
+        let host = start_host(vec![route("/all/", gather(&["a", "b"], 0.5), true)], entries).await;
+
+        let answer = host.ask("GET", "/all/1", "").await;
+
+        assert_eq!(status(&answer), 200, "{text:?}: {answer}");
+        assert_eq!(header(&answer, "x-parts").as_deref(), Some("s-200"), "{text:?}: {answer}");
+        assert_eq!(header(&answer, "x-missing").as_deref(), Some("1"), "{text:?}: {answer}");
+        assert!(answer.ends_with(record), "{text:?}: {answer}");
+    }
+}
+
+/// Guards against a backend server that is chosen as often as others although its replies are
+/// broken.
+#[tokio::test]
+async fn broken_replies_count_against_the_backend() {
+    let broken = Backend::start(vec![Step::ReplyAndClose(broken_replies().remove(0))]).await;
+    let sound = Backend::start(vec![Step::Reply(reply(200, "fine"))]).await;
+    let host = start_quotes(true, [&broken, &sound]).await;
+
+    for _ in 0..40 {
+        let answer = host.ask("GET", "/q/1", "").await;
+        assert_eq!(status(&answer), 200, "{answer}");
+    }
+
+    let (broken, sound) = (broken.received().len(), sound.received().len());
+    assert!(broken < sound / 2, "{broken} requests, {sound} at the sound server");
+}
+
+/// Guards against a reply whose status is no HTTP status, such as 000, which callers would get
+/// as an answer.
+#[tokio::test]
+async fn status_outside_100_to_599_is_no_reply() {
+    for status in ["000", "001", "099", "600", "999", "20", "2000", "2x0", "-20", "+20", " 200"] {
+        let text = HEAD.replace("200", status) + "content-length: 4\r\n\r\nfine";
+        assert_invalid(text.as_bytes()).await;
+    }
+    for status in ["200", "299", "404", "599"] {
+        let text = HEAD.replace("200", status) + "content-length: 4\r\n\r\nfine";
+        assert_eq!(read_body(text.as_bytes()).await, b"fine", "{status}");
+    }
+}
+
+/// Guards against a head with a line that is no field, with or without one of the headers that
+/// the reply depends on.
+#[tokio::test]
+async fn line_that_is_no_field_is_no_reply() {
+    let lines = [
+        "content-length 4",
+        "content-length",
+        ": 4",
+        " content-length: 4",
+        "\tcontent-length: 4",
+        "content-length : 4",
+        "content length: 4",
+        "=?#\x7f",
+        "x-more: a\x00b",
+        "x-more: a\x7fb",
+        "x-more: a\r b",
+        "x-more: a\r\n folded",
+    ];
+    for line in lines {
+        for text in [
+            format!("{HEAD}{line}\r\ncontent-length: 4\r\n\r\nfine"),
+            format!("{HEAD}content-length: 4\r\n{line}\r\n\r\nfine"),
+            format!("{HEAD}{line}\r\n\r\nfine"),
+        ] {
+            assert_invalid(text.as_bytes()).await;
+        }
+    }
+}
