Read a length that is no decimal number as no reply

Callers saw: a complete answer whose body was not that of the backend server, for instance the first 3 of 4 bytes after "content-length: +3", with the server's stamp.

Cause: the length was parsed as a Rust integer, which may have a sign, after its text had been trimmed of any Unicode blank.

Ruled out: a value with other bytes, an empty one, a list and two values that differ failed the head before.

Change: the length consists of digits only (RFC 9112, section 6.2).

--- a/crates/front/src/head.rs
+++ b/crates/front/src/head.rs
@@ -131,7 +131,7 @@
         } else if is(&names.load) {
             reply.load = parse_load(text());
         } else if is(&header::CONTENT_LENGTH) {
-            let size = text().parse::<usize>().ok();
+            let size = parse_length(header.value);
             if size.is_none() || self.content_length.is_some_and(|l| Some(l) != size) {
                 return Err(ExchangeError::InvalidReply {
                     reason: "content-length malformed or repeated with another value",
@@ -163,6 +163,12 @@
     }
 }
 
+/// Parses a `content-length`, which consists of digits only; Rust's integers may have a sign.
+fn parse_length(value: &[u8]) -> Option<usize> {
+    let digits = value.iter().all(u8::is_ascii_digit).then_some(value)?;
+    str::from_utf8(digits).ok()?.parse().ok()
+}
+
 fn has_token(list: &str, token: &str) -> bool {
     list.split(',').any(|t| t.trim().eq_ignore_ascii_case(token))
 }
--- a/crates/front/tests/malformed.rs
+++ b/crates/front/tests/malformed.rs
@@ -47,7 +47,13 @@
 /// Replies of a backend server in trouble, with `{id}` for the request id.
 fn broken_replies() -> Vec<String> {
     let sound = reply(200, "fine");
-    vec![sound.replace("200 X", "000 X"), sound.replace("200 X", "999 X")]
+    vec![
+        sound.replace("200 X", "000 X"),
+        sound.replace("200 X", "999 X"),
+        sound.replace("content-length: 4", "content-length: +3"),
+        sound.replace("content-length: 4", "content-length: \u{a0}3"),
+        sound.replace("content-length: 4", "content-length: 4x"),
+    ]
 }
 
 /// Guards against a broken reply that callers get as an answer, or that fails a request that
@@ -168,3 +174,33 @@
         }
     }
 }
+
+/// Guards against a length that is no decimal number, which would cut the body elsewhere than
+/// the backend server did.
+#[tokio::test]
+async fn length_that_is_no_number_is_no_reply() {
+    let lengths: [&[u8]; 15] = [
+        b"",
+        b"+4",
+        b"-4",
+        b"4.0",
+        b"0x4",
+        b"4 4",
+        b"4, 4",
+        b"4;",
+        b"four",
+        b"\xa04",
+        "\u{a0}4".as_bytes(),
+        "4\u{2003}".as_bytes(),
+        b"\x0b4",
+        b"4\x00",
+        b"99999999999999999999999",
+    ];
+    for length in lengths {
+        let head = HEAD.as_bytes();
+        let bytes = [head, b"content-length: ", length, b"\r\n\r\nfine and more"].concat();
+        assert_invalid(&bytes).await;
+    }
+    let two = format!("{HEAD}content-length: 4\r\ncontent-length: 9\r\n\r\nfine and more");
+    assert_invalid(two.as_bytes()).await;
+}
