Reject a line feed without carriage return in a head

Callers saw: a complete answer with the server's stamp whose body began with the rest of its head, when the name of a field held a line feed, as in "\ncontent-length: 4"; or a head with a line that the server had not sent as one.

Cause: httparse takes a line feed alone for the end of a line, and two for the end of the head. Without the header that states its length, the body then ends with the connection.

Ruled out: names and values with any other control byte, a blank or a byte that is not ASCII failed the head before, at each position tried, as do folded lines; the tests state that now.

Change: each line of a head ends with CRLF, also in a head that is not whole yet, so that the attempt fails at once.

--- a/crates/front/src/head.rs
+++ b/crates/front/src/head.rs
@@ -56,8 +56,14 @@
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut parsed = httparse::Response::new(&mut headers);
     let size = match parsed.parse(buffer) {
-        Ok(httparse::Status::Complete(size)) => size,
-        Ok(httparse::Status::Partial) => return Ok(None),
+        Ok(httparse::Status::Complete(size)) => {
+            check_line_ends(&buffer[..size])?;
+            size
+        }
+        Ok(httparse::Status::Partial) => {
+            check_line_ends(buffer)?;
+            return Ok(None);
+        }
         Err(_) => {
             return Err(ExchangeError::InvalidReply {
                 reason: "malformed head, or more than 64 headers",
@@ -94,6 +100,21 @@
     Ok(Some((size, Head { reply, framing, matches_request })))
 }
 
+/// Checks that each line of a head ends with CRLF. `httparse` also takes a line feed alone for
+/// the end of a line, and two of them for the end of the head.
+fn check_line_ends(head: &[u8]) -> Result<(), ExchangeError> {
+    let mut before = 0;
+    for &byte in head {
+        if byte == b'\n' && before != b'\r' {
+            return Err(ExchangeError::InvalidReply {
+                reason: "line feed without carriage return",
+            });
+        }
+        before = byte;
+    }
+    Ok(())
+}
+
 /// What the headers parsed so far say about a reply.
 struct HeaderFields {
     reply: Reply,
--- a/crates/front/tests/malformed.rs
+++ b/crates/front/tests/malformed.rs
@@ -21,6 +21,11 @@
 /// Start of a head that fits request 1.
 const HEAD: &str = "HTTP/1.1 200 OK\r\nx-id: 1\r\nx-stamp: s\r\n";
 
+/// Whether a byte may be part of a field's name.
+fn is_token(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
+}
+
 /// Fails unless `bytes` are read as an invalid reply.
 async fn assert_invalid(bytes: &[u8]) {
     let result = read_reply(bytes).await;
@@ -53,6 +58,12 @@
         sound.replace("content-length: 4", "content-length: +3"),
         sound.replace("content-length: 4", "content-length: \u{a0}3"),
         sound.replace("content-length: 4", "content-length: 4x"),
+        sound.replace("content-length: 4", "content-length 4"),
+        sound.replace("content-length", "content length"),
+        sound.replace("content-length", "content-length "),
+        sound.replace("content-length", "\x01content-length"),
+        sound.replace("content-length", "\ncontent-length"),
+        sound.replace("x-stamp", "x-more: 1\nx-stamp"),
     ]
 }
 
@@ -204,3 +215,36 @@
     let two = format!("{HEAD}content-length: 4\r\ncontent-length: 9\r\n\r\nfine and more");
     assert_invalid(two.as_bytes()).await;
 }
+
+/// Guards against a field whose name holds a blank, a control byte or any other byte that no
+/// name may hold, at each of its positions: callers would get that line, or a body that begins
+/// elsewhere.
+#[tokio::test]
+async fn name_with_a_byte_that_is_no_token_is_no_reply() {
+    let name = b"content-length";
+    for byte in (0..=255).filter(|b| !is_token(*b) && *b != b':') {
+        for position in [0, 1, 8, 14] {
+            let mut name = name.to_vec();
+            name.insert(position, byte);
+            let bytes = [HEAD.as_bytes(), &name, b": 4\r\n\r\nfine"].concat();
+            assert_invalid(&bytes).await;
+        }
+    }
+}
+
+/// The same for each byte of a head that is replaced by a control byte, a blank or one that is
+/// not ASCII: the body that is read, if any, is that of the backend server.
+#[tokio::test]
+async fn head_with_a_replaced_byte_never_changes_the_body() {
+    let head = format!("{HEAD}x-more: some text\r\ncontent-length: 4\r\n\r\n");
+    for position in 0..head.len() {
+        for byte in [0, 9, 10, 13, 27, 32, 127, 128, 255] {
+            let mut bytes = [head.as_bytes(), b"fine"].concat();
+            bytes[position] = byte;
+            if let Ok(reply) = read_reply(&bytes).await {
+                let text = String::from_utf8_lossy(&bytes);
+                assert_eq!(&*reply.body, b"fine", "{text:?}");
+            }
+        }
+    }
+}
