Reject replies whose status line only resembles one

Callers saw: a reply after empty lines, or without the space after its status code, as an answer. The empty lines belong to no reply.

Cause: httparse skips empty lines before the head, which the grammar allows before requests only, and takes the end of the line for the reason.

Ruled out: a status line with other bytes, blanks or versions failed before.

Change: a head starts with its status line, and the code is followed by a space (RFC 9112, section 4).

--- a/crates/front/src/head.rs
+++ b/crates/front/src/head.rs
@@ -58,6 +58,7 @@
     let size = match parsed.parse(buffer) {
         Ok(httparse::Status::Complete(size)) => {
             check_line_ends(&buffer[..size])?;
+            check_status_line(&buffer[..size])?;
             size
         }
         Ok(httparse::Status::Partial) => {
@@ -100,6 +101,16 @@
     Ok(Some((size, Head { reply, framing, matches_request })))
 }
 
+/// Checks the parts of a status line that `httparse` leaves open: it skips empty lines before
+/// it, and does not require the space after the status code.
+fn check_status_line(head: &[u8]) -> Result<(), ExchangeError> {
+    let after_code = "HTTP/1.1 200".len();
+    if !head.starts_with(b"HTTP/") || head.get(after_code) != Some(&b' ') {
+        return Err(ExchangeError::InvalidReply { reason: "malformed status line" });
+    }
+    Ok(())
+}
+
 /// Checks that each line of a head ends with CRLF. `httparse` also takes a line feed alone for
 /// the end of a line, and two of them for the end of the head.
 fn check_line_ends(head: &[u8]) -> Result<(), ExchangeError> {
--- a/crates/front/tests/malformed.rs
+++ b/crates/front/tests/malformed.rs
@@ -64,6 +64,7 @@
         sound.replace("content-length", "\x01content-length"),
         sound.replace("content-length", "\ncontent-length"),
         sound.replace("x-stamp", "x-more: 1\nx-stamp"),
+        sound.replace("HTTP", "\r\nHTTP"),
     ]
 }
 
@@ -248,3 +249,25 @@
         }
     }
 }
+
+/// Guards against a status line that only resembles one.
+#[tokio::test]
+async fn malformed_status_line_is_no_reply() {
+    let lines = [
+        "\r\nHTTP/1.1 200 OK\r\n",
+        " HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1  200 OK\r\n",
+        "HTTP/1.1 200\r\n",
+        "HTTP/1.1\t200 OK\r\n",
+        "HTTP/2.0 200 OK\r\n",
+        "HTTP/1.12 200 OK\r\n",
+        "http/1.1 200 OK\r\n",
+        "HTTP/1.1 200 O\x01K\r\n",
+        "HTTP/1.1 200 OK\n",
+        "HTTP/1.1 200 O\rK\r\n",
+    ];
+    for line in lines {
+        let text = HEAD.replace("HTTP/1.1 200 OK\r\n", line) + "content-length: 4\r\n\r\nfine";
+        assert_invalid(text.as_bytes()).await;
+    }
+}
