Reject chunks whose size is no hexadecimal number

Callers saw: a complete answer with an empty or a shortened body and the server's stamp, when a chunked body was cut off by an empty line: the size of a chunk without digits counted as 0, the end of the body.

Cause: httparse::parse_chunk_size returns 0 for a line without digits, and accepts blanks after the digits and any byte in an extension.

Ruled out: signs, other digits, sizes over 64 bits and a chunk that does not end with CRLF failed before.

Change: head::parse_chunk_size requires digits, and the grammar of extensions as far as it decides where a line ends (RFC 9112, section 7.1).

--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -352,20 +352,14 @@
 
     async fn read_chunk_size(&mut self) -> Result<usize, ExchangeError> {
         loop {
-            match httparse::parse_chunk_size(&self.buffer) {
-                Ok(httparse::Status::Complete((used, size))) => {
-                    self.buffer.advance(used);
-                    return Ok(size as usize);
-                }
-                Ok(httparse::Status::Partial) if self.buffer.len() <= MAX_HEAD_BYTES => {
-                    self.fill_or_eof().await?;
-                }
-                Ok(httparse::Status::Partial) | Err(_) => {
-                    return Err(ExchangeError::InvalidReply {
-                        reason: "malformed or endless chunk size",
-                    });
-                }
+            if let Some((used, size)) = head::parse_chunk_size(&self.buffer)? {
+                self.buffer.advance(used);
+                return Ok(size);
             }
+            if self.buffer.len() > MAX_HEAD_BYTES {
+                return Err(ExchangeError::InvalidReply { reason: "chunk size exceeds 64 KiB" });
+            }
+            self.fill_or_eof().await?;
         }
     }
 
--- a/crates/front/src/head.rs
+++ b/crates/front/src/head.rs
@@ -1,4 +1,8 @@
-//! Parsing of the heads of replies.
+//! Parsing of the heads of replies, and of the lines between the chunks of a body.
+//!
+//! `httparse` accepts more than the grammar of HTTP/1.1 (RFC 9112). What goes beyond it is no
+//! reply here: a backend server in trouble may have sent it, and a guess at what it stands for
+//! may give callers a body that is not that server's.
 
 use std::ops::RangeInclusive;
 use std::str;
@@ -126,6 +130,27 @@
     Ok(())
 }
 
+/// Parses the line with the size of a chunk at the start of `buffer` and returns the length of
+/// the line with that size; `None` if it is incomplete.
+pub fn parse_chunk_size(buffer: &[u8]) -> Result<Option<(usize, usize)>, ExchangeError> {
+    let malformed = ExchangeError::InvalidReply { reason: "malformed chunk size" };
+    let (used, size) = match httparse::parse_chunk_size(buffer) {
+        Ok(httparse::Status::Complete(parsed)) => parsed,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(_) => return Err(malformed),
+    };
+    // httparse takes no digits for zero, and any byte in an extension.
+    let line = buffer[..used].strip_suffix(b"\r\n").unwrap_or_default();
+    let digits = line.iter().take_while(|b| b.is_ascii_hexdigit()).count();
+    let extension = &line[digits..];
+    let is_extension = extension.is_empty() || extension.trim_ascii_start().starts_with(b";");
+    let has_control = extension.iter().any(|b| b.is_ascii_control() && *b != b'\t');
+    match usize::try_from(size) {
+        Ok(size) if digits > 0 && is_extension && !has_control => Ok(Some((used, size))),
+        _ => Err(malformed),
+    }
+}
+
 /// What the headers parsed so far say about a reply.
 struct HeaderFields {
     reply: Reply,
--- a/crates/front/tests/malformed.rs
+++ b/crates/front/tests/malformed.rs
@@ -52,6 +52,7 @@
 /// Replies of a backend server in trouble, with `{id}` for the request id.
 fn broken_replies() -> Vec<String> {
     let sound = reply(200, "fine");
+    let chunked = sound.replace("content-length: 4", "transfer-encoding: chunked");
     vec![
         sound.replace("200 X", "000 X"),
         sound.replace("200 X", "999 X"),
@@ -65,6 +66,7 @@
         sound.replace("content-length", "\ncontent-length"),
         sound.replace("x-stamp", "x-more: 1\nx-stamp"),
         sound.replace("HTTP", "\r\nHTTP"),
+        chunked.replace("fine", "4\r\nfine\r\n\r\n\r\n"),
     ]
 }
 
@@ -271,3 +273,35 @@
         assert_invalid(text.as_bytes()).await;
     }
 }
+
+/// Guards against a chunk whose size is no hexadecimal number: an empty one would end the body
+/// before its end.
+#[tokio::test]
+async fn malformed_chunk_is_no_reply() {
+    let bodies = [
+        "\r\n\r\n",
+        "4\r\nfine\r\n\r\n\r\n",
+        "4\r\nfine\r\n;\r\n\r\n",
+        "4\r\nfine\r\n \r\n\r\n",
+        " 4\r\nfine\r\n0\r\n\r\n",
+        "4 \r\nfine\r\n0\r\n\r\n",
+        "+4\r\nfine\r\n0\r\n\r\n",
+        "0x4\r\nfine\r\n0\r\n\r\n",
+        "4\nfine\n0\n\n",
+        "4\r\nfine\r\n0\n\n",
+        "4;\nx\r\nfine\r\n0\r\n\r\n",
+        "4;\x00\r\nfine\r\n0\r\n\r\n",
+        "4\r\nfineX0\r\n\r\n",
+        "3\r\nfine\r\n0\r\n\r\n",
+        "ffffffffffffffff\r\nfine\r\n0\r\n\r\n",
+        "10000000000000004\r\nfine\r\n0\r\n\r\n",
+    ];
+    for body in bodies {
+        let text = format!("{HEAD}transfer-encoding: chunked\r\n\r\n{body}");
+        assert_invalid(text.as_bytes()).await;
+    }
+    for body in ["4\r\nfine\r\n0\r\n\r\n", "04;a=b;c=\"d\"\r\nfine\r\n00\r\nx-sum: 1\r\n\r\n"] {
+        let text = format!("{HEAD}transfer-encoding: Chunked\r\n\r\n{body}");
+        assert_eq!(read_body(text.as_bytes()).await, b"fine", "{body:?}");
+    }
+}
