Reject bytes after the last chunk that are no trailers

Callers saw: a complete answer with the server's stamp, although the bytes after its last chunk were not HTTP, for instance the head of another reply.

Cause: everything up to the next empty line was skipped unread.

Change: trailers are fields like those of a head, at most 64 in 64 KiB, whose lines end with CRLF (RFC 9112, section 7.1.2). They are still not forwarded.

--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -373,16 +373,12 @@
 
     /// Skips the trailers and the empty line that ends them.
     async fn skip_trailers(&mut self) -> Result<(), ExchangeError> {
-        let mut skipped = 0;
         loop {
-            while let Some(end) = self.buffer.windows(2).position(|w| w == b"\r\n") {
-                self.buffer.advance(end + 2);
-                skipped += end + 2;
-                if end == 0 {
-                    return Ok(());
-                }
+            if let Some(size) = head::parse_trailers(&self.buffer)? {
+                self.buffer.advance(size);
+                return Ok(());
             }
-            if skipped + self.buffer.len() > MAX_HEAD_BYTES {
+            if self.buffer.len() > MAX_HEAD_BYTES {
                 return Err(ExchangeError::InvalidReply { reason: "trailers exceed 64 KiB" });
             }
             self.fill_or_eof().await?;
--- a/crates/front/src/head.rs
+++ b/crates/front/src/head.rs
@@ -151,6 +151,26 @@
     }
 }
 
+/// Checks the trailers after a chunked body, at the start of `buffer`, and returns their length
+/// with the empty line that ends them; `None` if they are incomplete.
+pub fn parse_trailers(buffer: &[u8]) -> Result<Option<usize>, ExchangeError> {
+    let mut trailers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    match httparse::parse_headers(buffer, &mut trailers) {
+        Ok(httparse::Status::Complete((size, _))) => {
+            check_line_ends(&buffer[..size])?;
+            Ok(Some(size))
+        }
+        Ok(httparse::Status::Partial) => {
+            check_line_ends(buffer)?;
+            Ok(None)
+        }
+        Err(_) => {
+            let reason = "malformed trailer, or more than 64 trailers";
+            Err(ExchangeError::InvalidReply { reason })
+        }
+    }
+}
+
 /// What the headers parsed so far say about a reply.
 struct HeaderFields {
     reply: Reply,
--- a/crates/front/tests/malformed.rs
+++ b/crates/front/tests/malformed.rs
@@ -67,6 +67,7 @@
         sound.replace("x-stamp", "x-more: 1\nx-stamp"),
         sound.replace("HTTP", "\r\nHTTP"),
         chunked.replace("fine", "4\r\nfine\r\n\r\n\r\n"),
+        chunked.replace("fine", "4\r\nfine\r\n0\r\nHTTP/1.1 200 X\r\n\r\n"),
     ]
 }
 
@@ -305,3 +306,15 @@
         assert_eq!(read_body(text.as_bytes()).await, b"fine", "{body:?}");
     }
 }
+
+/// Guards against bytes after the last chunk that are no trailers: the reply is not whole.
+#[tokio::test]
+async fn malformed_trailer_is_no_reply() {
+    for trailers in
+        ["sum 1\r\n", ": 1\r\n", "x sum: 1\r\n", " x: 1\r\n", "x: \x00\r\n", "x: 1\n\r\n"]
+    {
+        let text =
+            format!("{HEAD}transfer-encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n{trailers}\r\n");
+        assert_invalid(text.as_bytes()).await;
+    }
+}
