Reject replies that state the end of their body in two ways

Callers saw: a complete answer with the server's stamp whose head stated both a length and chunks; which of them the server meant is not known.

Cause: a transfer coding outweighed a length, the last of several headers outweighed the others, and a coding counted in HTTP/1.0, which has none.

Ruled out: an unknown coding, or one besides "chunked", was never forwarded: such a reply counted as encoded. It now fails at the head, before its body.

Change: a transfer coding is one "chunked", in HTTP/1.1, without a length (RFC 9112, sections 6.1 and 6.3).

--- a/crates/front/src/head.rs
+++ b/crates/front/src/head.rs
@@ -80,26 +80,27 @@
     let mut reply = Reply::new(status);
     reply.closes = parsed.version == Some(0);
     let mut fields =
-        HeaderFields { reply, content_length: None, transfer: None, matches_request: None };
+        HeaderFields { reply, content_length: None, is_chunked: false, matches_request: None };
     for header in parsed.headers.iter() {
         fields.apply(header, request, names)?;
     }
-    let HeaderFields { mut reply, content_length, transfer, matches_request } = fields;
+    let HeaderFields { mut reply, content_length, is_chunked, matches_request } = fields;
     let text = |name: &HeaderName| {
         let header = parsed.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name.as_str()))?;
         str::from_utf8(header.value).ok().map(str::trim)
     };
     let retry_after = text(&header::RETRY_AFTER);
     reply.pause = retry_after.and_then(|t| reply::parse_retry_after(t, text(&header::DATE)));
-    // A length besides a transfer coding may hide the start of another reply.
-    reply.closes |= transfer.is_some() && content_length.is_some();
+    if is_chunked && (content_length.is_some() || parsed.version == Some(0)) {
+        return Err(ExchangeError::InvalidReply { reason: "end of the body stated in two ways" });
+    }
     let framing = if request.expects_no_body || status < 200 || status == 204 || status == 304 {
         Framing::NoBody
     } else {
-        match transfer {
-            Some(Transfer::Chunked) => Framing::Chunked,
-            Some(Transfer::Other) => Framing::UntilEof,
-            None => content_length.map_or(Framing::UntilEof, Framing::Length),
+        match content_length {
+            _ if is_chunked => Framing::Chunked,
+            Some(length) => Framing::Length(length),
+            None => Framing::UntilEof,
         }
     };
     Ok(Some((size, Head { reply, framing, matches_request })))
@@ -175,17 +176,10 @@
 struct HeaderFields {
     reply: Reply,
     content_length: Option<usize>,
-    transfer: Option<Transfer>,
+    is_chunked: bool,
     matches_request: Option<bool>,
 }
 
-/// Last transfer coding of a reply.
-#[derive(Clone, Copy)]
-enum Transfer {
-    Chunked,
-    Other,
-}
-
 impl HeaderFields {
     /// Takes over one header; headers that do not matter here are ignored.
     fn apply(
@@ -216,11 +210,11 @@
             }
             self.content_length = size;
         } else if is(&header::TRANSFER_ENCODING) {
-            let mut codings = text().rsplit(',').map(str::trim);
-            let is_chunked = codings.next().is_some_and(|c| c.eq_ignore_ascii_case("chunked"));
-            self.transfer = Some(if is_chunked { Transfer::Chunked } else { Transfer::Other });
-            // The body is encoded by the other codings.
-            reply.encoded |= !is_chunked || codings.next().is_some();
+            // No request allows other codings, and a body is chunked once at most.
+            if self.is_chunked || !header.value.eq_ignore_ascii_case(b"chunked") {
+                return Err(ExchangeError::InvalidReply { reason: "unknown transfer coding" });
+            }
+            self.is_chunked = true;
         } else if is(&header::CONNECTION) {
             reply.closes |= has_token(text(), "close");
         } else if is(&KEEP_ALIVE) {
--- a/crates/front/tests/malformed.rs
+++ b/crates/front/tests/malformed.rs
@@ -66,6 +66,9 @@
         sound.replace("content-length", "\ncontent-length"),
         sound.replace("x-stamp", "x-more: 1\nx-stamp"),
         sound.replace("HTTP", "\r\nHTTP"),
+        chunked
+            .replace("x-stamp", "content-length: 4\r\nx-stamp")
+            .replace("fine", "4\r\nfine\r\n0\r\n\r\n"),
         chunked.replace("fine", "4\r\nfine\r\n\r\n\r\n"),
         chunked.replace("fine", "4\r\nfine\r\n0\r\nHTTP/1.1 200 X\r\n\r\n"),
     ]
@@ -318,3 +321,28 @@
         assert_invalid(text.as_bytes()).await;
     }
 }
+
+/// Guards against a body whose end is stated in two ways, or in one that is not known here: the
+/// backend server may have meant another one.
+#[tokio::test]
+async fn contradictory_framing_is_no_reply() {
+    let body = "4\r\nfine\r\n0\r\n\r\n";
+    let headers = [
+        "transfer-encoding: chunked\r\ncontent-length: 14\r\n",
+        "content-length: 14\r\ntransfer-encoding: chunked\r\n",
+        "transfer-encoding: chunked\r\ntransfer-encoding: chunked\r\n",
+        "transfer-encoding: chunked, chunked\r\n",
+        "transfer-encoding: chunked, gzip\r\n",
+        "transfer-encoding: gzip, chunked\r\n",
+        "transfer-encoding: gzip\r\n",
+        "transfer-encoding: chunke\r\n",
+        "transfer-encoding: chunked;q=1\r\n",
+        "transfer-encoding: \u{a0}chunked\r\n",
+        "transfer-encoding: \r\n",
+    ];
+    for header in headers {
+        assert_invalid(format!("{HEAD}{header}\r\n{body}").as_bytes()).await;
+    }
+    let old = HEAD.replace("1.1", "1.0");
+    assert_invalid(format!("{old}transfer-encoding: chunked\r\n\r\n{body}").as_bytes()).await;
+}
