Reject a body where the status allows none

Callers saw: a 204 with the server's stamp from a server whose head stated a length; the bytes that it announced were left on the connection, or, after an interim reply, read as the head of the reply.

Cause: the headers that state a body were ignored for such statuses.

Ruled out: a 304 and a reply to HEAD state the length of a body that they do not have, which the grammar allows; "content-length: 0" on a 204 is passed over, as its end is the same.

Change: an interim reply or a 204 with chunks or a length over 0 fails the attempt (RFC 9110, section 8.6).

--- a/crates/front/src/head.rs
+++ b/crates/front/src/head.rs
@@ -27,6 +27,12 @@
 /// Status codes of HTTP (RFC 9110, section 15).
 const STATUS_CODES: RangeInclusive<u16> = 100..=599;
 
+/// HTTP status 204 No Content.
+const NO_CONTENT: u16 = 204;
+
+/// HTTP status 304 Not Modified, whose length is that of a body that it does not have.
+const NOT_MODIFIED: u16 = 304;
+
 /// How the end of a reply's body is determined.
 pub enum Framing {
     /// It has no body.
@@ -94,14 +100,15 @@
     if is_chunked && (content_length.is_some() || parsed.version == Some(0)) {
         return Err(ExchangeError::InvalidReply { reason: "end of the body stated in two ways" });
     }
-    let framing = if request.expects_no_body || status < 200 || status == 204 || status == 304 {
-        Framing::NoBody
-    } else {
-        match content_length {
-            _ if is_chunked => Framing::Chunked,
-            Some(length) => Framing::Length(length),
-            None => Framing::UntilEof,
-        }
+    let never_has_body = status < 200 || status == NO_CONTENT;
+    if never_has_body && (is_chunked || content_length.is_some_and(|l| l > 0)) {
+        return Err(ExchangeError::InvalidReply { reason: "body of a status that has none" });
+    }
+    let framing = match content_length {
+        _ if never_has_body || request.expects_no_body || status == NOT_MODIFIED => Framing::NoBody,
+        _ if is_chunked => Framing::Chunked,
+        Some(length) => Framing::Length(length),
+        None => Framing::UntilEof,
     };
     Ok(Some((size, Head { reply, framing, matches_request })))
 }
--- a/crates/front/tests/malformed.rs
+++ b/crates/front/tests/malformed.rs
@@ -346,3 +346,19 @@
     let old = HEAD.replace("1.1", "1.0");
     assert_invalid(format!("{old}transfer-encoding: chunked\r\n\r\n{body}").as_bytes()).await;
 }
+
+/// Guards against a body of a reply that has none: the bytes belong to no reply.
+#[tokio::test]
+async fn reply_without_body_that_states_one_is_no_reply() {
+    for status in ["204 No Content", "103 Early Hints"] {
+        for header in ["content-length: 4\r\n", "transfer-encoding: chunked\r\n"] {
+            let head = HEAD.replace("200 OK", status);
+            let next = format!("{HEAD}content-length: 4\r\n\r\nfine");
+            assert_invalid(format!("{head}{header}\r\n{next}").as_bytes()).await;
+        }
+    }
+    let none = HEAD.replace("200 OK", "204 No Content");
+    assert_eq!(read_body(format!("{none}\r\n").as_bytes()).await, b"");
+    let modified = HEAD.replace("200 OK", "304 Not Modified");
+    assert_eq!(read_body(format!("{modified}content-length: 4\r\n\r\n").as_bytes()).await, b"");
+}
