Reject an interim reply that switches protocols

Callers saw: the reply after a 101 as an answer, although the bytes after it are no longer HTTP/1.1. No request asks for another protocol.

Cause: a 101 was skipped like the other interim replies.

Ruled out: a second 100 or 103, and 17 of them, were handled before (skipped, and a failure of the attempt).

Change: a 101 fails the attempt (RFC 9110, section 7.8).

--- a/crates/front/src/head.rs
+++ b/crates/front/src/head.rs
@@ -27,6 +27,9 @@
 /// Status codes of HTTP (RFC 9110, section 15).
 const STATUS_CODES: RangeInclusive<u16> = 100..=599;
 
+/// HTTP status 101 Switching Protocols.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 /// HTTP status 204 No Content.
 const NO_CONTENT: u16 = 204;
 
@@ -83,6 +86,9 @@
     };
     let status = parsed.code.filter(|code| STATUS_CODES.contains(code));
     let status = status.ok_or(ExchangeError::InvalidReply { reason: "invalid status code" })?;
+    if status == SWITCHING_PROTOCOLS {
+        return Err(ExchangeError::InvalidReply { reason: "unsolicited switch of protocols" });
+    }
     let mut reply = Reply::new(status);
     reply.closes = parsed.version == Some(0);
     let mut fields =
--- a/crates/front/tests/malformed.rs
+++ b/crates/front/tests/malformed.rs
@@ -362,3 +362,15 @@
     let modified = HEAD.replace("200 OK", "304 Not Modified");
     assert_eq!(read_body(format!("{modified}content-length: 4\r\n\r\n").as_bytes()).await, b"");
 }
+
+/// Guards against a switch to another protocol, which no request asks for: what follows is no
+/// HTTP.
+#[tokio::test]
+async fn unsolicited_switch_of_protocols_is_no_reply() {
+    let next = format!("{HEAD}content-length: 4\r\n\r\nfine");
+    assert_invalid(format!("HTTP/1.1 101 Switching Protocols\r\n\r\n{next}").as_bytes()).await;
+    for status in ["100 Continue", "103 Early Hints"] {
+        let text = format!("HTTP/1.1 {status}\r\n\r\n{next}");
+        assert_eq!(read_body(text.as_bytes()).await, b"fine", "{status}");
+    }
+}
