Keep the grammar of replies apart from what their headers mean

Cause: what another host passes on must be held against the same grammar, for which the headers of the product do not matter.

Change: crates/front/src/grammar.rs holds what decides where a reply ends, head.rs what its headers say. No behaviour changes.

--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -27,8 +27,9 @@
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpStream;
 
+use crate::grammar;
+use crate::grammar::Framing;
 use crate::head;
-use crate::head::Framing;
 use crate::head::Head;
 use crate::names::HeaderNames;
 use crate::outgoing::Outgoing;
@@ -352,7 +353,7 @@
 
     async fn read_chunk_size(&mut self) -> Result<usize, ExchangeError> {
         loop {
-            if let Some((used, size)) = head::parse_chunk_size(&self.buffer)? {
+            if let Some((used, size)) = grammar::parse_chunk_size(&self.buffer)? {
                 self.buffer.advance(used);
                 return Ok(size);
             }
@@ -374,7 +375,7 @@
     /// Skips the trailers and the empty line that ends them.
     async fn skip_trailers(&mut self) -> Result<(), ExchangeError> {
         loop {
-            if let Some(size) = head::parse_trailers(&self.buffer)? {
+            if let Some(size) = grammar::parse_trailers(&self.buffer)? {
                 self.buffer.advance(size);
                 return Ok(());
             }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod exposition;
 pub mod follow;
 pub mod gather;
+pub mod grammar;
 pub mod handle;
 pub mod head;
 pub mod host;
--- a/crates/front/src/reply.rs
+++ b/crates/front/src/reply.rs
@@ -10,7 +10,7 @@
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 
-use crate::head::MAX_HEADERS;
+use crate::grammar::MAX_HEADERS;
 use crate::outgoing::KEEP_ALIVE;
 
 value! {
