Hold replies that other hosts pass on against the grammar

Callers saw: nothing yet; found by looking at every other reader of replies. In an upgrade, a host of an earlier build executes a request for one of this build, takes a broken reply for an answer and passes its head and body on. This host forwarded them: status 000 as 502 with the server's stamp, others as they were.

Cause: a passed-on head was parsed again only for its headers, by httparse alone, and a head that failed lost all of its headers without a sign.

Ruled out: what is passed on as merged has no heads left; its stamps and body are decoded as before, and cannot be told from sound ones.

Change: Reply::forwarded takes the head of a final reply with the stated status and nothing after it. Otherwise the outcome is lost, as for a message that cannot be read: 502, no second execution. What hosts send is unchanged.

Result: `cargo test -p chervil-front`: all passed.

--- a/crates/front/src/relayed.rs
+++ b/crates/front/src/relayed.rs
@@ -270,7 +270,7 @@
         let (outcome, asked) = match self {
             RelayReply::Answered { status, head, body, asked } => {
                 let (head, body) = (Bytes::from(decode(&head)?), Bytes::from(decode(&body)?));
-                let reply = Reply::forwarded(status, head, body);
+                let reply = Reply::forwarded(status, head, body)?;
                 (SingleOutcome::Answered(Box::new(reply)), asked)
             }
             RelayReply::NotRun { asked } => (SingleOutcome::NotRun, asked),
--- a/crates/front/src/reply.rs
+++ b/crates/front/src/reply.rs
@@ -10,6 +10,7 @@
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 
+use crate::grammar;
 use crate::grammar::MAX_HEADERS;
 use crate::outgoing::KEEP_ALIVE;
 
@@ -111,22 +112,24 @@
         }
     }
 
-    /// A reply that another host has received, as far as it is forwarded.
-    pub fn forwarded(status: u16, head: Bytes, body: Bytes) -> Reply {
-        Reply { head, body, ..Reply::new(status) }
+    /// A reply that another host has received, as far as it is forwarded. None if its head is
+    /// not that of a final reply with this status: hosts of earlier builds pass on heads that
+    /// this one rejects.
+    pub fn forwarded(status: u16, head: Bytes, body: Bytes) -> Option<Reply> {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let parsed = grammar::parse_head(&head, &mut headers).ok()??;
+        let is_whole = parsed.size == head.len() && parsed.status == status && status >= 200;
+        is_whole.then(|| Reply { head, body, ..Reply::new(status) })
     }
 
     /// Headers to forward. Parsed on demand, because those of shard replies are not
     /// needed.
     pub fn headers(&self) -> HeaderMap {
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-        let mut parsed = httparse::Response::new(&mut headers);
         let mut all = HeaderMap::new();
-        // Cannot fail: the head was parsed when the reply was received.
-        if parsed.parse(&self.head).is_err() {
-            return all;
-        }
-        for header in parsed.headers.iter() {
+        // Always a head: it was parsed when the reply was received.
+        let Ok(Some(parsed)) = grammar::parse_head(&self.head, &mut headers) else { return all };
+        for header in parsed.headers {
             let name = HeaderName::from_bytes(header.name.as_bytes());
             let value = HeaderValue::from_bytes(header.value);
             if let (Ok(name), Ok(value)) = (name, value) {
--- a/crates/front/tests/malformed.rs
+++ b/crates/front/tests/malformed.rs
@@ -3,7 +3,11 @@
 
 mod support;
 
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
 use chervil_front::exchange::ExchangeError;
+use chervil_front::relayed::RelayReply;
+use chervil_front::single::SingleOutcome;
 use chervil_route::config::Target;
 
 use crate::support::Backend;
@@ -374,3 +378,39 @@
         assert_eq!(read_body(text.as_bytes()).await, b"fine", "{status}");
     }
 }
+
+/// A reply that another host passes on, with its head.
+fn passed_on(status: u16, head: &str) -> RelayReply {
+    let encode = |text: &str| Box::from(STANDARD.encode(text));
+    RelayReply::Answered { status, head: encode(head), body: encode("fine"), asked: Vec::new() }
+}
+
+/// Guards against a broken reply that a host of an earlier build takes for an answer and passes
+/// on: its outcome is lost.
+#[test]
+fn broken_reply_of_another_host_is_lost() {
+    let head =
+        |text: &str| text.replace("{id}", "1").split_inclusive("\r\n\r\n").next().unwrap().into();
+    let sound: String = head(&reply(200, "fine"));
+    let broken = [
+        (0, sound.replace("200 X", "000 X")),
+        (999, sound.replace("200 X", "999 X")),
+        (200, sound.replace("content-length: 4", "content-length: +4")),
+        (200, sound.replace("x-stamp", "x-more: 1\nx-stamp")),
+        (200, sound.replace("x-stamp", "x-more 1\r\nx-stamp")),
+        (200, sound.replace("HTTP", "\r\nHTTP")),
+        (200, sound.replace("\r\n\r\n", "\r\n")),
+        (200, sound.clone() + "x-more: 1\r\n\r\n"),
+        (200, String::new()),
+        (404, sound.clone()),
+        (103, sound.replace("200 X", "103 X").replace("content-length: 4\r\n", "")),
+    ];
+
+    for (status, head) in broken {
+        assert_eq!(passed_on(status, &head).into_single(), None, "{status} {head:?}");
+    }
+    let outcome = passed_on(200, &sound).into_single().unwrap().outcome;
+    let SingleOutcome::Answered(reply) = outcome else { panic!("{outcome:?}") };
+    assert_eq!((reply.status, &*reply.body), (200, &b"fine"[..]));
+    assert_eq!(reply.headers()["x-stamp"], "s-200");
+}
