Drop the buffer of a large reply when its connection becomes idle

Callers saw: nothing yet; found by looking at every bound on what is kept of replies. Each idle connection kept the memory of the largest reply read on it, up to 16 MiB, beyond any limit: hosts of 112 MB run out of memory after a dozen large replies on as many connections, and all of their requests end.

Cause: BytesMut::split_to leaves a handle to the whole allocation in the empty buffer of the connection, which the pool keeps for up to 20 s and longer.

Ruled out: the reply itself; its body and head were dropped in the test.

Change: a connection that has read more than 16 KiB starts with a new buffer.

Evidence: before, idle_connections_keep_no_memory_of_replies failed in each of 5 runs with '172156 KiB for 40 idle connections' after replies of 4 MiB; the bound is the 24 MiB for all replies of docs/decisions/13.

--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -56,6 +56,10 @@
 /// Buffer space reserved before each read.
 const READ_RESERVE_BYTES: usize = 2 * 1024;
 
+/// Largest buffer that a connection keeps for its next reply. A host keeps hundreds of idle
+/// connections.
+const MAX_KEPT_BUFFER_BYTES: usize = 16 * 1024;
+
 /// Why an exchange produced no reply.
 #[derive(Debug, Snafu)]
 pub enum ExchangeError {
@@ -211,6 +215,10 @@
         // read the reply even if the write failed.
         let written = self.stream.write_all(message).await;
         let reply = self.read_reply(request, names).await;
+        if self.memory.bytes > MAX_KEPT_BUFFER_BYTES && self.buffer.is_empty() {
+            // Even when empty, the buffer holds on to the memory of the whole reply.
+            self.buffer = BytesMut::new();
+        }
         self.memory.release();
         self.is_busy = reply.is_err();
         match (written, reply) {
