Keep large bodies in parts while they are read

Callers saw: nothing yet; found by measuring the bound of 24 MiB on all replies that a host reads at the same time. Endless bodies from 12 or 200 servers at once took 66 to 87 MB, of the 112 MB that the smallest hosts have for everything.

Cause: the bound counts bytes read. A buffer that grows to 8 MiB takes up to three times what it holds, as it is copied into one twice as large, and a large chunk was kept a second time in the body.

Ruled out: a buffer of the stated length from the start; with huge pages each takes 2 MiB from its first byte on, and 200 took 275 MB (trial, not committed).

Change: a body over 32 KiB is kept in parts until it is whole (body.rs), and the parts are freed one by one as they are joined. Small replies are read as before.

--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -27,6 +27,8 @@
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpStream;
 
+use crate::body::BodyParts;
+use crate::body::PART_BYTES;
 use crate::grammar;
 use crate::grammar::Framing;
 use crate::head;
@@ -317,46 +319,67 @@
     async fn read_body(&mut self, framing: Framing) -> Result<Bytes, ExchangeError> {
         match framing {
             Framing::NoBody => Ok(Bytes::new()),
-            Framing::Length(size) => self.read_exact(size).await,
+            Framing::Length(size) if size <= PART_BYTES => self.read_exact(size).await,
+            Framing::Length(size) => {
+                let mut body = BodyParts::default();
+                self.read_sized(&mut body, size).await?;
+                Ok(body.join())
+            }
             Framing::Chunked => self.read_chunks().await,
             Framing::UntilEof => self.read_until_eof().await,
         }
     }
 
     async fn read_exact(&mut self, size: usize) -> Result<Bytes, ExchangeError> {
-        if size > MAX_BODY_BYTES {
-            return Err(ExchangeError::InvalidReply { reason: "body exceeds 8 MiB" });
-        }
         while self.buffer.len() < size {
             self.fill_or_eof().await?;
         }
         Ok(self.buffer.split_to(size).freeze())
     }
 
+    /// Reads a body, or a part of one, of this size.
+    async fn read_sized(
+        &mut self,
+        body: &mut BodyParts,
+        mut size: usize,
+    ) -> Result<(), ExchangeError> {
+        if size > MAX_BODY_BYTES - body.size() {
+            return Err(ExchangeError::InvalidReply { reason: "body exceeds 8 MiB" });
+        }
+        while size > 0 {
+            let part = self.read_exact(size.min(PART_BYTES)).await?;
+            size -= part.len();
+            body.push(part);
+        }
+        Ok(())
+    }
+
     async fn read_until_eof(&mut self) -> Result<Bytes, ExchangeError> {
+        let mut body = BodyParts::default();
         while self.fill().await? > 0 {
-            if self.buffer.len() > MAX_BODY_BYTES {
+            if body.size() + self.buffer.len() > MAX_BODY_BYTES {
                 return Err(ExchangeError::InvalidReply { reason: "body exceeds 8 MiB" });
             }
+            if self.buffer.len() >= PART_BYTES {
+                body.push(self.buffer.split().freeze());
+            }
         }
-        Ok(self.buffer.split().freeze())
+        body.push(self.buffer.split().freeze());
+        Ok(body.join())
     }
 
     async fn read_chunks(&mut self) -> Result<Bytes, ExchangeError> {
-        let mut body = BytesMut::new();
+        let mut body = BodyParts::default();
         loop {
             let size = self.read_chunk_size().await?;
             if size == 0 {
                 break;
             }
-            if size > MAX_BODY_BYTES - body.len() {
-                return Err(ExchangeError::InvalidReply { reason: "body exceeds 8 MiB" });
-            }
-            body.extend_from_slice(&self.read_exact(size).await?);
+            self.read_sized(&mut body, size).await?;
             self.read_crlf().await?;
         }
         self.skip_trailers().await?;
-        Ok(body.freeze())
+        Ok(body.join())
     }
 
     async fn read_chunk_size(&mut self) -> Result<usize, ExchangeError> {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod answer;
 pub mod attempt;
+pub mod body;
 pub mod client;
 pub mod core;
 pub mod crashes;
--- a/crates/front/tests/reply_memory.rs
+++ b/crates/front/tests/reply_memory.rs
@@ -4,10 +4,13 @@
 mod support;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use chervil_front::exchange::ReplyMemory;
+use futures::future::join_all;
 use tokio::io::AsyncWriteExt as _;
 use tokio::sync::Mutex;
+use tokio::time;
 
 use crate::support::exchange::connect;
 use crate::support::exchange::exchange;
@@ -17,6 +20,13 @@
 /// Memory for all replies that are read at the same time, as docs/decisions/13 states it.
 const REPLY_MEMORY: usize = 24 * MIB;
 
+/// Half of the memory of the smallest hosts, which have 112 MiB for everything. The allocator and
+/// the servers of the test take a part of it.
+const PROCESS_MEMORY: usize = 56 * MIB;
+
+/// Time between two measurements.
+const SAMPLE_INTERVAL: Duration = Duration::from_micros(200);
+
 /// Held by the test that measures.
 static MEASURING: Mutex<()> = Mutex::const_new(());
 
@@ -53,3 +63,55 @@
     let kept = resident_memory().saturating_sub(before);
     assert!(kept < REPLY_MEMORY, "{} KiB for {} idle connections", kept / 1024, idle.len());
 }
+
+/// Peak of the resident memory above `before` while `count` backend servers at once send `start`
+/// and then `rest` again and again until they are cut off.
+async fn peak_of_replies(before: usize, count: usize, start: &str, rest: &[u8]) -> usize {
+    let memory = Arc::new(ReplyMemory::default());
+    let attempts = join_all((0..count).map(|_| async {
+        let (mut connection, mut server) = connect(&memory).await;
+        let endless = async {
+            let mut sent = server.write_all(start.as_bytes()).await;
+            while sent.is_ok() {
+                sent = server.write_all(rest).await;
+            }
+        };
+        let ((), ()) =
+            tokio::join!(async move { drop(exchange(&mut connection, "1").await) }, endless);
+    }));
+    let mut peak = 0;
+    tokio::select! {
+        _ = attempts => {}
+        () = async {
+            loop {
+                peak = peak.max(resident_memory().saturating_sub(before));
+                time::sleep(SAMPLE_INTERVAL).await;
+            }
+        } => {}
+    }
+    peak
+}
+
+/// Load pattern: many backend servers, or a few, send bodies without end at once. Guards against
+/// buffers that take more memory than the bytes that they count for.
+#[tokio::test]
+async fn replies_without_end_take_no_more_memory_than_their_limit() {
+    let _measuring = MEASURING.lock().await;
+    let before = resident_memory();
+    let head = "HTTP/1.1 200 X\r\nx-id: 1\r\nx-stamp: s\r\n";
+    let chunk =
+        |size: usize| [format!("{size:x}\r\n").into_bytes(), vec![b'x'; size], b"\r\n".to_vec()];
+    let bodies = [
+        ("without length", "", vec![b'x'; 4096]),
+        ("of stated length", "content-length: 8388608\r\n", vec![b'x'; 4096]),
+        ("small chunks", "transfer-encoding: chunked\r\n", chunk(4096).concat()),
+        ("large chunks", "transfer-encoding: chunked\r\n", chunk(4 * MIB).concat()),
+    ];
+    for (name, header, rest) in bodies {
+        for count in [3, 12, 200] {
+            let peak = peak_of_replies(before, count, &format!("{head}{header}\r\n"), &rest).await;
+
+            assert!(peak < PROCESS_MEMORY, "{name}, {count} servers: {} KiB", peak / 1024);
+        }
+    }
+}
