Give small replies memory that large ones cannot take

With the memory for all replies taken by a few large replies that did not end, every small reply that the host read failed its attempt: requests of other callers ended with 502 and their sound servers counted as faulty.

Cause: all replies drew on one limit, and the one that read next failed.

Ruled out: endless bytes in each part of a reply are given up, and memory comes back (reply_without_end_is_given_up held before).

Change: the first 16 KiB of each reply count against 8 MiB of their own, the rest against 16 MiB (reply_memory.rs, moved out of exchange.rs); 24 MiB together, as before.

Evidence: before, small_replies_are_read_beside_large_ones_that_do_not_end failed in 3 of 3 runs with 'the replies being read exceed 24 MiB ... with bytes in use' for a reply of 10 kB.

--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -12,8 +12,6 @@
 
 use std::io;
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -36,6 +34,8 @@
 use crate::names::HeaderNames;
 use crate::outgoing::Outgoing;
 use crate::reply::Reply;
+use crate::reply_memory::MemoryUse;
+use crate::reply_memory::ReplyMemory;
 
 /// Maximum size of a reply's head, and of all trailers after a chunked body.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -51,10 +51,6 @@
 /// Number of interim (1xx) replies that are skipped before the exchange fails.
 const MAX_INTERIM_REPLIES: u32 = 16;
 
-/// Memory for the replies that a host reads at the same time. The smallest hosts have
-/// 112 MB for everything.
-const MAX_REPLY_MEMORY: usize = 24 * 1024 * 1024;
-
 /// Buffer space reserved before each read.
 const READ_RESERVE_BYTES: usize = 2 * 1024;
 
@@ -102,50 +98,6 @@
     }
 }
 
-/// Memory that the replies being read by a host take.
-#[derive(Debug, Default)]
-pub struct ReplyMemory {
-    used: AtomicUsize,
-}
-
-impl ReplyMemory {
-    /// Bytes in use.
-    pub fn used(&self) -> usize {
-        self.used.load(Ordering::Relaxed)
-    }
-}
-
-/// Memory of one reply, which is given back on drop.
-#[derive(Debug)]
-struct MemoryUse {
-    memory: Arc<ReplyMemory>,
-    bytes: usize,
-}
-
-impl MemoryUse {
-    /// Counts `bytes` more. Fails if that exceeds the limit.
-    fn grow(&mut self, bytes: usize) -> Result<(), ExchangeError> {
-        self.bytes += bytes;
-        let used = self.memory.used.fetch_add(bytes, Ordering::Relaxed) + bytes;
-        if used > MAX_REPLY_MEMORY {
-            let reason = "the replies being read exceed 24 MiB";
-            return Err(ExchangeError::InvalidReply { reason });
-        }
-        Ok(())
-    }
-
-    fn release(&mut self) {
-        self.memory.used.fetch_sub(self.bytes, Ordering::Relaxed);
-        self.bytes = 0;
-    }
-}
-
-impl Drop for MemoryUse {
-    fn drop(&mut self) {
-        self.release();
-    }
-}
-
 /// A connection to a backend server.
 #[derive(Debug)]
 pub struct Connection {
@@ -188,7 +140,7 @@
         Connection {
             stream,
             buffer,
-            memory: MemoryUse { memory, bytes: 0 },
+            memory: MemoryUse::new(memory),
             echoes_id: false,
             idle_since: now,
             idle_timeout: None,
@@ -217,7 +169,7 @@
         // read the reply even if the write failed.
         let written = self.stream.write_all(message).await;
         let reply = self.read_reply(request, names).await;
-        if self.memory.bytes > MAX_KEPT_BUFFER_BYTES && self.buffer.is_empty() {
+        if self.memory.bytes() > MAX_KEPT_BUFFER_BYTES && self.buffer.is_empty() {
             // Even when empty, the buffer holds on to the memory of the whole reply.
             self.buffer = BytesMut::new();
         }
@@ -288,7 +240,10 @@
     async fn fill(&mut self) -> Result<usize, ExchangeError> {
         self.buffer.reserve(READ_RESERVE_BYTES);
         let size = self.stream.read_buf(&mut self.buffer).await.context(IoSnafu)?;
-        self.memory.grow(size)?;
+        if !self.memory.grow(size) {
+            let reason = "the replies that this host reads exceed their memory";
+            return Err(ExchangeError::InvalidReply { reason });
+        }
         Ok(size)
     }
 
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -36,5 +36,6 @@
 pub mod relayed;
 pub mod replica;
 pub mod reply;
+pub mod reply_memory;
 pub mod single;
 pub mod state;
--- /dev/null
+++ b/crates/front/src/reply_memory.rs
@@ -0,0 +1,79 @@
+//! Limits on the memory of the replies that a host reads at the same time.
+//!
+//! Load pattern: backend servers in trouble send bytes without end, or stop within a large
+//! reply, while others send small replies to other callers. The first bytes of each reply count
+//! against a limit of their own, so that large replies take no memory from small ones.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+/// First bytes of each reply, which hold the whole of most replies.
+const SMALL_REPLY_BYTES: usize = 16 * 1024;
+
+/// Limit on the first bytes of all replies: 512 replies that fill theirs.
+const MAX_SMALL_BYTES: usize = 8 * 1024 * 1024;
+
+/// Limit on the further bytes of all replies: two of the largest size. With the first bytes, they
+/// take 24 MiB; the smallest hosts have 112 MiB for everything.
+const MAX_LARGE_BYTES: usize = 16 * 1024 * 1024;
+
+/// Memory that the replies being read by a host take.
+#[derive(Debug, Default)]
+pub struct ReplyMemory {
+    small: AtomicUsize,
+    large: AtomicUsize,
+}
+
+impl ReplyMemory {
+    /// Bytes in use.
+    pub fn used(&self) -> usize {
+        self.small.load(Ordering::Relaxed) + self.large.load(Ordering::Relaxed)
+    }
+}
+
+/// Memory of one reply, which is given back on drop.
+#[derive(Debug)]
+pub struct MemoryUse {
+    memory: Arc<ReplyMemory>,
+    small: usize,
+    large: usize,
+}
+
+impl MemoryUse {
+    /// A reply of which no byte has been read.
+    pub fn new(memory: Arc<ReplyMemory>) -> MemoryUse {
+        MemoryUse { memory, small: 0, large: 0 }
+    }
+
+    /// Bytes of the reply so far.
+    pub fn bytes(&self) -> usize {
+        self.small + self.large
+    }
+
+    /// Counts `bytes` more. Returns false if that exceeds a limit; the reply must be given up
+    /// then.
+    pub fn grow(&mut self, bytes: usize) -> bool {
+        let small = bytes.min(SMALL_REPLY_BYTES - self.small);
+        let large = bytes - small;
+        self.small += small;
+        self.large += large;
+        let used_small = self.memory.small.fetch_add(small, Ordering::Relaxed) + small;
+        let used_large = self.memory.large.fetch_add(large, Ordering::Relaxed) + large;
+        (small == 0 || used_small <= MAX_SMALL_BYTES)
+            && (large == 0 || used_large <= MAX_LARGE_BYTES)
+    }
+
+    /// Gives the memory back.
+    pub fn release(&mut self) {
+        self.memory.small.fetch_sub(self.small, Ordering::Relaxed);
+        self.memory.large.fetch_sub(self.large, Ordering::Relaxed);
+        (self.small, self.large) = (0, 0);
+    }
+}
+
+impl Drop for MemoryUse {
+    fn drop(&mut self) {
+        self.release();
+    }
+}
--- a/crates/front/tests/endless.rs
+++ b/crates/front/tests/endless.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use chervil_front::exchange::ExchangeError;
-use chervil_front::exchange::ReplyMemory;
 use chervil_front::reply::Reply;
+use chervil_front::reply_memory::ReplyMemory;
 use futures::future::join_all;
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
@@ -203,3 +203,34 @@
     time::sleep(Duration::from_millis(10)).await;
     assert!(first.is_err() || server.write_all(b"x").await.is_err());
 }
+
+/// Load pattern: a few backend servers send large bodies and stop before their end, up to the
+/// memory for all replies. Guards against small replies that fail meanwhile: the requests of
+/// other callers would end with them.
+#[tokio::test]
+async fn small_replies_are_read_beside_large_ones_that_do_not_end() {
+    let memory = Arc::new(ReplyMemory::default());
+    let head = b"HTTP/1.1 200 X\r\nx-id: 1\r\ncontent-length: 8000000\r\n\r\n";
+    let sizes = [vec![7_900_000; 4], vec![65_536; 40], vec![4_096; 40]].concat();
+    let mut stalled = Vec::new();
+    for size in sizes {
+        let (mut connection, mut server) = connect(&memory).await;
+        let attempt = tokio::spawn(async move { exchange(&mut connection, "1").await });
+        server.write_all(head).await.unwrap();
+        // Fails if the host gives the reply up.
+        let _ = server.write_all(&vec![b'x'; size]).await;
+        stalled.push((attempt, server));
+    }
+    time::sleep(Duration::from_millis(50)).await;
+
+    for id in ["1", "2", "3"] {
+        let (mut connection, mut server) = connect(&memory).await;
+        server.write_all(reply(Some(id), &"x".repeat(10_000)).as_bytes()).await.unwrap();
+
+        let reply = exchange(&mut connection, id).await;
+
+        assert!(reply.is_ok(), "{reply:?} with {} bytes in use", memory.used());
+    }
+    assert!(memory.used() <= MEMORY_LIMIT);
+    stalled.iter().for_each(|(attempt, _)| attempt.abort());
+}
--- a/crates/front/tests/reply_memory.rs
+++ b/crates/front/tests/reply_memory.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervil_front::exchange::ReplyMemory;
+use chervil_front::reply_memory::ReplyMemory;
 use futures::future::join_all;
 use tokio::io::AsyncWriteExt as _;
 use tokio::sync::Mutex;
