Count large bodies until they have been sent

Callers saw: nothing yet; found by looking at every bound on what is kept of replies. Whole bodies of up to 8 MiB that wait for slow callers, or for the other parts of a query, counted against no limit: memory grew with the number of such callers until the process ended.

Cause: the memory of a reply was given back when the reply had been read.

Ruled out: replies within the first 16 KiB are not counted further; the number of requests in progress limits them.

Change: the body of a large reply owns its share of the 16 MiB for large replies, and gives it back when the last handle to it is dropped. What does not fit is rejected while it is read, as before.

Evidence: before, large_bodies_count_until_they_are_dropped failed with '10 bodies with bytes'; its bound is the 24 MiB of docs/decisions/13.

--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -11,6 +11,7 @@
 //! connection.
 
 use std::io;
+use std::mem;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -168,12 +169,15 @@
         // A backend server may reply without reading the whole request, so try to
         // read the reply even if the write failed.
         let written = self.stream.write_all(message).await;
-        let reply = self.read_reply(request, names).await;
+        let mut reply = self.read_reply(request, names).await;
         if self.memory.bytes() > MAX_KEPT_BUFFER_BYTES && self.buffer.is_empty() {
             // Even when empty, the buffer holds on to the memory of the whole reply.
             self.buffer = BytesMut::new();
         }
-        self.memory.release();
+        match &mut reply {
+            Ok(reply) => reply.body = self.memory.hold(mem::take(&mut reply.body)),
+            Err(_) => self.memory.release(),
+        }
         self.is_busy = reply.is_err();
         match (written, reply) {
             (Ok(()), reply) => reply,
--- a/crates/front/src/reply_memory.rs
+++ b/crates/front/src/reply_memory.rs
@@ -4,10 +4,13 @@
 //! reply, while others send small replies to other callers. The first bytes of each reply count
 //! against a limit of their own, so that large replies take no memory from small ones.
 
+use std::mem;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
+use bytes::Bytes;
+
 /// First bytes of each reply, which hold the whole of most replies.
 const SMALL_REPLY_BYTES: usize = 16 * 1024;
 
@@ -18,7 +21,7 @@
 /// take 24 MiB; the smallest hosts have 112 MiB for everything.
 const MAX_LARGE_BYTES: usize = 16 * 1024 * 1024;
 
-/// Memory that the replies being read by a host take.
+/// Memory of the replies that a host reads, and of the large bodies that it has not sent yet.
 #[derive(Debug, Default)]
 pub struct ReplyMemory {
     small: AtomicUsize,
@@ -64,6 +67,17 @@
             && (large == 0 || used_large <= MAX_LARGE_BYTES)
     }
 
+    /// Counts the reply until `body`, which is its body, is dropped: a caller may read it slowly.
+    /// A small reply is no longer counted; the number of requests in progress limits those.
+    pub fn hold(&mut self, body: Bytes) -> Bytes {
+        if self.large == 0 {
+            self.release();
+            return body;
+        }
+        let empty = MemoryUse::new(self.memory.clone());
+        Bytes::from_owner(HeldBody { body, _use: mem::replace(self, empty) })
+    }
+
     /// Gives the memory back.
     pub fn release(&mut self) {
         self.memory.small.fetch_sub(self.small, Ordering::Relaxed);
@@ -77,3 +91,15 @@
         self.release();
     }
 }
+
+/// A body whose memory is counted.
+struct HeldBody {
+    body: Bytes,
+    _use: MemoryUse,
+}
+
+impl AsRef<[u8]> for HeldBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
+    }
+}
--- a/crates/front/tests/reply_memory.rs
+++ b/crates/front/tests/reply_memory.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use chervil_front::reply_memory::ReplyMemory;
 use futures::future::join_all;
 use tokio::io::AsyncWriteExt as _;
@@ -115,3 +116,36 @@
         }
     }
 }
+
+/// Load pattern: backend servers send large replies to callers that read them slowly. Guards
+/// against bodies that no limit counts once they are whole: they stay until they are sent.
+#[tokio::test]
+async fn large_bodies_count_until_they_are_dropped() {
+    let _measuring = MEASURING.lock().await;
+    let memory = Arc::new(ReplyMemory::default());
+    let body = vec![b'x'; 7 * MIB];
+    let head = format!("HTTP/1.1 200 X\r\nx-id: 1\r\ncontent-length: {}\r\n\r\n", body.len());
+    let read = async || {
+        let (mut connection, mut server) = connect(&memory).await;
+        let (reply, _) = tokio::join!(
+            async move { exchange(&mut connection, "1").await.map(|reply| reply.body) },
+            async {
+                server.write_all(head.as_bytes()).await?;
+                server.write_all(&body).await
+            }
+        );
+        reply
+    };
+
+    let mut kept = Vec::new();
+    for _ in 0..10 {
+        kept.extend(read().await.ok());
+    }
+
+    let size: usize = kept.iter().map(Bytes::len).sum();
+    assert!(!kept.is_empty());
+    assert!(size <= REPLY_MEMORY, "{} bodies with {size} bytes", kept.len());
+    drop(kept);
+    assert_eq!(memory.used(), 0);
+    assert_eq!(read().await.unwrap(), body);
+}
