Move the reading of replies out of the connection to a backend server

Cause: calls to the store and to other hosts read replies by another parser, which is about to be replaced by this one.

Change: reader.rs reads heads and bodies within the limits; exchange.rs keeps request ids, late replies and the state of a connection.

--- a/crates/front/src/head.rs
+++ b/crates/front/src/head.rs
@@ -30,13 +30,13 @@
     pub matches_request: Option<bool>,
 }
 
-/// Parses the head at the start of `buffer` and returns it with its size in
-/// bytes; `None` if it is incomplete.
+/// Parses the head at the start of `buffer` and returns its size in bytes, its status and what
+/// it says; `None` if it is incomplete.
 pub fn parse(
     buffer: &[u8],
     request: &Outgoing,
     names: &HeaderNames,
-) -> Result<Option<(usize, Head)>, ExchangeError> {
+) -> Result<Option<(usize, u16, Head)>, ExchangeError> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let Some(message) = grammar::parse_head(buffer, &mut headers)? else { return Ok(None) };
     let mut reply = Reply::new(message.status);
@@ -53,7 +53,7 @@
     let retry_after = text(&header::RETRY_AFTER);
     reply.pause = retry_after.and_then(|t| reply::parse_retry_after(t, text(&header::DATE)));
     let framing = if request.expects_no_body { Framing::NoBody } else { message.framing };
-    Ok(Some((message.size, Head { reply, framing, matches_request })))
+    Ok(Some((message.size, message.status, Head { reply, framing, matches_request })))
 }
 
 /// What the headers parsed so far say about a reply.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod packed;
 pub mod peers;
 pub mod pool;
+pub mod reader;
 pub mod ready;
 pub mod registration;
 pub mod registry;
--- /dev/null
+++ b/crates/front/src/reader.rs
@@ -0,0 +1,230 @@
+//! Reads HTTP/1.1 replies from a connection, within limits on the memory that they take.
+
+use std::io;
+
+use bytes::Buf as _;
+use bytes::Bytes;
+use bytes::BytesMut;
+use snafu::ResultExt as _;
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpStream;
+
+use crate::body::BodyParts;
+use crate::body::PART_BYTES;
+use crate::exchange::ExchangeError;
+use crate::exchange::IoSnafu;
+use crate::grammar;
+use crate::grammar::Framing;
+use crate::reply_memory::MemoryUse;
+
+/// Maximum size of a reply's head, and of all trailers after a chunked body.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// Number of interim (1xx) replies that are skipped before a reply fails.
+const MAX_INTERIM_REPLIES: u32 = 16;
+
+/// Buffer space reserved before each read.
+const READ_RESERVE_BYTES: usize = 2 * 1024;
+
+/// Largest buffer that a connection keeps for its next reply. A host keeps hundreds of idle
+/// connections.
+const MAX_KEPT_BUFFER_BYTES: usize = 16 * 1024;
+
+/// An open connection on which replies are read.
+#[derive(Debug)]
+pub struct ReplyReader {
+    stream: TcpStream,
+    buffer: BytesMut,
+    memory: MemoryUse,
+    /// Maximum size of a body.
+    max_body: usize,
+}
+
+impl ReplyReader {
+    /// Wraps an open stream.
+    pub fn new(stream: TcpStream, memory: MemoryUse, max_body: usize) -> ReplyReader {
+        ReplyReader { stream, buffer: BytesMut::new(), memory, max_body }
+    }
+
+    /// The connection.
+    pub fn stream(&self) -> &TcpStream {
+        &self.stream
+    }
+
+    /// Whether an idle connection is still open and has no unread bytes.
+    pub fn is_clean(&mut self) -> bool {
+        let mut byte = [0u8; 1];
+        let read = self.stream.try_read(&mut byte);
+        self.buffer.is_empty() && read.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Sends a request.
+    pub async fn send(&mut self, message: &[u8]) -> io::Result<()> {
+        self.stream.write_all(message).await
+    }
+
+    /// Ends the reading of a reply with this body, or of none, and prepares the connection for
+    /// the next one. The memory of a large body counts until the result is dropped.
+    pub fn finish(&mut self, body: Option<Bytes>) -> Bytes {
+        if self.memory.bytes() > MAX_KEPT_BUFFER_BYTES && self.buffer.is_empty() {
+            // Even when empty, the buffer holds on to the memory of the whole reply.
+            self.buffer = BytesMut::new();
+        }
+        match body {
+            Some(body) => self.memory.hold(body),
+            None => {
+                self.memory.release();
+                Bytes::new()
+            }
+        }
+    }
+
+    async fn fill(&mut self) -> Result<usize, ExchangeError> {
+        self.buffer.reserve(READ_RESERVE_BYTES);
+        let size = self.stream.read_buf(&mut self.buffer).await.context(IoSnafu)?;
+        if !self.memory.grow(size) {
+            let reason = "the replies that this host reads exceed their memory";
+            return Err(ExchangeError::InvalidReply { reason });
+        }
+        Ok(size)
+    }
+
+    async fn fill_or_eof(&mut self) -> Result<(), ExchangeError> {
+        if self.fill().await? == 0 {
+            return Err(ExchangeError::UnexpectedEof);
+        }
+        Ok(())
+    }
+
+    /// Reads the head of the next reply, skipping interim (1xx) ones. `parse` returns the length,
+    /// the status and the content of the head at the start of the bytes that it gets, or `None`
+    /// if it is incomplete.
+    pub async fn read_head<Content, Parse>(
+        &mut self,
+        parse: Parse,
+    ) -> Result<(Bytes, Content), ExchangeError>
+    where
+        Parse: Fn(&[u8]) -> Result<Option<(usize, u16, Content)>, ExchangeError>,
+    {
+        let mut interim = 0;
+        while interim <= MAX_INTERIM_REPLIES {
+            match parse(&self.buffer)? {
+                Some((size, 100..200, _)) => {
+                    self.buffer.advance(size);
+                    interim += 1;
+                }
+                Some((size, _, content)) => {
+                    return Ok((self.buffer.split_to(size).freeze(), content));
+                }
+                None if self.buffer.len() > MAX_HEAD_BYTES => {
+                    return Err(ExchangeError::InvalidReply { reason: "head exceeds 64 KiB" });
+                }
+                None => self.fill_or_eof().await?,
+            }
+        }
+        Err(ExchangeError::InvalidReply { reason: "too many interim replies" })
+    }
+
+    /// Reads the body after a head.
+    pub async fn read_body(&mut self, framing: Framing) -> Result<Bytes, ExchangeError> {
+        match framing {
+            Framing::NoBody => Ok(Bytes::new()),
+            Framing::Length(size) if size <= PART_BYTES => self.read_exact(size).await,
+            Framing::Length(size) => {
+                let mut body = BodyParts::default();
+                self.read_sized(&mut body, size).await?;
+                Ok(body.join())
+            }
+            Framing::Chunked => self.read_chunks().await,
+            Framing::UntilEof => self.read_until_eof().await,
+        }
+    }
+
+    async fn read_exact(&mut self, size: usize) -> Result<Bytes, ExchangeError> {
+        while self.buffer.len() < size {
+            self.fill_or_eof().await?;
+        }
+        Ok(self.buffer.split_to(size).freeze())
+    }
+
+    /// Reads a body, or a part of one, of this size.
+    async fn read_sized(
+        &mut self,
+        body: &mut BodyParts,
+        mut size: usize,
+    ) -> Result<(), ExchangeError> {
+        if size > self.max_body - body.size() {
+            return Err(ExchangeError::InvalidReply { reason: "body exceeds its limit" });
+        }
+        while size > 0 {
+            let part = self.read_exact(size.min(PART_BYTES)).await?;
+            size -= part.len();
+            body.push(part);
+        }
+        Ok(())
+    }
+
+    async fn read_until_eof(&mut self) -> Result<Bytes, ExchangeError> {
+        let mut body = BodyParts::default();
+        while self.fill().await? > 0 {
+            if body.size() + self.buffer.len() > self.max_body {
+                return Err(ExchangeError::InvalidReply { reason: "body exceeds its limit" });
+            }
+            if self.buffer.len() >= PART_BYTES {
+                body.push(self.buffer.split().freeze());
+            }
+        }
+        body.push(self.buffer.split().freeze());
+        Ok(body.join())
+    }
+
+    async fn read_chunks(&mut self) -> Result<Bytes, ExchangeError> {
+        let mut body = BodyParts::default();
+        loop {
+            let size = self.read_chunk_size().await?;
+            if size == 0 {
+                break;
+            }
+            self.read_sized(&mut body, size).await?;
+            self.read_crlf().await?;
+        }
+        self.skip_trailers().await?;
+        Ok(body.join())
+    }
+
+    async fn read_chunk_size(&mut self) -> Result<usize, ExchangeError> {
+        loop {
+            if let Some((used, size)) = grammar::parse_chunk_size(&self.buffer)? {
+                self.buffer.advance(used);
+                return Ok(size);
+            }
+            if self.buffer.len() > MAX_HEAD_BYTES {
+                return Err(ExchangeError::InvalidReply { reason: "chunk size exceeds 64 KiB" });
+            }
+            self.fill_or_eof().await?;
+        }
+    }
+
+    async fn read_crlf(&mut self) -> Result<(), ExchangeError> {
+        let end = self.read_exact(2).await?;
+        if &*end != b"\r\n" {
+            return Err(ExchangeError::InvalidReply { reason: "chunk does not end with CRLF" });
+        }
+        Ok(())
+    }
+
+    /// Skips the trailers and the empty line that ends them.
+    async fn skip_trailers(&mut self) -> Result<(), ExchangeError> {
+        loop {
+            if let Some(size) = grammar::parse_trailers(&self.buffer)? {
+                self.buffer.advance(size);
+                return Ok(());
+            }
+            if self.buffer.len() > MAX_HEAD_BYTES {
+                return Err(ExchangeError::InvalidReply { reason: "trailers exceed 64 KiB" });
+            }
+            self.fill_or_eof().await?;
+        }
+    }
+}
