Limit the replies of the registry and of other hosts

Callers saw: nothing yet; found by looking at every other reader of answers. A reply without end to a call to the store or to another host was collected until its process ran out of memory, or the call until its timeout.

Cause: client.rs collected bodies whole, without a limit, per reply or process.

Ruled out: heads, trailers and chunk extensions, which hyper limits to less than half a megabyte per connection.

Change: replies to calls count like those of backend servers: 2 MiB for the first 16 KiB of each and 12 MiB for the rest, once for the store and once for all other hosts of a process. Changes of the registry that exceed this are listed instead, as their pages stay below it: retrying would fail again.

With the limit taken out, calls_take_no_more_memory_than_their_limit failed with '199768 KiB' for 8 replies cut off at 24 MiB each; its bound is 56 MiB, half of the memory of the smallest hosts.

--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -15,6 +15,7 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper::header;
@@ -24,7 +25,10 @@
 use tokio::net::TcpStream;
 use tokio::time;
 
+use crate::body::BodyParts;
 use crate::registry::RegistryError;
+use crate::reply_memory::MemoryUse;
+use crate::reply_memory::ReplyMemory;
 
 /// Timeout for opening a connection; a hop between zones takes a hundredth of it.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -35,6 +39,8 @@
 pub struct Client {
     address: SocketAddr,
     idle: Mutex<Vec<SendRequest<Full<Bytes>>>>,
+    /// Memory of the replies being read.
+    memory: Arc<ReplyMemory>,
 }
 
 value! {
@@ -52,27 +58,39 @@
 const MAX_CLIENTS: usize = 256;
 
 /// Clients of several servers, by address.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Clients {
     clients: HashMap<SocketAddr, Arc<Client>>,
+    /// Shared by all clients.
+    memory: Arc<ReplyMemory>,
 }
 
 impl Clients {
+    /// Clients whose replies take this memory.
+    pub fn new(memory: Arc<ReplyMemory>) -> Clients {
+        Clients { clients: HashMap::default(), memory }
+    }
+
     /// Client of the server at `address`.
     pub fn get(&mut self, address: SocketAddr) -> Arc<Client> {
         if self.clients.len() >= MAX_CLIENTS && !self.clients.contains_key(&address) {
             // Calls in progress keep their client.
             self.clients.clear();
         }
-        let client = self.clients.entry(address).or_insert_with(|| Arc::new(Client::new(address)));
-        client.clone()
+        let new_client = || Arc::new(Client::with_memory(address, self.memory.clone()));
+        self.clients.entry(address).or_insert_with(new_client).clone()
     }
 }
 
 impl Client {
     /// Client of the server at `address`. Connects on the first call.
     pub fn new(address: SocketAddr) -> Client {
-        Client { address, idle: Mutex::new(Vec::new()) }
+        Client::with_memory(address, Arc::new(ReplyMemory::for_calls()))
+    }
+
+    /// The same with memory that it shares with other clients.
+    fn with_memory(address: SocketAddr, memory: Arc<ReplyMemory>) -> Client {
+        Client { address, idle: Mutex::new(Vec::new()), memory }
     }
 
     /// Like [`Client::exchange`], without the headers of the reply.
@@ -116,7 +134,8 @@
         let mut sender = self.connection().await?;
         let reply = sender.send_request(request).await.map_err(|e| unreachable(&e))?;
         let (head, body) = reply.into_parts();
-        let body = body.collect().await.map_err(|e| unreachable(&e))?.to_bytes();
+        let mut memory = MemoryUse::new(self.memory.clone());
+        let body = read_body(body, &mut memory).await?;
         self.put_idle(sender);
         match head.status {
             StatusCode::OK => decode(&body).map(|body| Reply { headers: head.headers, body }),
@@ -159,6 +178,19 @@
     }
 }
 
+/// Reads a body within the limits on the memory of replies.
+async fn read_body(mut body: Incoming, memory: &mut MemoryUse) -> Result<Bytes, RegistryError> {
+    let mut parts = BodyParts::default();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|e| unreachable(&e))?.into_data() else { continue };
+        if !memory.grow(data.len()) {
+            return Err(RegistryError::TooLarge);
+        }
+        parts.push(data);
+    }
+    Ok(parts.join())
+}
+
 fn decode<Body>(body: &[u8]) -> Result<Body, RegistryError>
 where
     Body: DeserializeOwned,
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -78,6 +78,8 @@
     pub suspects: Suspects,
     /// Memory of the replies being read.
     pub reply_memory: Arc<ReplyMemory>,
+    /// Memory of the replies of other hosts.
+    pub call_memory: Arc<ReplyMemory>,
     clock: Arc<dyn Clock>,
     state: Mutex<State>,
     pools: Mutex<Pools>,
@@ -105,14 +107,16 @@
     ) -> Core {
         let pools = Mutex::new(Pools::default());
         let reports = Mutex::default();
-        let (relays, reply_memory) = (Mutex::default(), Arc::default());
+        let call_memory = Arc::new(ReplyMemory::for_calls());
+        let relays = Mutex::new(Clients::new(call_memory.clone()));
         let pause = Mutex::new(PauseDetector::new(clock.boot_time()));
         Core {
             names,
             log_limiter,
             metrics,
             suspects: Suspects::default(),
-            reply_memory,
+            reply_memory: Arc::default(),
+            call_memory,
             clock,
             state: Mutex::new(state),
             pools,
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -171,10 +171,10 @@
                 min_hosts,
                 settings.heartbeat,
             ),
+            peers: PeerClients::new(&core),
             core,
             registry,
             journal,
-            peers: PeerClients::default(),
             seeds,
             seed_index: 0,
             propagation_limit: settings.propagation_limit,
@@ -285,6 +285,15 @@
                 self.has_state = false;
                 Duration::ZERO
             }
+            // They would be too large again; a list comes in pages.
+            Err(RegistryError::TooLarge) if !full => {
+                spdlog::warn!(
+                    "changes since this revision are too large; listing the registry again",
+                    kv: { revision = position.revision, era = position.era }
+                );
+                self.has_state = false;
+                Duration::ZERO
+            }
             Err(error) => {
                 self.registry_failed(&error);
                 Duration::ZERO
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -125,12 +125,17 @@
 }
 
 /// Connections to other hosts, by address.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PeerClients {
     clients: Clients,
 }
 
 impl PeerClients {
+    /// Clients whose replies take the memory of this host.
+    pub fn new(core: &Core) -> PeerClients {
+        PeerClients { clients: Clients::new(core.call_memory.clone()) }
+    }
+
     /// Requests events from a host. It replies when it has an event or data that are
     /// notably newer, at once if its own data are stale, and when the requested wait
     /// is over.
@@ -170,7 +175,7 @@
 /// Sends the reports of this host and of those that follow it to the upstream. A host
 /// without an upstream evaluates them.
 async fn send_reports(service: Arc<PeerService>) {
-    let mut peers = PeerClients::default();
+    let mut peers = PeerClients::new(&service.core);
     loop {
         time::sleep(REPORT_INTERVAL).await;
         let reports = service.core.take_reports();
--- a/crates/front/src/registry.rs
+++ b/crates/front/src/registry.rs
@@ -148,6 +148,11 @@
         /// Cause, for the log.
         reason: Box<str>,
     },
+    /// The reply exceeds the memory for replies.
+    #[snafu(display(
+        "the reply of the registry is too large, or does not end; check what is stored there"
+    ))]
+    TooLarge,
     /// The reply cannot be decoded.
     #[snafu(display("cannot decode the reply of the registry ({reason}); check its version"))]
     Unreadable {
--- a/crates/front/src/reply_memory.rs
+++ b/crates/front/src/reply_memory.rs
@@ -21,14 +21,40 @@
 /// take 24 MiB; the smallest hosts have 112 MiB for everything.
 const MAX_LARGE_BYTES: usize = 16 * 1024 * 1024;
 
+/// Limits for the replies to calls to the registry, and again for those to other hosts: 128 small
+/// ones, and one with the largest body of a backend server in base64.
+const MAX_SMALL_CALL_BYTES: usize = 2 * 1024 * 1024;
+
+/// Limit on the further bytes of those replies.
+const MAX_LARGE_CALL_BYTES: usize = 12 * 1024 * 1024;
+
 /// Memory of the replies that a host reads, and of the large bodies that it has not sent yet.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ReplyMemory {
     small: AtomicUsize,
     large: AtomicUsize,
+    max_small: usize,
+    max_large: usize,
+}
+
+impl Default for ReplyMemory {
+    /// Memory of replies of backend servers.
+    fn default() -> ReplyMemory {
+        ReplyMemory::new(MAX_SMALL_BYTES, MAX_LARGE_BYTES)
+    }
 }
 
 impl ReplyMemory {
+    fn new(max_small: usize, max_large: usize) -> ReplyMemory {
+        let (small, large) = (AtomicUsize::new(0), AtomicUsize::new(0));
+        ReplyMemory { small, large, max_small, max_large }
+    }
+
+    /// Memory of replies to calls to the registry, or to other hosts.
+    pub fn for_calls() -> ReplyMemory {
+        ReplyMemory::new(MAX_SMALL_CALL_BYTES, MAX_LARGE_CALL_BYTES)
+    }
+
     /// Bytes in use.
     pub fn used(&self) -> usize {
         self.small.load(Ordering::Relaxed) + self.large.load(Ordering::Relaxed)
@@ -63,8 +89,8 @@
         self.large += large;
         let used_small = self.memory.small.fetch_add(small, Ordering::Relaxed) + small;
         let used_large = self.memory.large.fetch_add(large, Ordering::Relaxed) + large;
-        (small == 0 || used_small <= MAX_SMALL_BYTES)
-            && (large == 0 || used_large <= MAX_LARGE_BYTES)
+        (small == 0 || used_small <= self.memory.max_small)
+            && (large == 0 || used_large <= self.memory.max_large)
     }
 
     /// Counts the reply until `body`, which is its body, is dropped: a caller may read it slowly.
--- a/crates/front/tests/follow.rs
+++ b/crates/front/tests/follow.rs
@@ -68,23 +68,22 @@
 }
 
 /// Guards against changes that are missed because the registry has already
-/// dropped them from its history: here the removal of a backend server.
+/// dropped them from its history, or sends too many of them at once: here the removal of a
+/// backend server.
 #[tokio::test]
-async fn dropped_history_triggers_a_full_list() {
-    let registry = ScriptedRegistry::default();
-    registry
-        .lists
-        .lock()
-        .unwrap()
-        .push(changes(5, vec![configuration(3), server("a"), server("b")]));
-    registry.lists.lock().unwrap().push(changes(9, vec![configuration(4), server("b")]));
-    registry.changes.lock().unwrap().push(Err(RegistryError::HistoryLost));
-    registry.changes.lock().unwrap().push(changes(9, vec![]));
-    let host = start_alone(registry);
-
-    until(|| host.core.state().config.as_ref().is_some_and(|c| c.version == 4)).await;
-
-    assert_eq!(ids(&host.core), HashSet::from_iter(["b".into()]));
+async fn changes_that_cannot_be_read_trigger_a_full_list() {
+    for error in [RegistryError::HistoryLost, RegistryError::TooLarge] {
+        let registry = ScriptedRegistry::default();
+        let before = changes(5, vec![configuration(3), server("a"), server("b")]);
+        let after = changes(9, vec![configuration(4), server("b")]);
+        registry.lists.lock().unwrap().extend([before, after]);
+        registry.changes.lock().unwrap().extend([Err(error), changes(9, vec![])]);
+        let host = start_alone(registry);
+
+        until(|| host.core.state().config.as_ref().is_some_and(|c| c.version == 4)).await;
+
+        assert_eq!(ids(&host.core), HashSet::from_iter(["b".into()]));
+    }
 }
 
 /// Guards against removing live backend servers whose entries expired during an
--- a/crates/front/tests/reply_memory.rs
+++ b/crates/front/tests/reply_memory.rs
@@ -7,14 +7,18 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use chervil_front::client::Clients;
 use chervil_front::reply_memory::ReplyMemory;
 use futures::future::join_all;
+use hyper::Method;
 use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpListener;
 use tokio::sync::Mutex;
 use tokio::time;
 
 use crate::support::exchange::connect;
 use crate::support::exchange::exchange;
+use crate::support::read_message;
 
 const MIB: usize = 1024 * 1024;
 
@@ -38,6 +42,25 @@
     line.trim().strip_suffix(" kB").unwrap().parse::<usize>().unwrap() * 1024
 }
 
+/// Result of `work`, and the peak of the resident memory above `before` meanwhile.
+async fn with_peak<Work>(before: usize, work: Work) -> (Work::Output, usize)
+where
+    Work: Future,
+{
+    let mut peak = 0;
+    let measure = async {
+        loop {
+            peak = peak.max(resident_memory().saturating_sub(before));
+            time::sleep(SAMPLE_INTERVAL).await;
+        }
+    };
+    let output = tokio::select! {
+        output = work => output,
+        () = measure => unreachable!(),
+    };
+    (output, peak)
+}
+
 /// Guards against an idle connection that keeps the memory of the largest reply read on it: the
 /// host keeps many of them open.
 #[tokio::test]
@@ -80,17 +103,7 @@
         let ((), ()) =
             tokio::join!(async move { drop(exchange(&mut connection, "1").await) }, endless);
     }));
-    let mut peak = 0;
-    tokio::select! {
-        _ = attempts => {}
-        () = async {
-            loop {
-                peak = peak.max(resident_memory().saturating_sub(before));
-                time::sleep(SAMPLE_INTERVAL).await;
-            }
-        } => {}
-    }
-    peak
+    with_peak(before, attempts).await.1
 }
 
 /// Load pattern: many backend servers, or a few, send bodies without end at once. Guards against
@@ -149,3 +162,37 @@
     assert_eq!(memory.used(), 0);
     assert_eq!(read().await.unwrap(), body);
 }
+
+/// Load pattern: the hosts to which a host sends calls reply without end. Guards against the same
+/// for what is not a reply of a backend server.
+#[tokio::test]
+async fn calls_take_no_more_memory_than_their_limit() {
+    let _measuring = MEASURING.lock().await;
+    let mut clients = Clients::new(Arc::new(ReplyMemory::for_calls()));
+    let before = resident_memory();
+    let calls = join_all((0..8).map(|_| async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        (listener.local_addr().unwrap(), listener)
+    }));
+    let calls = calls.await.into_iter().map(|(address, listener)| {
+        let client = clients.get(address);
+        async move {
+            let endless = async {
+                let (mut server, _) = listener.accept().await.unwrap();
+                read_message(&mut server).await;
+                let mut sent = server.write_all(b"HTTP/1.1 200 X\r\n\r\n").await;
+                for _ in 0..24 * MIB / 4096 {
+                    if sent.is_ok() {
+                        sent = server.write_all(&[b' '; 4096]).await;
+                    }
+                }
+            };
+            tokio::join!(client.call::<(), bool>(Method::GET, "/", None), endless).0
+        }
+    });
+
+    let (results, peak) = with_peak(before, join_all(calls)).await;
+
+    assert!(results.iter().all(Result::is_err), "{results:?}");
+    assert!(peak < PROCESS_MEMORY, "{} KiB", peak / 1024);
+}
