Read replies of the registry and of other hosts by the same grammar

Callers saw: nothing yet; found by looking at every other reader of answers. A broken reply of the store or of another host counted as its answer: line feeds alone, empty lines before the head, chunks besides a length, blanks after a chunk's size. Interim replies without end kept a call until its timeout.

Cause: client.rs used hyper, whose parser is httparse with the same leniency.

Ruled out: status 000, lengths that are no number, names and lines that are no fields, a missing chunk size and bodies that end early failed the call before. JSON that is not whole failed as well.

Change: client.rs reads replies with the reader and grammar of those of backend servers. What is sent is the same, and what hosts of other builds reply, too.

--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -6,27 +6,25 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use bytes::Bytes;
 use chervil_base::HashMap;
 use chervil_base::value;
-use http_body_util::BodyExt as _;
-use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Method;
-use hyper::Request;
 use hyper::StatusCode;
-use hyper::body::Incoming;
-use hyper::client::conn::http1;
-use hyper::client::conn::http1::SendRequest;
 use hyper::header;
-use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpStream;
 use tokio::time;
 
-use crate::body::BodyParts;
+use crate::exchange::ExchangeError;
+use crate::grammar;
+use crate::grammar::Framing;
+use crate::grammar::MAX_HEADERS;
+use crate::reader;
+use crate::reader::ReplyReader;
 use crate::registry::RegistryError;
+use crate::reply_memory::MAX_LARGE_CALL_BYTES;
 use crate::reply_memory::MemoryUse;
 use crate::reply_memory::ReplyMemory;
 
@@ -38,7 +36,7 @@
 #[derive(Debug)]
 pub struct Client {
     address: SocketAddr,
-    idle: Mutex<Vec<SendRequest<Full<Bytes>>>>,
+    idle: Mutex<Vec<ReplyReader>>,
     /// Memory of the replies being read.
     memory: Arc<ReplyMemory>,
 }
@@ -53,6 +51,9 @@
     }
 }
 
+/// Maximum size of a reply's body: the memory for the replies of all calls.
+const MAX_BODY_BYTES: usize = MAX_LARGE_CALL_BYTES;
+
 /// Number of servers to which connections are kept. Hosts that are replaced have new
 /// addresses.
 const MAX_CLIENTS: usize = 256;
@@ -124,19 +125,23 @@
     {
         let json = body.map(serde_json::to_string).transpose();
         let json = json.map_err(|e| unreachable(&e))?.unwrap_or_default();
-        let request = Request::builder()
-            .method(method)
-            .uri(path)
-            .header(header::HOST, self.address.to_string())
-            .header(header::CONTENT_TYPE, "application/json")
-            .body(Full::new(Bytes::from(json)))
-            .map_err(|e| unreachable(&e))?;
-        let mut sender = self.connection().await?;
-        let reply = sender.send_request(request).await.map_err(|e| unreachable(&e))?;
-        let (head, body) = reply.into_parts();
-        let mut memory = MemoryUse::new(self.memory.clone());
-        let body = read_body(body, &mut memory).await?;
-        self.put_idle(sender);
+        let has_body = method != Method::GET || !json.is_empty();
+        let length = has_body.then(|| format!("content-length: {}\r\n", json.len()));
+        let message = format!(
+            "{method} {path} HTTP/1.1\r\nhost: {}\r\ncontent-type: application/json\r\n{}\r\n{json}",
+            self.address,
+            length.unwrap_or_default(),
+        );
+        let mut connection = self.connection().await?;
+        connection.send(message.as_bytes()).await.map_err(|e| unreachable(&e))?;
+        let (_, head) = connection.read_head(parse_head).await.map_err(reply_error)?;
+        let ends = head.closes || matches!(head.framing, Framing::UntilEof);
+        let body = connection.read_body(head.framing).await.map_err(reply_error)?;
+        // Counts until it is decoded.
+        let body = connection.finish(Some(body));
+        if !ends {
+            self.put_idle(connection);
+        }
         match head.status {
             StatusCode::OK => decode(&body).map(|body| Reply { headers: head.headers, body }),
             StatusCode::GONE => Err(RegistryError::HistoryLost),
@@ -144,51 +149,68 @@
         }
     }
 
-    fn put_idle(&self, sender: SendRequest<Full<Bytes>>) {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner).push(sender);
+    fn put_idle(&self, connection: ReplyReader) {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner).push(connection);
     }
 
-    /// An idle connection that is still open.
-    fn take_idle(&self) -> Option<SendRequest<Full<Bytes>>> {
+    /// An idle connection that is still open and has no unread bytes.
+    fn take_idle(&self) -> Option<ReplyReader> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        while let Some(sender) = idle.pop() {
-            if sender.is_ready() {
-                return Some(sender);
+        while let Some(mut connection) = idle.pop() {
+            if connection.is_clean() {
+                return Some(connection);
             }
         }
         None
     }
 
     /// An idle connection, or a new one.
-    async fn connection(&self) -> Result<SendRequest<Full<Bytes>>, RegistryError> {
-        if let Some(sender) = self.take_idle() {
-            return Ok(sender);
+    async fn connection(&self) -> Result<ReplyReader, RegistryError> {
+        if let Some(connection) = self.take_idle() {
+            return Ok(connection);
         }
         let connect = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address));
         let stream =
             connect.await.map_err(|_| connect_timed_out())?.map_err(|e| unreachable(&e))?;
         stream.set_nodelay(true).map_err(|e| unreachable(&e))?;
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(|e| unreachable(&e))?;
-        // Errors are ignored: the call that uses the connection fails too.
-        tokio::spawn(async move {
-            let _ = connection.await;
-        });
-        Ok(sender)
+        Ok(ReplyReader::new(stream, MemoryUse::new(self.memory.clone()), MAX_BODY_BYTES))
     }
 }
 
-/// Reads a body within the limits on the memory of replies.
-async fn read_body(mut body: Incoming, memory: &mut MemoryUse) -> Result<Bytes, RegistryError> {
-    let mut parts = BodyParts::default();
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(|e| unreachable(&e))?.into_data() else { continue };
-        if !memory.grow(data.len()) {
-            return Err(RegistryError::TooLarge);
+/// Head of a reply.
+struct Head {
+    status: StatusCode,
+    headers: HeaderMap,
+    framing: Framing,
+    /// Whether the server closes the connection after the reply.
+    closes: bool,
+}
+
+/// Parses the head at the start of `buffer` and returns its size in bytes, its status and what
+/// it says; `None` if it is incomplete.
+fn parse_head(buffer: &[u8]) -> Result<Option<(usize, u16, Head)>, ExchangeError> {
+    let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let Some(message) = grammar::parse_head(buffer, &mut fields)? else { return Ok(None) };
+    let headers = message.header_map();
+    let mut options = headers.get_all(header::CONNECTION).iter();
+    let closes = message.is_http_1_0
+        || options.any(|o| o.to_str().is_ok_and(|o| grammar::has_token(o, "close")));
+    let invalid = |_| ExchangeError::InvalidReply { reason: "invalid status code" };
+    let status = StatusCode::from_u16(message.status).map_err(invalid)?;
+    let head = Head { status, headers, framing: message.framing, closes };
+    Ok(Some((message.size, message.status, head)))
+}
+
+fn reply_error(error: ExchangeError) -> RegistryError {
+    match error {
+        ExchangeError::InvalidReply { reason } if reader::is_too_large(reason) => {
+            RegistryError::TooLarge
+        }
+        ExchangeError::InvalidReply { reason } => {
+            RegistryError::Unreadable { reason: reason.into() }
         }
-        parts.push(data);
+        error => unreachable(&error),
     }
-    Ok(parts.join())
 }
 
 fn decode<Body>(body: &[u8]) -> Result<Body, RegistryError>
--- a/crates/front/src/grammar.rs
+++ b/crates/front/src/grammar.rs
@@ -7,8 +7,10 @@
 use std::ops::RangeInclusive;
 use std::str;
 
+use hyper::HeaderMap;
 use hyper::header;
 use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
 
 use crate::exchange::ExchangeError;
 
@@ -55,6 +57,21 @@
     pub headers: &'h [httparse::Header<'b>],
 }
 
+impl MessageHead<'_, '_> {
+    /// All headers.
+    pub fn header_map(&self) -> HeaderMap {
+        let mut all = HeaderMap::new();
+        for header in self.headers {
+            let name = HeaderName::from_bytes(header.name.as_bytes());
+            let value = HeaderValue::from_bytes(header.value);
+            if let (Ok(name), Ok(value)) = (name, value) {
+                all.append(name, value);
+            }
+        }
+        all
+    }
+}
+
 /// Parses the head at the start of `buffer`; `None` if it is incomplete.
 pub fn parse_head<'h, 'b>(
     buffer: &'b [u8],
@@ -192,3 +209,8 @@
         Err(_) => Err(invalid("malformed trailer, or more than 64 trailers")),
     }
 }
+
+/// Whether a list of tokens, separated by commas, contains one.
+pub fn has_token(list: &str, token: &str) -> bool {
+    list.split(',').any(|t| t.trim().eq_ignore_ascii_case(token))
+}
--- a/crates/front/src/head.rs
+++ b/crates/front/src/head.rs
@@ -84,7 +84,7 @@
         } else if is(&names.load) {
             reply.load = parse_load(text());
         } else if is(&header::CONNECTION) {
-            reply.closes |= has_token(text(), "close");
+            reply.closes |= grammar::has_token(text(), "close");
         } else if is(&KEEP_ALIVE) {
             reply.idle_timeout = parse_keep_alive(text());
         } else if is(&names.refused) {
@@ -102,10 +102,6 @@
     }
 }
 
-fn has_token(list: &str, token: &str) -> bool {
-    list.split(',').any(|t| t.trim().eq_ignore_ascii_case(token))
-}
-
 /// Parses the `timeout=` parameter of a `keep-alive` header, in seconds.
 fn parse_keep_alive(text: &str) -> Option<Duration> {
     let timeout = text.split(',').find_map(|p| p.trim().strip_prefix("timeout="))?;
--- a/crates/front/src/reader.rs
+++ b/crates/front/src/reader.rs
@@ -31,6 +31,17 @@
 /// connections.
 const MAX_KEPT_BUFFER_BYTES: usize = 16 * 1024;
 
+/// Reason of a reply with a body over the limit of its connection.
+const BODY_TOO_LARGE: &str = "body exceeds its limit";
+
+/// Reason of a reply that does not fit into the memory for replies.
+const MEMORY_EXHAUSTED: &str = "the replies that this host reads exceed their memory";
+
+/// Whether the reason of an invalid reply is its size.
+pub fn is_too_large(reason: &str) -> bool {
+    [BODY_TOO_LARGE, MEMORY_EXHAUSTED].contains(&reason)
+}
+
 /// An open connection on which replies are read.
 #[derive(Debug)]
 pub struct ReplyReader {
@@ -84,8 +95,7 @@
         self.buffer.reserve(READ_RESERVE_BYTES);
         let size = self.stream.read_buf(&mut self.buffer).await.context(IoSnafu)?;
         if !self.memory.grow(size) {
-            let reason = "the replies that this host reads exceed their memory";
-            return Err(ExchangeError::InvalidReply { reason });
+            return Err(ExchangeError::InvalidReply { reason: MEMORY_EXHAUSTED });
         }
         Ok(size)
     }
@@ -155,7 +165,7 @@
         mut size: usize,
     ) -> Result<(), ExchangeError> {
         if size > self.max_body - body.size() {
-            return Err(ExchangeError::InvalidReply { reason: "body exceeds its limit" });
+            return Err(ExchangeError::InvalidReply { reason: BODY_TOO_LARGE });
         }
         while size > 0 {
             let part = self.read_exact(size.min(PART_BYTES)).await?;
@@ -169,7 +179,7 @@
         let mut body = BodyParts::default();
         while self.fill().await? > 0 {
             if body.size() + self.buffer.len() > self.max_body {
-                return Err(ExchangeError::InvalidReply { reason: "body exceeds its limit" });
+                return Err(ExchangeError::InvalidReply { reason: BODY_TOO_LARGE });
             }
             if self.buffer.len() >= PART_BYTES {
                 body.push(self.buffer.split().freeze());
--- a/crates/front/src/reply.rs
+++ b/crates/front/src/reply.rs
@@ -125,17 +125,12 @@
     /// Headers to forward. Parsed on demand, because those of shard replies are not
     /// needed.
     pub fn headers(&self) -> HeaderMap {
-        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-        let mut all = HeaderMap::new();
+        let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
         // Always a head: it was parsed when the reply was received.
-        let Ok(Some(parsed)) = grammar::parse_head(&self.head, &mut headers) else { return all };
-        for header in parsed.headers {
-            let name = HeaderName::from_bytes(header.name.as_bytes());
-            let value = HeaderValue::from_bytes(header.value);
-            if let (Ok(name), Ok(value)) = (name, value) {
-                all.append(name, value);
-            }
-        }
+        let Ok(Some(parsed)) = grammar::parse_head(&self.head, &mut fields) else {
+            return HeaderMap::new();
+        };
+        let mut all = parsed.header_map();
         for name in DROPPED_HEADERS {
             all.remove(name);
         }
--- a/crates/front/src/reply_memory.rs
+++ b/crates/front/src/reply_memory.rs
@@ -26,7 +26,7 @@
 const MAX_SMALL_CALL_BYTES: usize = 2 * 1024 * 1024;
 
 /// Limit on the further bytes of those replies.
-const MAX_LARGE_CALL_BYTES: usize = 12 * 1024 * 1024;
+pub const MAX_LARGE_CALL_BYTES: usize = 12 * 1024 * 1024;
 
 /// Memory of the replies that a host reads, and of the large bodies that it has not sent yet.
 #[derive(Debug)]
--- a/crates/front/tests/calls.rs
+++ b/crates/front/tests/calls.rs
@@ -19,6 +19,23 @@
 /// read.
 const TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Starts a server that replies to each request with `bytes` and closes the connection.
+async fn start_server(bytes: Vec<u8>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let bytes = bytes.clone();
+            tokio::spawn(async move {
+                read_message(&mut stream).await;
+                let _ = stream.write_all(&bytes).await;
+            });
+        }
+    });
+    address
+}
+
 /// Result of a call whose sound reply is `true`.
 async fn call(address: SocketAddr) -> Result<bool, RegistryError> {
     let client = Client::new(address);
@@ -26,17 +43,59 @@
     time::timeout(TIMEOUT, call).await.expect("the call does not end")
 }
 
+/// Guards against a broken reply of the registry or another host that counts as its answer.
+#[tokio::test]
+async fn reply_that_violates_the_grammar_is_no_answer() {
+    let sound = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ntrue";
+    let chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\ntrue\r\n0\r\n\r\n";
+    let broken = [
+        sound.replace("200", "000"),
+        sound.replace("content-length: 4", "content-length: +4"),
+        sound.replace("content-length: 4", "content-length 4"),
+        sound.replace("content-length", "content\x01length"),
+        sound.replace("content-length", "content length"),
+        sound.replace("\r\n", "\n"),
+        sound.replace("OK\r\n", "OK\r\nx-more: 1\n"),
+        sound.replace("HTTP", "\r\nHTTP"),
+        sound.replace("200 OK", "200"),
+        sound.replace("content-length", "transfer-encoding: chunked\r\ncontent-length"),
+        chunked.replace("transfer", "content-length: 4\r\ntransfer"),
+        chunked.replace("4\r\n", "4 \r\n"),
+        chunked.replace("0\r\n\r\n", "\r\n\r\n"),
+        chunked.replace("0\r\n\r\n", "0\r\nx 1\r\n\r\n"),
+        format!("HTTP/1.1 101 Switching Protocols\r\n\r\n{sound}"),
+        sound.replace("content-length: 4", "content-length: 9"),
+        sound.replace("true", "tru"),
+    ];
+
+    let accepted = {
+        let mut accepted = Vec::new();
+        for text in broken {
+            if call(start_server(text.clone().into_bytes()).await).await.is_ok() {
+                accepted.push(text);
+            }
+        }
+        accepted
+    };
+
+    assert_eq!(accepted, Vec::<String>::new());
+    for text in [sound.to_string(), chunked.into(), format!("HTTP/1.1 100 X\r\n\r\n{sound}")] {
+        assert_eq!(call(start_server(text.into_bytes()).await).await, Ok(true));
+    }
+}
+
 /// Guards against replies of the registry or another host without end, in each part of a reply:
 /// the call must end, and the connection be closed, so that the server notices.
 #[tokio::test]
 async fn reply_without_end_fails_the_call() {
     let head = "HTTP/1.1 200 OK\r\n";
     let chunk = [&b"1000\r\n"[..], &[b' '; 4096], b"\r\n"].concat();
-    let endless: [(&str, String, Vec<u8>); 5] = [
+    let endless: [(&str, String, Vec<u8>); 6] = [
         ("head", head.into(), b"x-more: x\r\n".repeat(100)),
         ("body", format!("{head}\r\n"), vec![b' '; 65_536]),
         ("sized body", format!("{head}content-length: 999999999\r\n\r\n"), vec![b' '; 65_536]),
         ("chunks", format!("{head}transfer-encoding: chunked\r\n\r\n"), chunk.repeat(10)),
+        ("interim replies", String::new(), b"HTTP/1.1 103 X\r\n\r\n".repeat(100)),
         ("no reply", String::new(), vec![0; 4096]),
     ];
     for (part, start, rest) in endless {
