Do not take an empty reply of another host for a refusal

Callers saw: nothing yet; found by looking at every other reader of answers. A host that got an empty body in reply to a request that it had passed on took it for "null", the statement that nothing has been sent, and sent the request again: beyond the attempts of its route, and twice if it may run once only.

Cause: the client read an empty body as JSON null, for two calls to the store whose replies say nothing.

Change: only calls without a result (Client::command) take an empty body.

Evidence: before, query_is_not_repeated_after_an_empty_reply_of_a_relay failed with status 200 instead of 502: the query had been sent again.

--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -6,6 +6,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use bytes::Bytes;
 use chervil_base::HashMap;
 use chervil_base::value;
 use hyper::HeaderMap;
@@ -14,6 +15,7 @@
 use hyper::header;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde::de::IgnoredAny;
 use tokio::net::TcpStream;
 use tokio::time;
 
@@ -108,8 +110,21 @@
         self.exchange(method, path, body).await.map(|reply| reply.body)
     }
 
-    /// Sends a request and decodes the body of a reply with status 200. An empty
-    /// body counts as JSON `null`.
+    /// Sends a request whose reply states nothing but its status 200: the body may be empty.
+    pub async fn command<Payload>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<&Payload>,
+    ) -> Result<(), RegistryError>
+    where
+        Payload: Serialize,
+    {
+        let (_, body) = self.send(method, path, body).await?;
+        if body.is_empty() { Ok(()) } else { decode::<IgnoredAny>(&body).map(|_| ()) }
+    }
+
+    /// Sends a request and decodes the body of a reply with status 200.
     ///
     /// Status 410 is reported as [`RegistryError::HistoryLost`]. A connection whose call fails or is
     /// cancelled is not reused.
@@ -122,6 +137,20 @@
     where
         Payload: Serialize,
         Body: DeserializeOwned,
+    {
+        let (headers, body) = self.send(method, path, body).await?;
+        decode(&body).map(|body| Reply { headers, body })
+    }
+
+    /// Sends a request and returns the headers and the body of a reply with status 200.
+    async fn send<Payload>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<&Payload>,
+    ) -> Result<(HeaderMap, Bytes), RegistryError>
+    where
+        Payload: Serialize,
     {
         let json = body.map(serde_json::to_string).transpose();
         let json = json.map_err(|e| unreachable(&e))?.unwrap_or_default();
@@ -143,7 +172,7 @@
             self.put_idle(connection);
         }
         match head.status {
-            StatusCode::OK => decode(&body).map(|body| Reply { headers: head.headers, body }),
+            StatusCode::OK => Ok((head.headers, body)),
             StatusCode::GONE => Err(RegistryError::HistoryLost),
             status => Err(RegistryError::Refused { status: status.as_u16() }),
         }
@@ -217,8 +246,7 @@
 where
     Body: DeserializeOwned,
 {
-    let json = if body.is_empty() { b"null" } else { body };
-    serde_json::from_slice(json)
+    serde_json::from_slice(body)
         .map_err(|e| RegistryError::Unreadable { reason: e.to_string().into() })
 }
 
--- a/crates/front/tests/relay.rs
+++ b/crates/front/tests/relay.rs
@@ -175,6 +175,22 @@
     assert_eq!((a.received().len(), b.received().len()), (0, 0));
 }
 
+/// Guards against an empty reply of a relay that counts as its statement that it has not sent the
+/// query: a relay that declines says so.
+#[tokio::test]
+async fn query_is_not_repeated_after_an_empty_reply_of_a_relay() {
+    let a = shard(Step::Reply(reply(200, LOW))).await;
+    let b = shard(Step::Reply(reply(200, HIGH))).await;
+    let empty = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    let relay = start_scripted(|number| Some(if number == 0 { ACCEPTED } else { empty })).await;
+    let host = start_entry(entries(&a, &b), relay).await;
+
+    let answer = host.ask("GET", "/all/1", "").await;
+
+    assert_eq!(status(&answer), 502);
+    assert_eq!((a.received().len(), b.received().len()), (0, 0));
+}
+
 /// Guards against an answer from another set of shards: the relay has another version of
 /// the route.
 #[tokio::test]
