Count large outcomes that hosts pass to each other

Callers saw: nothing yet; found by looking at every bound on what is kept of replies. A host that executes requests for others kept the outcomes, a body of 8 MiB as 11 MiB of JSON, until the other host had read them; that host kept the bodies until its callers had. No limit counted either.

Cause: the memory of a reply was counted on its connection to the backend server only.

Ruled out: merged outcomes of queries hold top_k records of 16 bytes; they count as well, as all outcomes are encoded in one place.

Change: both count against the memory for replies until they are dropped. One that does not fit is lost: 502, no second execution. Messages are unchanged, and hosts of earlier builds read status 500 as a lost outcome, as before.

Evidence: before, large_outcomes_for_other_hosts_count_until_they_are_sent failed with '0 bytes for 4 outcomes' of 7 MiB each.

--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -6,6 +6,7 @@
 //! whose outcome is lost is not sent again: the other host may have used all attempts that
 //! the route allows.
 
+use std::mem;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -26,6 +27,7 @@
 use crate::relayed::Offer;
 use crate::relayed::RelayReply;
 use crate::relayed::RelayedRequest;
+use crate::reply_memory::ReplyMemory;
 use crate::single::SingleOutcome;
 use crate::single::SingleResult;
 
@@ -97,11 +99,12 @@
         Executed { relay: self.relay, outcome }
     }
 
-    /// The outcome of a request to one backend server. One that is lost leaves unknown whether
-    /// the request ran.
-    pub fn into_single(self) -> Executed<SingleResult> {
+    /// The outcome of a request to one backend server. One that is lost, or too large to be kept
+    /// until the caller has read it, leaves unknown whether the request ran.
+    pub fn into_single(self, memory: &Arc<ReplyMemory>) -> Executed<SingleResult> {
         let timed_out = self.timed_out;
         let outcome = self.reply.and_then(RelayReply::into_single);
+        let outcome = outcome.and_then(|result| hold_body(result, memory));
         let outcome = outcome.unwrap_or_else(|| {
             let outcome = SingleOutcome::Unknown { timed_out };
             SingleResult { outcome, asked: Vec::new() }
@@ -110,6 +113,14 @@
     }
 }
 
+/// Counts the body of a reply until it is dropped. None if it does not fit into the memory.
+fn hold_body(mut result: SingleResult, memory: &Arc<ReplyMemory>) -> Option<SingleResult> {
+    if let SingleOutcome::Answered(reply) = &mut result.outcome {
+        reply.body = memory.hold(mem::take(&mut reply.body))?;
+    }
+    Some(result)
+}
+
 /// Passes a query to a relay, if this host uses relays, and waits for its outcome. None if no
 /// relay has accepted it; it has not been sent then.
 pub async fn pass_to_relay(
--- a/crates/front/src/relay_service.rs
+++ b/crates/front/src/relay_service.rs
@@ -77,15 +77,20 @@
         return answer::plain_text(StatusCode::OK, "null\n");
     };
     log_served(core, &id, route, &reply, start);
-    match serde_json::to_vec(&reply) {
-        Ok(reply) => Response::new(reply.into()),
-        Err(error) => {
-            // Not an empty body, which would state that nothing was sent.
-            let error = error.to_string();
-            spdlog::error!("cannot encode the outcome of a request", kv: { error = error.as_str() });
-            answer::plain_text(StatusCode::INTERNAL_SERVER_ERROR, "the outcome is lost\n")
-        }
-    }
+    encode(core, reply).unwrap_or_else(|problem| {
+        spdlog::error!("cannot return the outcome of a request", kv: { problem = &*problem });
+        // Not an empty body or "null", which would state that nothing was sent.
+        answer::plain_text(StatusCode::INTERNAL_SERVER_ERROR, "the outcome is lost\n")
+    })
+}
+
+/// Encodes an outcome. The other host may read a large one slowly, so it counts as memory of a
+/// reply until it has been sent.
+fn encode(core: &Core, reply: RelayReply) -> Result<Answer, Box<str>> {
+    let json = serde_json::to_vec(&reply).map_err(|e| e.to_string())?;
+    let held = core.reply_memory.hold(json.into());
+    let body = held.ok_or("large replies exceed the memory for them; wait until they are read")?;
+    Ok(Response::new(body.into()))
 }
 
 /// Executions of a request before; `None` if this host must not execute it again. A host of an
--- a/crates/front/src/reply_memory.rs
+++ b/crates/front/src/reply_memory.rs
@@ -55,6 +55,13 @@
         ReplyMemory::new(MAX_SMALL_CALL_BYTES, MAX_LARGE_CALL_BYTES)
     }
 
+    /// Counts a body like that of a reply that was read, until it is dropped. None if that exceeds
+    /// a limit.
+    pub fn hold(self: &Arc<Self>, body: Bytes) -> Option<Bytes> {
+        let mut memory = MemoryUse::new(self.clone());
+        memory.grow(body.len()).then(|| memory.hold(body))
+    }
+
     /// Bytes in use.
     pub fn used(&self) -> usize {
         self.small.load(Ordering::Relaxed) + self.large.load(Ordering::Relaxed)
--- a/crates/front/tests/passed_on.rs
+++ b/crates/front/tests/passed_on.rs
@@ -5,11 +5,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use chervil_base::HashSet;
 use chervil_base::digest;
 use chervil_front::client::Client;
 use chervil_front::core::Core;
 use chervil_front::peers;
+use chervil_front::reply_memory::ReplyMemory;
 use chervil_front::state::Bounds;
 use chervil_route::budget::RetryLimit;
 use chervil_route::config::Route;
@@ -21,7 +23,9 @@
 use hyper::Method;
 use serde_json::Value;
 use serde_json::json;
+use tokio::io::AsyncReadExt as _;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 
 use crate::support::BOUNDS;
 use crate::support::Backend;
@@ -38,6 +42,7 @@
 use crate::support::start_host;
 use crate::support::start_host_with;
 use crate::support::status;
+use crate::support::until;
 
 /// A query over two shards, and a request to one server, of each of which the route allows
 /// `max_attempts` executions.
@@ -205,17 +210,22 @@
     assert_eq!(["quote", "a", "b"].map(|s| servers.executed(s)), [0; 3]);
 }
 
-/// Passes a request to a helper, as a host of an earlier build does.
-async fn pass_as_earlier_build(helper: &TestHost, address: SocketAddr, repeated: bool) -> Value {
+/// A request as a host of an earlier build passes it to a helper.
+fn request_of_earlier_build(helper: &TestHost, repeated: bool) -> Value {
     let digest = helper.core.state().route_digest("/safe/").unwrap();
-    let request = json!({
+    json!({
         "offer": { "route": "/safe/", "digest": digest },
         // GET /safe/1 with the id "r-1".
         "head": "R0VUIC9zYWZlLzEgSFRUUC8xLjENCngtaWQ6IHItMQ0K", "body": "", "id": "ci0x",
         "no_body": false, "deadline_ms": 900, "soft_deadline_ms": 900,
         "service": "quote", "repeated": repeated, "format": FORMAT_WITH_EXECUTIONS - 1,
         "digest": 7,
-    });
+    })
+}
+
+/// Passes it.
+async fn pass_as_earlier_build(helper: &TestHost, address: SocketAddr, repeated: bool) -> Value {
+    let request = request_of_earlier_build(helper, repeated);
     Client::new(address).call(Method::POST, "/relay/query", Some(&request)).await.unwrap()
 }
 
@@ -290,3 +300,50 @@
 
     assert_eq!(statuses, [502; 4]);
 }
+
+/// Load pattern: hosts that have passed requests to this one read the large outcomes slowly.
+/// Guards against outcomes that no limit counts until they have been sent.
+#[tokio::test]
+async fn large_outcomes_for_other_hosts_count_until_they_are_sent() {
+    const REPLY_MEMORY: usize = 24 * 1024 * 1024;
+    const SIZE: usize = 7 * 1024 * 1024;
+    let large = Backend::start(vec![Step::Reply(reply(200, &"x".repeat(SIZE)))]).await;
+    let entries = vec![entry("i-0", "quote", large.address)];
+    let (helper, address) = start_helper(routes(2), entries).await;
+    let request = request_of_earlier_build(&helper, false).to_string();
+    let mut readers = Vec::new();
+
+    for _ in 0..4 {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let length = request.len();
+        let head =
+            format!("POST /relay/query HTTP/1.1\r\nhost: h\r\ncontent-length: {length}\r\n\r\n");
+        support::write(&mut stream, &(head + &request), "").await;
+        // Outcomes are prepared one after the other; the rest of each waits to be read.
+        let mut status_line = [0; 12];
+        stream.read_exact(&mut status_line).await.unwrap();
+        readers.push((status_line, stream));
+    }
+
+    let used = helper.core.reply_memory.used();
+    assert!((SIZE..=REPLY_MEMORY).contains(&used), "{used} bytes");
+    assert!(readers.iter().all(|(line, _)| [b"HTTP/1.1 200", b"HTTP/1.1 500"].contains(&line)));
+    drop(readers);
+    until(|| helper.core.reply_memory.used() == 0).await;
+}
+
+/// Guards against large replies that a host gets from another one, and that no limit counts until
+/// its callers have read them.
+#[test]
+fn large_replies_of_other_hosts_count_until_they_are_dropped() {
+    let memory = Arc::new(ReplyMemory::default());
+    let body = Bytes::from(vec![b'x'; 7 * 1024 * 1024]);
+
+    let kept: Vec<Bytes> = (0..10).map_while(|_| memory.hold(body.clone())).collect();
+
+    assert_eq!(kept.len(), 2);
+    assert!(memory.used() >= 2 * body.len());
+    drop(kept);
+    assert_eq!(memory.used(), 0);
+    assert!(memory.hold(body).is_some());
+}
