Share the reading of replies between clients

Cause: the client of backend servers of chervil-gate reads replies by another parser, which accepts broken ones.

Change: crates/http holds the grammar, the reader, the parts of bodies and the limits on memory, moved out of chervil-front unchanged.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -11,6 +11,7 @@
 use std::time::Instant;
 
 use chervil_base::value;
+use chervil_http::error::ExchangeError;
 use chervil_route::attempts::End;
 use chervil_route::attempts::Executions;
 use chervil_route::crashes::MAX_CRASHES_PER_SEND;
@@ -22,7 +23,6 @@
 use crate::core::Core;
 use crate::crashes;
 use crate::exchange::Connection;
-use crate::exchange::ExchangeError;
 use crate::logs::Category;
 use crate::outgoing::Outgoing;
 use crate::reply::LimitHeader;
--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -9,6 +9,15 @@
 use bytes::Bytes;
 use chervil_base::HashMap;
 use chervil_base::value;
+use chervil_http::error::ExchangeError;
+use chervil_http::grammar;
+use chervil_http::grammar::Framing;
+use chervil_http::grammar::MAX_HEADERS;
+use chervil_http::memory::MAX_LARGE_CALL_BYTES;
+use chervil_http::memory::MemoryUse;
+use chervil_http::memory::ReplyMemory;
+use chervil_http::reader;
+use chervil_http::reader::ReplyReader;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::StatusCode;
@@ -19,16 +28,7 @@
 use tokio::net::TcpStream;
 use tokio::time;
 
-use crate::exchange::ExchangeError;
-use crate::grammar;
-use crate::grammar::Framing;
-use crate::grammar::MAX_HEADERS;
-use crate::reader;
-use crate::reader::ReplyReader;
 use crate::registry::RegistryError;
-use crate::reply_memory::MAX_LARGE_CALL_BYTES;
-use crate::reply_memory::MemoryUse;
-use crate::reply_memory::ReplyMemory;
 
 /// Timeout for opening a connection; a hop between zones takes a hundredth of it.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -10,24 +10,23 @@
 //! limit on their memory; a reply that exceeds one fails its attempt and closes the
 //! connection.
 
-use std::io;
 use std::mem;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
-use snafu::Snafu;
+use chervil_http::error::ExchangeError;
+use chervil_http::grammar::Framing;
+use chervil_http::memory::MemoryUse;
+use chervil_http::memory::ReplyMemory;
+use chervil_http::reader::ReplyReader;
 use socket2::SockRef;
 use tokio::net::TcpStream;
 
-use crate::grammar::Framing;
 use crate::head;
 use crate::names::HeaderNames;
 use crate::outgoing::Outgoing;
-use crate::reader::ReplyReader;
 use crate::reply::Reply;
-use crate::reply_memory::MemoryUse;
-use crate::reply_memory::ReplyMemory;
 
 /// Maximum size of a reply's body; larger ones could exhaust the memory of a
 /// small host.
@@ -37,47 +36,6 @@
 /// fails.
 const MAX_STALE_REPLIES: u32 = 2;
 
-/// Why an exchange produced no reply.
-#[derive(Debug, Snafu)]
-#[snafu(visibility(pub(crate)))]
-pub enum ExchangeError {
-    /// Reading or writing failed.
-    #[snafu(display("connection failed: {source}"))]
-    Io {
-        /// Error of the socket.
-        source: io::Error,
-    },
-    /// The backend server closed the connection before the reply was complete.
-    #[snafu(display("connection closed before the reply was complete"))]
-    UnexpectedEof,
-    /// The reply violates HTTP/1.1, exceeds a limit or answers other requests.
-    #[snafu(display("invalid reply: {reason}"))]
-    InvalidReply {
-        /// What is invalid.
-        reason: &'static str,
-    },
-}
-
-impl ExchangeError {
-    /// Whether sent bytes stayed unacknowledged until the TCP user timeout. The backend server
-    /// may have them all the same: acknowledgements get lost, too.
-    pub fn is_unacknowledged(&self) -> bool {
-        let ExchangeError::Io { source } = self else { return false };
-        source.kind() == io::ErrorKind::TimedOut
-    }
-
-    /// Whether the backend server closed or reset the connection.
-    pub fn is_disconnect(&self) -> bool {
-        self.is_reset() || matches!(self, ExchangeError::UnexpectedEof)
-    }
-
-    /// Whether the backend server reset the connection.
-    pub fn is_reset(&self) -> bool {
-        let ExchangeError::Io { source } = self else { return false };
-        matches!(source.kind(), io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe)
-    }
-}
-
 /// A connection to a backend server.
 #[derive(Debug)]
 pub struct Connection {
--- a/crates/front/src/head.rs
+++ b/crates/front/src/head.rs
@@ -3,15 +3,15 @@
 use std::str;
 use std::time::Duration;
 
+use chervil_http::error::ExchangeError;
+use chervil_http::grammar;
+use chervil_http::grammar::Framing;
+use chervil_http::grammar::MAX_HEADERS;
 use chervil_route::health::Load;
 use hyper::header;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 
-use crate::exchange::ExchangeError;
-use crate::grammar;
-use crate::grammar::Framing;
-use crate::grammar::MAX_HEADERS;
 use crate::names::HeaderNames;
 use crate::outgoing::KEEP_ALIVE;
 use crate::outgoing::Outgoing;
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -12,6 +12,7 @@
 use std::time::Instant;
 
 use chervil_base::value;
+use chervil_http::memory::ReplyMemory;
 use chervil_route::config::Gather;
 use chervil_route::config::Route;
 use chervil_route::peers::FORMAT_WITH_EXECUTIONS;
@@ -27,7 +28,6 @@
 use crate::relayed::Offer;
 use crate::relayed::RelayReply;
 use crate::relayed::RelayedRequest;
-use crate::reply_memory::ReplyMemory;
 use crate::single::SingleOutcome;
 use crate::single::SingleResult;
 
--- a/crates/front/src/reply.rs
+++ b/crates/front/src/reply.rs
@@ -4,14 +4,14 @@
 
 use bytes::Bytes;
 use chervil_base::value;
+use chervil_http::grammar;
+use chervil_http::grammar::MAX_HEADERS;
 use chervil_route::health::Load;
 use hyper::HeaderMap;
 use hyper::header;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 
-use crate::grammar;
-use crate::grammar::MAX_HEADERS;
 use crate::outgoing::KEEP_ALIVE;
 
 value! {
--- a/crates/front/tests/endless.rs
+++ b/crates/front/tests/endless.rs
@@ -6,9 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervil_front::exchange::ExchangeError;
 use chervil_front::reply::Reply;
-use chervil_front::reply_memory::ReplyMemory;
+use chervil_http::error::ExchangeError;
+use chervil_http::memory::ReplyMemory;
 use futures::future::join_all;
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
--- a/crates/front/tests/malformed.rs
+++ b/crates/front/tests/malformed.rs
@@ -5,9 +5,9 @@
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
-use chervil_front::exchange::ExchangeError;
 use chervil_front::relayed::RelayReply;
 use chervil_front::single::SingleOutcome;
+use chervil_http::error::ExchangeError;
 use chervil_route::config::Target;
 
 use crate::support::Backend;
--- a/crates/front/tests/reply_memory.rs
+++ b/crates/front/tests/reply_memory.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use chervil_front::client::Clients;
-use chervil_front::reply_memory::ReplyMemory;
+use chervil_http::memory::ReplyMemory;
 use futures::future::join_all;
 use hyper::Method;
 use tokio::io::AsyncWriteExt as _;
--- a/crates/front/tests/support/exchange.rs
+++ b/crates/front/tests/support/exchange.rs
@@ -6,10 +6,10 @@
 
 use bytes::Bytes;
 use chervil_front::exchange::Connection;
-use chervil_front::exchange::ExchangeError;
 use chervil_front::outgoing::Outgoing;
 use chervil_front::reply::Reply;
-use chervil_front::reply_memory::ReplyMemory;
+use chervil_http::error::ExchangeError;
+use chervil_http::memory::ReplyMemory;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::header::HeaderValue;
--- a/crates/front/src/grammar.rs
+++ b/crates/http/src/grammar.rs
@@ -12,7 +12,7 @@
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 
-use crate::exchange::ExchangeError;
+use crate::error::ExchangeError;
 
 /// Maximum number of headers of a reply.
 pub const MAX_HEADERS: usize = 64;
--- a/crates/front/src/reader.rs
+++ b/crates/http/src/reader.rs
@@ -12,11 +12,11 @@
 
 use crate::body::BodyParts;
 use crate::body::PART_BYTES;
-use crate::exchange::ExchangeError;
-use crate::exchange::IoSnafu;
+use crate::error::ExchangeError;
+use crate::error::IoSnafu;
 use crate::grammar;
 use crate::grammar::Framing;
-use crate::reply_memory::MemoryUse;
+use crate::memory::MemoryUse;
 
 /// Maximum size of a reply's head, and of all trailers after a chunked body.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
