Read replies of backend servers in chervil-gate by the same grammar

Callers saw: nothing yet; found by looking at every other reader of answers. A broken reply to a request that runs once at most reached the caller as its answer: with a line feed in a name, the rest of the head before the body. Rows of a query are JSON and were rejected, unless the body was whole.

Cause: the connections of chervil-gate used reqwest, whose parser is httparse with its leniency, and whose replies no limit counts for the whole process.

Ruled out: status 000, lengths that are no number, lines and names that are no fields, missing chunk sizes, trailers that are no fields and bodies that end early failed before, as did replies over 4 MiB.

A broken reply counts as a lost connection, as before: the server may still run the request.

Evidence: before, reply_that_violates_the_grammar_is_no_answer listed 5 of 16 replies as accepted, first "HTTP/1.1 200 X\r\nx-more: 1\r\n\ncontent-length: 4\r\n\r\ndone".

--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -4,5 +4,4 @@
 pub mod connection;
 pub mod http;
 
-mod dial;
 mod wire;
--- a/crates/backend/tests/http.rs
+++ b/crates/backend/tests/http.rs
@@ -35,6 +35,8 @@
     ReplyAndClose,
     /// Closes the connection after 1 of 9 body bytes.
     Truncate,
+    /// Sends this text and closes the connection.
+    Raw(&'static str),
 }
 
 struct TestServer {
@@ -85,6 +87,10 @@
                 stream.write_all(b"HTTP/1.1 200 X\r\ncontent-length: 9\r\n\r\n{").await.unwrap();
                 return;
             }
+            Mode::Raw(text) => {
+                stream.write_all(text.as_bytes()).await.unwrap();
+                return;
+            }
         };
         let text = format!("HTTP/1.1 {code} X\r\ncontent-length: {}\r\n\r\n{body}", body.len());
         stream.write_all(text.as_bytes()).await.unwrap();
@@ -254,3 +260,40 @@
     assert!(connection.ask(&ask_call(TIMEOUT)).await.is_ok());
     assert!(HttpConnector::new(small).open(server.address, TIMEOUT).await.is_err());
 }
+
+/// Guards against a broken reply that callers get as the answer to a request that runs once at
+/// most: here its body is passed on as it is.
+#[tokio::test]
+async fn reply_that_violates_the_grammar_is_no_answer() {
+    let sound = "HTTP/1.1 200 X\r\nx-more: 1\r\ncontent-length: 4\r\n\r\ndone";
+    let chunked = "HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n";
+    let broken = [
+        sound.replace("200", "000"),
+        sound.replace("200", "999"),
+        sound.replace("content-length: 4", "content-length: +4"),
+        sound.replace("content-length: 4", "content-length: 4x"),
+        sound.replace("content-length: 4", "content-length 4"),
+        sound.replace("content-length", "content length"),
+        sound.replace("content-length", "\x01content-length"),
+        sound.replace("content-length", "\ncontent-length"),
+        sound.replace("x-more: 1\r", "x-more: 1"),
+        sound.replace("HTTP", "\r\nHTTP"),
+        sound.replace("content-length: 4", "content-length: 9"),
+        sound.replace("content-length", "transfer-encoding: chunked\r\ncontent-length"),
+        chunked.replace("transfer", "content-length: 4\r\ntransfer"),
+        chunked.replace("0\r\n\r\n", "\r\n\r\n"),
+        chunked.replace("0\r\n\r\n", "0\r\nx 1\r\n\r\n"),
+        chunked.replace("chunked\r", "gzip\r"),
+    ];
+
+    let mut accepted = Vec::new();
+    for text in broken {
+        let text: &'static str = text.leak();
+        let server = start_server(Mode::Raw(text)).await;
+        if open(&server, HttpSettings::default()).await.run(&run_call()).await.is_ok() {
+            accepted.push(text);
+        }
+    }
+
+    assert_eq!(accepted, Vec::<&str>::new());
+}
--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -10,9 +10,6 @@
 use chervil_base::HashMap;
 use chervil_base::value;
 use chervil_http::error::ExchangeError;
-use chervil_http::grammar;
-use chervil_http::grammar::Framing;
-use chervil_http::grammar::MAX_HEADERS;
 use chervil_http::memory::MAX_LARGE_CALL_BYTES;
 use chervil_http::memory::MemoryUse;
 use chervil_http::memory::ReplyMemory;
@@ -21,7 +18,6 @@
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::StatusCode;
-use hyper::header;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde::de::IgnoredAny;
@@ -163,18 +159,14 @@
         );
         let mut connection = self.connection().await?;
         connection.send(message.as_bytes()).await.map_err(|e| unreachable(&e))?;
-        let (_, head) = connection.read_head(parse_head).await.map_err(reply_error)?;
-        let ends = head.closes || matches!(head.framing, Framing::UntilEof);
-        let body = connection.read_body(head.framing).await.map_err(reply_error)?;
-        // Counts until it is decoded.
-        let body = connection.finish(Some(body));
-        if !ends {
+        let reply = connection.read_reply().await.map_err(reply_error)?;
+        if !reply.closes {
             self.put_idle(connection);
         }
-        match head.status {
-            StatusCode::OK => Ok((head.headers, body)),
-            StatusCode::GONE => Err(RegistryError::HistoryLost),
-            status => Err(RegistryError::Refused { status: status.as_u16() }),
+        match StatusCode::from_u16(reply.status) {
+            Ok(StatusCode::OK) => Ok((reply.headers, reply.body)),
+            Ok(StatusCode::GONE) => Err(RegistryError::HistoryLost),
+            _ => Err(RegistryError::Refused { status: reply.status }),
         }
     }
 
@@ -206,30 +198,6 @@
     }
 }
 
-/// Head of a reply.
-struct Head {
-    status: StatusCode,
-    headers: HeaderMap,
-    framing: Framing,
-    /// Whether the server closes the connection after the reply.
-    closes: bool,
-}
-
-/// Parses the head at the start of `buffer` and returns its size in bytes, its status and what
-/// it says; `None` if it is incomplete.
-fn parse_head(buffer: &[u8]) -> Result<Option<(usize, u16, Head)>, ExchangeError> {
-    let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let Some(message) = grammar::parse_head(buffer, &mut fields)? else { return Ok(None) };
-    let headers = message.header_map();
-    let mut options = headers.get_all(header::CONNECTION).iter();
-    let closes = message.is_http_1_0
-        || options.any(|o| o.to_str().is_ok_and(|o| grammar::has_token(o, "close")));
-    let invalid = |_| ExchangeError::InvalidReply { reason: "invalid status code" };
-    let status = StatusCode::from_u16(message.status).map_err(invalid)?;
-    let head = Head { status, headers, framing: message.framing, closes };
-    Ok(Some((message.size, message.status, head)))
-}
-
 fn reply_error(error: ExchangeError) -> RegistryError {
     match error {
         ExchangeError::InvalidReply { reason } if reader::is_too_large(reason) => {
--- a/crates/front/src/head.rs
+++ b/crates/front/src/head.rs
@@ -40,7 +40,7 @@
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let Some(message) = grammar::parse_head(buffer, &mut headers)? else { return Ok(None) };
     let mut reply = Reply::new(message.status);
-    reply.closes = message.is_http_1_0;
+    reply.closes = message.closes;
     let mut fields = HeaderFields { reply, matches_request: None };
     for header in message.headers {
         fields.apply(header, request, names)?;
@@ -83,8 +83,6 @@
             );
         } else if is(&names.load) {
             reply.load = parse_load(text());
-        } else if is(&header::CONNECTION) {
-            reply.closes |= grammar::has_token(text(), "close");
         } else if is(&KEEP_ALIVE) {
             reply.idle_timeout = parse_keep_alive(text());
         } else if is(&names.refused) {
--- a/crates/http/src/grammar.rs
+++ b/crates/http/src/grammar.rs
@@ -49,8 +49,8 @@
     pub size: usize,
     /// Status code.
     pub status: u16,
-    /// Whether it is of HTTP/1.0, whose connections end after one reply.
-    pub is_http_1_0: bool,
+    /// Whether the connection ends after the reply, as it says or since it is of HTTP/1.0.
+    pub closes: bool,
     /// How the end of the body is determined, unless the request was HEAD.
     pub framing: Framing,
     /// Headers.
@@ -98,7 +98,8 @@
     let is_http_1_0 = parsed.version == Some(0);
     let headers: &[httparse::Header<'_>] = parsed.headers;
     let framing = framing(status, is_http_1_0, headers)?;
-    Ok(Some(MessageHead { size, status, is_http_1_0, framing, headers }))
+    let closes = is_http_1_0 || headers.iter().any(closes_connection);
+    Ok(Some(MessageHead { size, status, closes, framing, headers }))
 }
 
 fn invalid(reason: &'static str) -> ExchangeError {
@@ -210,7 +211,9 @@
     }
 }
 
-/// Whether a list of tokens, separated by commas, contains one.
-pub fn has_token(list: &str, token: &str) -> bool {
-    list.split(',').any(|t| t.trim().eq_ignore_ascii_case(token))
+/// Whether a header is `connection` with the option `close`.
+fn closes_connection(header: &httparse::Header<'_>) -> bool {
+    let options = str::from_utf8(header.value).unwrap_or_default().split(',');
+    header.name.eq_ignore_ascii_case(header::CONNECTION.as_str())
+        && options.into_iter().any(|option| option.trim().eq_ignore_ascii_case("close"))
 }
--- a/crates/http/src/memory.rs
+++ b/crates/http/src/memory.rs
@@ -45,7 +45,8 @@
 }
 
 impl ReplyMemory {
-    fn new(max_small: usize, max_large: usize) -> ReplyMemory {
+    /// Memory with these limits on the first bytes of all replies and on their further bytes.
+    pub fn new(max_small: usize, max_large: usize) -> ReplyMemory {
         let (small, large) = (AtomicUsize::new(0), AtomicUsize::new(0));
         ReplyMemory { small, large, max_small, max_large }
     }
--- a/crates/http/src/reader.rs
+++ b/crates/http/src/reader.rs
@@ -5,6 +5,7 @@
 use bytes::Buf as _;
 use bytes::Bytes;
 use bytes::BytesMut;
+use hyper::HeaderMap;
 use snafu::ResultExt as _;
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
@@ -16,6 +17,7 @@
 use crate::error::IoSnafu;
 use crate::grammar;
 use crate::grammar::Framing;
+use crate::grammar::MAX_HEADERS;
 use crate::memory::MemoryUse;
 
 /// Maximum size of a reply's head, and of all trailers after a chunked body.
@@ -42,6 +44,35 @@
     [BODY_TOO_LARGE, MEMORY_EXHAUSTED].contains(&reason)
 }
 
+/// A reply that was read in full.
+#[derive(Debug)]
+pub struct WholeReply {
+    /// Status code.
+    pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body. It counts against the memory of replies until it is dropped, if it is large.
+    pub body: Bytes,
+    /// Whether the connection cannot be used again.
+    pub closes: bool,
+}
+
+/// Head of a whole reply.
+struct Head {
+    status: u16,
+    headers: HeaderMap,
+    framing: Framing,
+    closes: bool,
+}
+
+fn parse_head(buffer: &[u8]) -> Result<Option<(usize, u16, Head)>, ExchangeError> {
+    let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let Some(parsed) = grammar::parse_head(buffer, &mut fields)? else { return Ok(None) };
+    let (status, framing, closes) = (parsed.status, parsed.framing, parsed.closes);
+    let head = Head { status, headers: parsed.header_map(), framing, closes };
+    Ok(Some((parsed.size, status, head)))
+}
+
 /// An open connection on which replies are read.
 #[derive(Debug)]
 pub struct ReplyReader {
@@ -136,10 +167,22 @@
         Err(ExchangeError::InvalidReply { reason: "too many interim replies" })
     }
 
+    /// Reads a whole reply.
+    pub async fn read_reply(&mut self) -> Result<WholeReply, ExchangeError> {
+        let (_, head) = self.read_head(parse_head).await?;
+        let Head { status, headers, framing, closes } = head;
+        let body = self.read_body(framing).await?;
+        let closes = closes || matches!(framing, Framing::UntilEof);
+        Ok(WholeReply { status, headers, body: self.finish(Some(body)), closes })
+    }
+
     /// Reads the body after a head.
     pub async fn read_body(&mut self, framing: Framing) -> Result<Bytes, ExchangeError> {
         match framing {
             Framing::NoBody => Ok(Bytes::new()),
+            Framing::Length(size) if size > self.max_body => {
+                Err(ExchangeError::InvalidReply { reason: BODY_TOO_LARGE })
+            }
             Framing::Length(size) if size <= PART_BYTES => self.read_exact(size).await,
             Framing::Length(size) => {
                 let mut body = BodyParts::default();
