Limit the responses of the store that chervil-agent reads

Callers saw: nothing yet; found by looking at every other reader of answers. A response of the platform's store without end was collected until the call timed out, for 2 s at the speed of the network.

Cause: bodies were collected whole by reqwest, without a limit.

Change: a body over 16 MiB makes the response unreadable; the call ends at once, and its connection is closed.

--- a/crates/platform/src/http/store.rs
+++ b/crates/platform/src/http/store.rs
@@ -59,9 +59,9 @@
 /// proves that nothing was written.
 async fn write_error(response: Response) -> StoreError {
     match response.status() {
-        StatusCode::CONFLICT => match response.json::<ConflictReply>().await {
-            Ok(ConflictReply { current }) => StoreError::Conflict { current },
-            Err(_) => StoreError::Unknown,
+        StatusCode::CONFLICT => match transport::decode(response).await {
+            Some(ConflictReply { current }) => StoreError::Conflict { current },
+            None => StoreError::Unknown,
         },
         _ => StoreError::Unknown,
     }
--- a/crates/platform/src/http/transport.rs
+++ b/crates/platform/src/http/transport.rs
@@ -58,6 +58,10 @@
     }
 }
 
+/// Largest body of a response: the list of 200,000 keys, or a value of the largest size with
+/// each byte escaped in JSON.
+const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+
 /// Whether a call changes the store. Decides what a missing response means: a
 /// read can be repeated, a write may have taken effect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -139,5 +143,20 @@
     if response.status() != StatusCode::OK {
         return Err(kind.no_response());
     }
-    response.json().await.map_err(|_| kind.no_response())
+    decode(response).await.ok_or(kind.no_response())
+}
+
+/// Parses the JSON body of a response with any status. None if it is unreadable or too large.
+pub(super) async fn decode<T>(mut response: Response) -> Option<T>
+where
+    T: DeserializeOwned,
+{
+    let mut body = Vec::new();
+    while let Some(chunk) = response.chunk().await.ok()? {
+        if body.len() + chunk.len() > MAX_RESPONSE_BYTES {
+            return None;
+        }
+        body.extend_from_slice(&chunk);
+    }
+    serde_json::from_slice(&body).ok()
 }
--- a/crates/platform/tests/http.rs
+++ b/crates/platform/tests/http.rs
@@ -188,3 +188,28 @@
         assert!(HttpStore::new(&HttpSettings::new(url)).is_err(), "{url}");
     }
 }
+
+/// Guards against a response without end that is kept until the call times out.
+#[tokio::test]
+async fn response_without_end_is_given_up() {
+    const ENOUGH: usize = 64 * 1024 * 1024;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let timeout = Duration::from_secs(30);
+    let settings = HttpSettings { timeout, ..settings(listener.local_addr().unwrap()) };
+    let store = HttpStore::new(&settings).unwrap();
+    let server = async {
+        let (mut socket, _) = listener.accept().await.unwrap();
+        let _ = socket.read(&mut [0; 4096]).await;
+        socket.write_all(b"HTTP/1.1 200 OK\r\n\r\n").await.unwrap();
+        let mut sent = 0;
+        while sent < ENOUGH && socket.write_all(&[b' '; 4096]).await.is_ok() {
+            sent += 4096;
+        }
+        sent
+    };
+
+    let (read, sent) = tokio::join!(store.get("k"), server);
+
+    assert_eq!(read, Err(StoreError::Unavailable));
+    assert!(sent < ENOUGH, "{sent} bytes were read");
+}
