Read responses of the store in chervil-agent by the same grammar

Callers saw: nothing yet; found by looking at every other reader of answers. A broken response of the platform's store counted: one that says that a key does not exist, and one that says that a write has lost, which states that nothing was written.

Cause: the client used reqwest, whose parser is httparse with its leniency.

Ruled out: lengths that are no number, and lines and names that are no fields, failed before, as did bodies that are no JSON.

Change: crates/platform reads responses with crates/http over connections of its own.

--- a/crates/platform/src/http/hosts.rs
+++ b/crates/platform/src/http/hosts.rs
@@ -5,6 +5,7 @@
 use async_trait::async_trait;
 
 use super::transport;
+use super::transport::Call;
 use super::transport::CallKind;
 use super::transport::HttpError;
 use super::transport::HttpSettings;
@@ -34,8 +35,8 @@
 #[async_trait]
 impl HostList for HttpHosts {
     async fn hosts(&self) -> Result<Vec<ListedHost>, StoreError> {
-        let request = self.transport.client().get(self.transport.url("hosts"));
-        let response = self.transport.send(request, CallKind::Read, Duration::ZERO).await?;
-        transport::json_body(response, CallKind::Read).await
+        let call = Call::new("GET", self.transport.url("hosts"));
+        let response = self.transport.send(call, CallKind::Read, Duration::ZERO).await?;
+        transport::json_body(&response, CallKind::Read)
     }
 }
--- a/crates/platform/src/http/store.rs
+++ b/crates/platform/src/http/store.rs
@@ -3,15 +3,17 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use reqwest::Response;
-use reqwest::StatusCode;
+use chervil_http::reader::WholeReply;
 use serde::Deserialize;
 use tokio::time;
+use url::Url;
 
 use super::transport;
+use super::transport::Call;
 use super::transport::CallKind;
 use super::transport::HttpError;
 use super::transport::HttpSettings;
+use super::transport::OK;
 use super::transport::Transport;
 use crate::MAX_VALUE_BYTES;
 use crate::Revision;
@@ -19,6 +21,18 @@
 use crate::StoreError;
 use crate::Versioned;
 
+/// HTTP status 204 No Content.
+const NO_CONTENT: u16 = 204;
+
+/// HTTP status 404 Not Found.
+const NOT_FOUND: u16 = 404;
+
+/// HTTP status 409 Conflict: the key has another revision.
+const CONFLICT: u16 = 409;
+
+/// HTTP status 413 Content Too Large.
+const PAYLOAD_TOO_LARGE: u16 = 413;
+
 /// Upper bound on the delay before a watch reports an absent key. The platform
 /// may answer that at once, and callers that watch in a loop would spin.
 const ABSENT_KEY_DELAY: Duration = Duration::from_millis(500);
@@ -50,18 +64,18 @@
         self.transport.calls()
     }
 
-    fn url(&self, key: &str) -> reqwest::Url {
+    fn url(&self, key: &str) -> Url {
         self.transport.url(&format!("kv/{key}"))
     }
 }
 
 /// Error of a write that was not answered with success. Only a readable 409
 /// proves that nothing was written.
-async fn write_error(response: Response) -> StoreError {
-    match response.status() {
-        StatusCode::CONFLICT => match transport::decode(response).await {
-            Some(ConflictReply { current }) => StoreError::Conflict { current },
-            None => StoreError::Unknown,
+fn write_error(response: &WholeReply) -> StoreError {
+    match response.status {
+        CONFLICT => match serde_json::from_slice(&response.body) {
+            Ok(ConflictReply { current }) => StoreError::Conflict { current },
+            Err(_) => StoreError::Unknown,
         },
         _ => StoreError::Unknown,
     }
@@ -70,12 +84,12 @@
 #[async_trait]
 impl Store for HttpStore {
     async fn get(&self, key: &str) -> Result<Option<Versioned>, StoreError> {
-        let request = self.transport.client().get(self.url(key));
-        let response = self.transport.send(request, CallKind::Read, Duration::ZERO).await?;
-        if response.status() == StatusCode::NOT_FOUND {
+        let call = Call::new("GET", self.url(key));
+        let response = self.transport.send(call, CallKind::Read, Duration::ZERO).await?;
+        if response.status == NOT_FOUND {
             return Ok(None);
         }
-        transport::json_body(response, CallKind::Read).await.map(Some)
+        transport::json_body(&response, CallKind::Read).map(Some)
     }
 
     async fn put_if(
@@ -89,27 +103,27 @@
         }
         let mut url = self.url(key);
         url.query_pairs_mut().append_pair("if_revision", &expected.to_string());
-        let request = self.transport.client().put(url).body(value.to_owned());
-        let response = self.transport.send(request, CallKind::Write, Duration::ZERO).await?;
-        if response.status() == StatusCode::PAYLOAD_TOO_LARGE {
+        let call = Call { body: value, ..Call::new("PUT", url) };
+        let response = self.transport.send(call, CallKind::Write, Duration::ZERO).await?;
+        if response.status == PAYLOAD_TOO_LARGE {
             return Err(StoreError::TooLarge { size: value.len() });
         }
-        if response.status() != StatusCode::OK {
-            return Err(write_error(response).await);
+        if response.status != OK {
+            return Err(write_error(&response));
         }
-        let reply: WriteReply = transport::json_body(response, CallKind::Write).await?;
+        let reply: WriteReply = transport::json_body(&response, CallKind::Write)?;
         Ok(reply.revision)
     }
 
     async fn delete_if(&self, key: &str, expected: Revision) -> Result<(), StoreError> {
         let mut url = self.url(key);
         url.query_pairs_mut().append_pair("if_revision", &expected.to_string());
-        let request = self.transport.client().delete(url);
-        let response = self.transport.send(request, CallKind::Write, Duration::ZERO).await?;
-        match response.status() {
-            StatusCode::OK | StatusCode::NO_CONTENT => Ok(()),
-            StatusCode::NOT_FOUND => Err(StoreError::Conflict { current: 0 }),
-            _ => Err(write_error(response).await),
+        let call = Call::new("DELETE", url);
+        let response = self.transport.send(call, CallKind::Write, Duration::ZERO).await?;
+        match response.status {
+            OK | NO_CONTENT => Ok(()),
+            NOT_FOUND => Err(StoreError::Conflict { current: 0 }),
+            _ => Err(write_error(&response)),
         }
     }
 
@@ -123,23 +137,23 @@
         url.query_pairs_mut()
             .append_pair("after", &after.to_string())
             .append_pair("wait_ms", &wait.as_millis().to_string());
-        let request = self.transport.client().get(url);
-        let response = self.transport.send(request, CallKind::Read, wait).await?;
-        match response.status() {
-            StatusCode::NO_CONTENT => Ok(None),
-            StatusCode::NOT_FOUND => {
+        let call = Call::new("GET", url);
+        let response = self.transport.send(call, CallKind::Read, wait).await?;
+        match response.status {
+            NO_CONTENT => Ok(None),
+            NOT_FOUND => {
                 time::sleep(wait.min(ABSENT_KEY_DELAY)).await;
                 Ok(None)
             }
-            _ => transport::json_body(response, CallKind::Read).await.map(Some),
+            _ => transport::json_body(&response, CallKind::Read).map(Some),
         }
     }
 
     async fn list(&self, prefix: &str) -> Result<Vec<(Box<str>, Revision)>, StoreError> {
         let mut url = self.transport.url("list");
         url.query_pairs_mut().append_pair("prefix", prefix);
-        let request = self.transport.client().get(url);
-        let response = self.transport.send(request, CallKind::Read, Duration::ZERO).await?;
-        transport::json_body(response, CallKind::Read).await
+        let call = Call::new("GET", url);
+        let response = self.transport.send(call, CallKind::Read, Duration::ZERO).await?;
+        transport::json_body(&response, CallKind::Read)
     }
 }
--- a/crates/platform/src/http/transport.rs
+++ b/crates/platform/src/http/transport.rs
@@ -1,19 +1,24 @@
 //! Sends requests and maps their failures to [`StoreError`].
 
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use reqwest::Client;
-use reqwest::RequestBuilder;
-use reqwest::Response;
-use reqwest::StatusCode;
-use reqwest::Url;
-use reqwest::redirect::Policy;
+use chervil_http::memory::MemoryUse;
+use chervil_http::memory::ReplyMemory;
+use chervil_http::reader::ReplyReader;
+use chervil_http::reader::WholeReply;
 use serde::de::DeserializeOwned;
 use snafu::OptionExt as _;
-use snafu::ResultExt as _;
 use snafu::Snafu;
+use tokio::net::TcpStream;
+use tokio::time;
+use url::Position;
+use url::Url;
 
 use crate::StoreError;
 
@@ -26,14 +31,6 @@
         /// URL from the settings.
         url: Box<str>,
     },
-    /// The HTTP library cannot be initialised.
-    #[snafu(display(
-        "cannot set up the HTTP client: {source}; check the host's limits on threads and files"
-    ))]
-    Client {
-        /// Cause reported by the library.
-        source: reqwest::Error,
-    },
 }
 
 /// Address and timeouts of the platform.
@@ -80,36 +77,73 @@
     }
 }
 
+/// HTTP status 200 OK.
+pub(super) const OK: u16 = 200;
+
+/// Limit on the first 16 KiB of all responses that are read at the same time.
+const MAX_SMALL_RESPONSE_BYTES: usize = 2 * 1024 * 1024;
+
+/// A call.
+pub(super) struct Call<'a> {
+    pub(super) method: &'static str,
+    pub(super) url: Url,
+    pub(super) body: &'a str,
+}
+
+impl Call<'_> {
+    /// A call with a method that has no body.
+    pub(super) fn new(method: &'static str, url: Url) -> Call<'static> {
+        Call { method, url, body: "" }
+    }
+
+    fn encode(&self) -> String {
+        let Call { method, url, body } = self;
+        let path = &url[Position::BeforePath..Position::AfterQuery];
+        let host = &url[Position::BeforeHost..Position::AfterPort];
+        let length = body.len();
+        format!(
+            "{method} {path} HTTP/1.1\r\nhost: {host}\r\ncontent-length: {length}\r\n\r\n{body}"
+        )
+    }
+}
+
+/// Connections to the platform. Keeps idle ones, as many as there were simultaneous calls.
 #[derive(Debug)]
 pub(super) struct Transport {
-    client: Client,
     base: Url,
-    timeout: Duration,
+    host: Box<str>,
+    port: u16,
+    settings: HttpSettings,
+    idle: Mutex<Vec<ReplyReader>>,
+    memory: Arc<ReplyMemory>,
     calls: AtomicU64,
 }
 
 impl Transport {
     pub(super) fn new(settings: &HttpSettings) -> Result<Transport, HttpError> {
         let url = &settings.url;
-        let base = Url::parse(url).ok().filter(|u| u.scheme() == "http" && u.has_host());
+        let base = Url::parse(url).ok().filter(|u| u.scheme() == "http");
         let base = base.context(UrlSnafu { url: url.clone() })?;
-        let client = Client::builder()
-            .connect_timeout(settings.connect_timeout)
-            .redirect(Policy::none())
-            .no_proxy()
-            .build()
-            .context(ClientSnafu)?;
-        Ok(Transport { client, base, timeout: settings.timeout, calls: AtomicU64::new(0) })
+        // Without the brackets that a URL puts around an IPv6 address.
+        let host = base.host_str().context(UrlSnafu { url: url.clone() })?;
+        let host = host.trim_matches(['[', ']']).into();
+        let port = base.port_or_known_default().context(UrlSnafu { url: url.clone() })?;
+        let memory = ReplyMemory::new(MAX_SMALL_RESPONSE_BYTES, MAX_RESPONSE_BYTES);
+        Ok(Transport {
+            base,
+            host,
+            port,
+            settings: settings.clone(),
+            idle: Mutex::default(),
+            memory: Arc::new(memory),
+            calls: AtomicU64::new(0),
+        })
     }
 
     pub(super) fn calls(&self) -> u64 {
         self.calls.load(Ordering::Relaxed)
     }
 
-    pub(super) fn client(&self) -> &Client {
-        &self.client
-    }
-
     /// URL of `path` below the base URL. Percent-encodes each segment between
     /// slashes.
     pub(super) fn url(&self, path: &str) -> Url {
@@ -120,43 +154,56 @@
         url
     }
 
-    /// Sends a request and waits for the head of the response, for the timeout
-    /// plus `extra`.
+    /// Sends a call and reads its response, for the timeout plus `extra`.
     pub(super) async fn send(
         &self,
-        request: RequestBuilder,
+        call: Call<'_>,
         kind: CallKind,
         extra: Duration,
-    ) -> Result<Response, StoreError> {
+    ) -> Result<WholeReply, StoreError> {
         self.calls.fetch_add(1, Ordering::Relaxed);
-        let result = request.timeout(self.timeout + extra).send().await;
-        result
-            .map_err(|e| if e.is_connect() { StoreError::Unavailable } else { kind.no_response() })
+        let mut connection = self.connection().await.ok_or(StoreError::Unavailable)?;
+        let message = call.encode();
+        let exchange = async {
+            connection.send(message.as_bytes()).await.ok()?;
+            connection.read_reply().await.ok()
+        };
+        let response = time::timeout(self.settings.timeout + extra, exchange).await;
+        let response = response.ok().flatten().ok_or(kind.no_response())?;
+        if !response.closes {
+            self.idle().push(connection);
+        }
+        Ok(response)
     }
-}
 
-/// Parses the JSON body of a response; any status but 200 is an error.
-pub(super) async fn json_body<T>(response: Response, kind: CallKind) -> Result<T, StoreError>
-where
-    T: DeserializeOwned,
-{
-    if response.status() != StatusCode::OK {
-        return Err(kind.no_response());
+    /// An idle connection that is still open, or a new one. None if it cannot be opened.
+    async fn connection(&self) -> Option<ReplyReader> {
+        let idle = {
+            let mut idle = self.idle();
+            idle.retain_mut(ReplyReader::is_clean);
+            idle.pop()
+        };
+        if idle.is_some() {
+            return idle;
+        }
+        let connect = TcpStream::connect((&*self.host, self.port));
+        let stream = time::timeout(self.settings.connect_timeout, connect).await.ok()?.ok()?;
+        stream.set_nodelay(true).ok()?;
+        Some(ReplyReader::new(stream, MemoryUse::new(self.memory.clone()), MAX_RESPONSE_BYTES))
+    }
+
+    fn idle(&self) -> MutexGuard<'_, Vec<ReplyReader>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
-    decode(response).await.ok_or(kind.no_response())
 }
 
-/// Parses the JSON body of a response with any status. None if it is unreadable or too large.
-pub(super) async fn decode<T>(mut response: Response) -> Option<T>
+/// Parses the JSON body of a response; any status but 200 is an error.
+pub(super) fn json_body<T>(response: &WholeReply, kind: CallKind) -> Result<T, StoreError>
 where
     T: DeserializeOwned,
 {
-    let mut body = Vec::new();
-    while let Some(chunk) = response.chunk().await.ok()? {
-        if body.len() + chunk.len() > MAX_RESPONSE_BYTES {
-            return None;
-        }
-        body.extend_from_slice(&chunk);
+    if response.status != OK {
+        return Err(kind.no_response());
     }
-    serde_json::from_slice(&body).ok()
+    serde_json::from_slice(&response.body).map_err(|_| kind.no_response())
 }
--- a/crates/platform/tests/http.rs
+++ b/crates/platform/tests/http.rs
@@ -189,6 +189,41 @@
     }
 }
 
+/// Guards against trusting a response that HTTP/1.1 does not allow: here one that says that a key
+/// does not exist, and one that says that a write has lost against another.
+#[tokio::test]
+async fn response_that_violates_the_grammar_is_no_answer() {
+    let body = "{\"current\":7}";
+    let conflict = format!(
+        "HTTP/1.1 409 Conflict\r\nx-more: 1\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let mut accepted = Vec::new();
+    for change in [
+        |text: &str| text.replace("x-more: 1\r", "x-more: 1"),
+        |text: &str| text.replace("HTTP", "\r\nHTTP"),
+        |text: &str| text.replace("x-more", "transfer-encoding: gzip\r\nx-more"),
+        |text: &str| text.replace("x-more", "x\nmore"),
+        |text: &str| text.replace("length: ", "length: +"),
+        |text: &str| text.replace("x-more: 1", "x-more 1"),
+    ] {
+        let broken: &'static str = change(&conflict).leak();
+        let missing: &'static str = broken.replace("409 Conflict", "404 Not Found").leak();
+
+        let written = client_of_raw_server(broken).await.put_if("k", 1, "v").await;
+        let read = client_of_raw_server(missing).await.get("k").await;
+
+        if written != Err(StoreError::Unknown) || read != Err(StoreError::Unavailable) {
+            accepted.push((broken, written, read));
+        }
+    }
+
+    assert!(accepted.is_empty(), "{accepted:#?}");
+    let sound: &'static str = conflict.leak();
+    let written = client_of_raw_server(sound).await.put_if("k", 1, "v").await;
+    assert_eq!(written, Err(StoreError::Conflict { current: 7 }));
+}
+
 /// Guards against a response without end that is kept until the call times out.
 #[tokio::test]
 async fn response_without_end_is_given_up() {
