Break answers of backend servers in the soak

Cause: the soak lost answers of servers, but never broke them, and did not notice a failure that carries a server's stamp.

A failure with a stamp is a violation.

--- a/crates/soak/src/backend.rs
+++ b/crates/soak/src/backend.rs
@@ -27,6 +27,7 @@
 
 use crate::announcement::Announced;
 use crate::announcement::Announcement;
+use crate::broken;
 use crate::platform;
 use crate::recorder::Recorder;
 
@@ -43,6 +44,9 @@
 /// still arrive.
 const IN_FLIGHT_ALLOWANCE: Duration = Duration::from_millis(400);
 
+/// Bytes that a connection holds between a stand-in and the breaking of its replies.
+const CONNECTION_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Window over which the requests to a backend server that names a limit are counted.
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 
@@ -59,7 +63,8 @@
     Slow,
     /// Every other request is refused with 503 and is not run.
     Refusing,
-    /// Every other request is run, but the connection is closed without an answer.
+    /// Every other request is run, but the connection is closed without an answer, or the
+    /// answer is broken.
     LostReplies,
 }
 
@@ -143,7 +148,9 @@
                 let service = service_fn(move |r| backend.clone().handle(r));
                 let mut builder = http1::Builder::new();
                 builder.header_read_timeout(None);
-                tokio::spawn(builder.serve_connection(TokioIo::new(stream), service));
+                let (served, passed) = tokio::io::duplex(CONNECTION_BUFFER_BYTES);
+                tokio::spawn(builder.serve_connection(TokioIo::new(served), service));
+                tokio::spawn(broken::pass_on(stream, passed));
             }
         });
         Ok(backend)
@@ -230,7 +237,15 @@
         let service_time =
             if mode == BackendMode::Slow { SERVICE_TIME * SLOW_FACTOR } else { SERVICE_TIME };
         time::sleep(service_time.min(Duration::from_millis(deadline))).await;
-        if mode == BackendMode::LostReplies && request_count.is_multiple_of(2) {
+        let loses_reply = mode == BackendMode::LostReplies && request_count.is_multiple_of(2);
+        // Hosts of earlier builds pass some broken answers on.
+        let breaks_reply = request_count.is_multiple_of(4) && !self.recorder.has_unaware_hosts();
+        if loses_reply && breaks_reply {
+            let mut success = self.success(&id);
+            success.headers_mut().insert(broken::BREAK_REPLY, (request_count / 4).into());
+            return Ok(success);
+        }
+        if loses_reply {
             return Err(io::Error::other("fault injected: connection closed without an answer"));
         }
         let mut success = self.success(&id);
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -148,6 +148,13 @@
 /// Checks an answer. These refusals of a quote guarantee that it did not run;
 /// after any other failure, it may have run.
 fn check_answer(recorder: &Recorder, id: &str, quote: bool, answer: &Answer) {
+    let is_stamped = header_values(answer, platform::RESPONSE_STAMP).next().is_some();
+    if answer.status != 200 && is_stamped {
+        recorder.record_violation(format!(
+            "{id}: status {} with the stamp of a backend server, which sent no failure",
+            answer.status
+        ));
+    }
     match answer.status {
         200 if quote => check_quote(recorder, id, answer),
         200 => check_query(recorder, id, answer),
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod announcement;
 pub mod backend;
+pub mod broken;
 pub mod caller;
 pub mod faults;
 pub mod host;
--- a/crates/soak/src/recorder.rs
+++ b/crates/soak/src/recorder.rs
@@ -105,6 +105,11 @@
         self.lock().unaware.contains(&port)
     }
 
+    /// Whether any host runs such a build.
+    pub fn has_unaware_hosts(&self) -> bool {
+        !self.lock().unaware.is_empty()
+    }
+
     /// Whether a host was disturbed after a time.
     pub fn was_disturbed(&self, port: u16, since: Instant) -> bool {
         self.lock().disturbed_at.get(&port).is_some_and(|at| *at >= since)
