--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -1,11 +1,10 @@
 //! HTTP/1.1 client connection to a backend server, one request at a time.
 //!
-//! Reads the socket directly and uses `httparse` for the heads only, instead of
-//! an HTTP client library, for two reasons: a late reply to an earlier request
-//! must be recognised by its request id and skipped, and a connection with
-//! unread bytes must not be reused.
+//! Reads replies with `chervil_http` instead of an HTTP client library, for three reasons: a late
+//! reply to an earlier request must be recognised by its request id and skipped, a connection
+//! with unread bytes must not be reused, and what HTTP/1.1 does not allow must be no reply.
 //!
-//! A backend server in trouble may send bytes without end, in any part of a reply.
+//! A faulty backend server may send bytes without end, in any part of a reply.
 //! Each part has a limit, and all replies that a host reads at the same time share a
 //! limit on their memory; a reply that exceeds one fails its attempt and closes the
 //! connection.
--- a/crates/front/tests/malformed.rs
+++ b/crates/front/tests/malformed.rs
@@ -53,7 +53,7 @@
     start_host(vec![route("/q/", Target::One("quote".into()), idempotent)], entries).await
 }
 
-/// Replies of a backend server in trouble, with `{id}` for the request id.
+/// Replies of a faulty backend server, with `{id}` for the request id.
 fn broken_replies() -> Vec<String> {
     let sound = reply(200, "fine");
     let chunked = sound.replace("content-length: 4", "transfer-encoding: chunked");
--- a/crates/http/src/grammar.rs
+++ b/crates/http/src/grammar.rs
@@ -1,7 +1,7 @@
 //! Grammar of replies: their heads, and the lines between the chunks of their bodies.
 //!
 //! `httparse` accepts more than the grammar of HTTP/1.1 (RFC 9112). What goes beyond it is no
-//! reply here: a backend server in trouble may have sent it, and a guess at what it stands for
+//! reply here: a faulty server may have sent it, and a guess at what it means
 //! may give callers a body that is not that server's.
 
 use std::ops::RangeInclusive;
--- a/crates/http/src/memory.rs
+++ b/crates/http/src/memory.rs
@@ -1,6 +1,6 @@
 //! Limits on the memory of the replies that a host reads at the same time.
 //!
-//! Load pattern: backend servers in trouble send bytes without end, or stop within a large
+//! Load pattern: faulty backend servers send bytes without end, or stop within a large
 //! reply, while others send small replies to other callers. The first bytes of each reply count
 //! against a limit of their own, so that large replies take no memory from small ones.
 
--- a/crates/soak/src/broken.rs
+++ b/crates/soak/src/broken.rs
@@ -1,4 +1,4 @@
-//! Breaks replies of a stand-in on their way to a host, as a backend server in trouble does.
+//! Breaks replies of a stand-in on their way to a host, as a faulty backend server does.
 
 use std::io::Result;
 
