Close connections that other hosts have closed

Since the client reads its connections itself, one that the other host had closed stayed until the client was used again: hosts that are replaced left sockets behind, up to those of 256 addresses.

Cause: hyper watched idle connections in a task of their own; the reader looks at them only when a call takes one.

Change: a call drops all idle connections of its client that are closed, and the first call to another host drops those of all clients, and clients without any.

Evidence: connections_that_other_hosts_have_closed_are_closed failed before with 'Err(Elapsed(()))'.

--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 
@@ -72,6 +73,10 @@
 
     /// Client of the server at `address`.
     pub fn get(&mut self, address: SocketAddr) -> Arc<Client> {
+        if !self.clients.contains_key(&address) {
+            // Hosts that are replaced leave closed connections behind.
+            self.clients.retain(|_, c| c.keeps_connections() || Arc::strong_count(c) > 1);
+        }
         if self.clients.len() >= MAX_CLIENTS && !self.clients.contains_key(&address) {
             // Calls in progress keep their client.
             self.clients.clear();
@@ -171,18 +176,25 @@
     }
 
     fn put_idle(&self, connection: ReplyReader) {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner).push(connection);
+        self.idle().push(connection);
+    }
+
+    /// Whether any idle connection is still open. Closes the others.
+    fn keeps_connections(&self) -> bool {
+        let mut idle = self.idle();
+        idle.retain_mut(ReplyReader::is_clean);
+        !idle.is_empty()
     }
 
-    /// An idle connection that is still open and has no unread bytes.
+    /// An idle connection that is still open and has no unread bytes. Closes those that are not.
     fn take_idle(&self) -> Option<ReplyReader> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        while let Some(mut connection) = idle.pop() {
-            if connection.is_clean() {
-                return Some(connection);
-            }
-        }
-        None
+        let mut idle = self.idle();
+        idle.retain_mut(ReplyReader::is_clean);
+        idle.pop()
+    }
+
+    fn idle(&self) -> MutexGuard<'_, Vec<ReplyReader>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// An idle connection, or a new one.
--- a/crates/front/tests/calls.rs
+++ b/crates/front/tests/calls.rs
@@ -3,10 +3,13 @@
 mod support;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use chervil_front::client::Client;
+use chervil_front::client::Clients;
 use chervil_front::registry::RegistryError;
+use chervil_http::memory::ReplyMemory;
 use hyper::Method;
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
@@ -121,3 +124,35 @@
         assert!(sent < 64 * 1024 * 1024, "{part}: {sent} bytes were read");
     }
 }
+
+/// Guards against sockets that pile up: hosts that are replaced close their connections, and the
+/// calls go to new addresses.
+#[tokio::test]
+async fn connections_that_other_hosts_have_closed_are_closed() {
+    let mut clients = Clients::new(Arc::new(ReplyMemory::for_calls()));
+    let mut closing = Vec::new();
+    for _ in 0..5 {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let client = clients.get(listener.local_addr().unwrap());
+        let server = async {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            read_message(&mut stream).await;
+            stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ntrue").await.unwrap();
+            stream.shutdown().await.unwrap();
+            stream
+        };
+        let (result, stream) =
+            tokio::join!(client.call::<(), bool>(Method::GET, "/", None), server);
+        assert_eq!(result, Ok(true));
+        closing.push(stream);
+    }
+
+    // The connections that are not in use are checked when another host is called first.
+    time::sleep(Duration::from_millis(20)).await;
+    clients.get(SocketAddr::from(([127, 0, 0, 1], 9)));
+
+    for mut stream in closing {
+        let end = time::timeout(Duration::from_secs(5), stream.read(&mut [0])).await;
+        assert!(matches!(end, Ok(Ok(0))), "{end:?}");
+    }
+}
