Count and log large replies of other hosts that do not fit

A reply that another host had got and that did not fit into the memory for large replies ended its request with 502 without a log line; on the other side, each such outcome wrote an error line, as many as there were under load.

Cause: both limits were added without the line that explains them.

What callers get is unchanged.

Evidence: outcome_that_does_not_fit_is_counted_and_lost failed before, as the counter was missing.

--- a/crates/front/src/execute.rs
+++ b/crates/front/src/execute.rs
@@ -74,7 +74,7 @@
         spec.executed = executed;
         let task = Task::Single { service };
         if let Some(passed) = relay::pass_to_helper(core, route, task, &mut spec).await {
-            return passed.into_single(&core.reply_memory);
+            return passed.into_single(core);
         }
         let sent = sent || spec.executed.any();
         result.outcome = if sent || core.has_lost_links() {
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -12,7 +12,6 @@
 use std::time::Instant;
 
 use chervil_base::value;
-use chervil_http::memory::ReplyMemory;
 use chervil_route::config::Gather;
 use chervil_route::config::Route;
 use chervil_route::peers::FORMAT_WITH_EXECUTIONS;
@@ -25,6 +24,7 @@
 use crate::core::Core;
 use crate::execute::Executed;
 use crate::gather::GatherOutcome;
+use crate::logs::Category;
 use crate::relayed::Offer;
 use crate::relayed::RelayReply;
 use crate::relayed::RelayedRequest;
@@ -101,10 +101,10 @@
 
     /// The outcome of a request to one backend server. One that is lost, or too large to be kept
     /// until the caller has read it, leaves unknown whether the request ran.
-    pub fn into_single(self, memory: &Arc<ReplyMemory>) -> Executed<SingleResult> {
+    pub fn into_single(self, core: &Core) -> Executed<SingleResult> {
         let timed_out = self.timed_out;
         let outcome = self.reply.and_then(RelayReply::into_single);
-        let outcome = outcome.and_then(|result| hold_body(result, memory));
+        let outcome = outcome.and_then(|result| hold_body(core, result));
         let outcome = outcome.unwrap_or_else(|| {
             let outcome = SingleOutcome::Unknown { timed_out };
             SingleResult { outcome, asked: Vec::new() }
@@ -114,9 +114,16 @@
 }
 
 /// Counts the body of a reply until it is dropped. None if it does not fit into the memory.
-fn hold_body(mut result: SingleResult, memory: &Arc<ReplyMemory>) -> Option<SingleResult> {
+fn hold_body(core: &Core, mut result: SingleResult) -> Option<SingleResult> {
     if let SingleOutcome::Answered(reply) = &mut result.outcome {
-        reply.body = memory.hold(mem::take(&mut reply.body))?;
+        let Some(body) = core.reply_memory.hold(mem::take(&mut reply.body)) else {
+            core.metrics.count("relay.too_large");
+            if core.log_limiter.allows(Category::Notable, core.now()) {
+                spdlog::warn!("reply of another host exceeds the memory for large replies");
+            }
+            return None;
+        };
+        reply.body = body;
     }
     Some(result)
 }
--- a/crates/front/src/relay_service.rs
+++ b/crates/front/src/relay_service.rs
@@ -78,7 +78,9 @@
     };
     log_served(core, &id, route, &reply, start);
     encode(core, reply).unwrap_or_else(|problem| {
-        spdlog::error!("cannot return the outcome of a request", kv: { problem = &*problem });
+        if core.log_limiter.allows(Category::Notable, core.now()) {
+            spdlog::error!("cannot return the outcome of a request", kv: { problem = &*problem });
+        }
         // Not an empty body or "null", which would state that nothing was sent.
         answer::plain_text(StatusCode::INTERNAL_SERVER_ERROR, "the outcome is lost\n")
     })
@@ -88,9 +90,13 @@
 /// reply until it has been sent.
 fn encode(core: &Core, reply: RelayReply) -> Result<Answer, Box<str>> {
     let json = serde_json::to_vec(&reply).map_err(|e| e.to_string())?;
-    let held = core.reply_memory.hold(json.into());
-    let body = held.ok_or("large replies exceed the memory for them; wait until they are read")?;
-    Ok(Response::new(body.into()))
+    match core.reply_memory.hold(json.into()) {
+        Some(body) => Ok(Response::new(body.into())),
+        None => {
+            core.metrics.count("relay.too_large");
+            Err("large replies exceed the memory for them; wait until they are read".into())
+        }
+    }
 }
 
 /// Executions of a request before; `None` if this host must not execute it again. A host of an
--- a/crates/front/tests/passed_on.rs
+++ b/crates/front/tests/passed_on.rs
@@ -11,6 +11,7 @@
 use chervil_front::client::Client;
 use chervil_front::core::Core;
 use chervil_front::peers;
+use chervil_front::registry::RegistryError;
 use chervil_front::state::Bounds;
 use chervil_http::memory::ReplyMemory;
 use chervil_route::budget::RetryLimit;
@@ -347,3 +348,21 @@
     assert_eq!(memory.used(), 0);
     assert!(memory.hold(body).is_some());
 }
+
+/// Guards against an outcome that is lost without a sign because the memory for replies is in use.
+#[tokio::test]
+async fn outcome_that_does_not_fit_is_counted_and_lost() {
+    const MIB: usize = 1024 * 1024;
+    let large = Backend::start(vec![Step::Reply(reply(200, &"x".repeat(6 * MIB)))]).await;
+    let entries = vec![entry("i-0", "quote", large.address)];
+    let (helper, address) = start_helper(routes(2), entries).await;
+    let _held = helper.core.reply_memory.hold(Bytes::from(vec![0; 9 * MIB])).unwrap();
+    let request = request_of_earlier_build(&helper, false);
+
+    let client = Client::new(address);
+    let outcome = client.call::<_, Value>(Method::POST, "/relay/query", Some(&request)).await;
+
+    assert_eq!(outcome, Err(RegistryError::Refused { status: 500 }));
+    let metrics = helper.core.metrics.text();
+    assert!(metrics.contains("relay.too_large 1"), "{metrics}");
+}
