Log what a delta of the registry is based on

The start and the end of a recording, replies that are not based on a serial number, and the number of events of a new source are logged, each once a change of source.

--- a/crates/front/src/journal.rs
+++ b/crates/front/src/journal.rs
@@ -11,6 +11,7 @@
 use std::time::Instant;
 
 use chervil_base::message;
+use chervil_base::value;
 use chervil_route::history::Position;
 use chervil_route::peers::Followers;
 use tokio::sync::watch;
@@ -73,9 +74,35 @@
     json: Arc<str>,
 }
 
+value! {
+    /// What shows that a delta is complete.
+    #[derive(Copy, Eq)]
+    pub enum Basis {
+        /// The cursor names an event of this journal.
+        Serial,
+        /// The cursor names a position in the registry's history from which events are kept.
+        Position,
+        /// Nothing: the host needs a snapshot.
+        Snapshot,
+    }
+}
+
+impl Basis {
+    /// Name for the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            Basis::Serial => "serial",
+            Basis::Position => "position",
+            Basis::Snapshot => "snapshot",
+        }
+    }
+}
+
 /// Events that another host has not applied yet.
 #[derive(Debug)]
 pub struct Delta {
+    /// What shows that the events are complete.
+    pub basis: Basis,
     /// Encoded events, oldest first; `None` if the journal does not reach back to
     /// the cursor, so that the host needs a snapshot.
     pub events: Option<Vec<Arc<str>>>,
@@ -117,6 +144,11 @@
             inner.recording = true;
             // Events of the current position may have been applied before.
             inner.complete_from = Some(inner.position.next());
+            let (serial, Position { era, revision }) = (inner.serial, inner.position);
+            spdlog::info!(
+                "recording registry events for other hosts",
+                kv: { follower = host, serial, revision, era }
+            );
         }
         admitted
     }
@@ -136,6 +168,11 @@
             inner.records.clear();
             inner.recording = false;
             inner.complete_from = None;
+            let (serial, Position { era, revision }) = (inner.serial, inner.position);
+            spdlog::info!(
+                "no host polls this one any more; registry events are not recorded",
+                kv: { serial, revision, era }
+            );
         }
     }
 
@@ -197,23 +234,25 @@
         let inner = self.inner();
         let same_process = cursor.boot == self.boot;
         let first = inner.records.front().map_or(inner.serial + 1, |r| r.serial);
-        let events = if !inner.recording {
-            None
+        let (basis, events) = if !inner.recording {
+            (Basis::Snapshot, None)
         } else if same_process && cursor.serial + 1 >= first {
-            Some(inner.select(|r| r.serial > cursor.serial && r.format <= format))
+            let events = inner.select(|r| r.serial > cursor.serial && r.format <= format);
+            (Basis::Serial, Some(events))
         } else if cursor.position > Position::default()
             && inner.complete_from.is_some_and(|from| cursor.position >= from)
         {
             // The cursor is of another process, so only its position counts. Some
             // events may be sent twice, which is harmless: each states what holds
             // from then on.
-            Some(inner.select(|r| r.position >= cursor.position && r.format <= format))
+            let events = inner.select(|r| r.position >= cursor.position && r.format <= format);
+            (Basis::Position, Some(events))
         } else {
-            None
+            (Basis::Snapshot, None)
         };
         let age = inner.synced_at.map(|at| now.duration_since(at));
         let cursor = Cursor { boot: self.boot, serial: inner.serial, position: inner.position };
-        Delta { events, cursor, settled: inner.settled, age }
+        Delta { basis, events, cursor, settled: inner.settled, age }
     }
 }
 
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -37,10 +37,12 @@
 use crate::client::Clients;
 use crate::core::Core;
 use crate::core::Reports;
+use crate::journal::Basis;
 use crate::journal::Cursor;
 use crate::journal::Delta;
 use crate::journal::Journal;
 use crate::listen::Lifecycle;
+use crate::logs::Category;
 use crate::packed;
 use crate::registry::Event;
 use crate::registry::RegistryError;
@@ -334,9 +336,25 @@
     }
     wait_for_events(core, journal, &request).await;
     let delta = journal.delta(request.cursor, request.format, core.now());
+    if delta.basis != Basis::Serial && core.log_limiter.allows(Category::Notable, core.now()) {
+        log_change_of_source(&request, &delta);
+    }
     Response::new(Full::new(Bytes::from(encode_reply(service, delta, request.format))))
 }
 
+/// Logs the reply to a host that has followed another source, or an earlier record of this one.
+fn log_change_of_source(request: &SyncRequest, delta: &Delta) {
+    let (from, to) = (request.cursor.position, delta.cursor.position);
+    spdlog::info!("registry data for a host that followed another source", kv: {
+        host = &*request.host,
+        basis = delta.basis.name(),
+        events = delta.events.as_ref().map_or(0, Vec::len),
+        from = from.revision,
+        to = to.revision,
+        era = to.era,
+    });
+}
+
 /// Waits until there are events after the cursor, this host's data are notably newer
 /// than those of the requesting one, they become stale, or the requested wait ends.
 async fn wait_for_events(core: &Core, journal: &Journal, request: &SyncRequest) {
--- a/crates/front/src/replica.rs
+++ b/crates/front/src/replica.rs
@@ -166,6 +166,7 @@
                 revision = position.revision,
                 era = position.era,
                 full,
+                events = events.len(),
             });
         }
         let restored = self.has_state && position.era > self.position.era;
