Record registry events under a new serial number

Cause: a host numbers the events that it records, and only the end of a recording took a new number. The cursor of a full state that was handed out before the first recording had the number at which the recording began, so that the changes applied in between counted as sent.

Evidence: the second host's recording starts at serial 0 and revision 72, the cursor of the third host is serial 0 at revision 71, and the delta for it has 0 events. Ruled out by the same log: a delta by position (no such line), and an event that was sent and not applied (0 events).

Change: a recording is one value that exists while hosts poll, and starts under a new number. A cursor counts by its number only within the numbers of the present recording; else by its position, or the host gets the full state. A number is handed out either before a recording, and is then lower than all of its numbers, or within it, and then all later events are in it.

Three tests failed before: cursor_from_before_a_recording_is_not_complete, cursor_beyond_the_latest_event_is_not_complete, and over sockets changes_between_the_state_of_a_seed_and_the_first_poll_are_sent.

--- a/crates/front/src/journal.rs
+++ b/crates/front/src/journal.rs
@@ -48,7 +48,7 @@
 
 #[derive(Debug)]
 struct Inner {
-    records: VecDeque<Record>,
+    /// Sequence number of the latest event, or of the start of the latest recording.
     serial: u64,
     /// Position of the latest batch of events.
     position: Position,
@@ -56,15 +56,25 @@
     settled: Position,
     /// Hosts that poll for events.
     followers: Followers,
-    /// Whether events are recorded.
-    recording: bool,
-    /// Earliest position from which the records are complete for a host that has followed
-    /// another source; `None` while nothing is recorded.
-    complete_from: Option<Position>,
+    /// `None` while no host polls.
+    recording: Option<Recording>,
     /// Latest time at which `position` was known to be the newest one.
     synced_at: Option<Instant>,
 }
 
+/// The events since a point in time, without a gap.
+#[derive(Debug)]
+struct Recording {
+    /// Oldest first.
+    records: VecDeque<Record>,
+    /// Sequence number before the first record. Cursors of this process with a lower one are from
+    /// before the recording, or from before an event that is no longer kept.
+    complete_after: u64,
+    /// Earliest position from which the records are complete for a host that has followed
+    /// another source.
+    complete_from: Position,
+}
+
 #[derive(Clone, Debug)]
 struct Record {
     serial: u64,
@@ -119,13 +129,11 @@
     /// Empty journal of the process with the random id `boot`.
     pub fn new(boot: u64) -> Journal {
         let inner = Inner {
-            records: VecDeque::new(),
             serial: 0,
             position: Position::default(),
             settled: Position::default(),
             followers: Followers::default(),
-            recording: false,
-            complete_from: None,
+            recording: None,
             synced_at: None,
         };
         Journal { boot, inner: Mutex::new(inner), changes: watch::Sender::new(0) }
@@ -140,10 +148,8 @@
     pub fn admit(&self, host: &str, now: Instant) -> bool {
         let mut inner = self.inner();
         let admitted = inner.followers.admit(host, now);
-        if admitted && !inner.recording && inner.position > Position::default() {
-            inner.recording = true;
-            // Events of the current position may have been applied before.
-            inner.complete_from = Some(inner.position.next());
+        if admitted && inner.recording.is_none() && inner.position > Position::default() {
+            inner.start_recording();
             let (serial, Position { era, revision }) = (inner.serial, inner.position);
             spdlog::info!(
                 "recording registry events for other hosts",
@@ -162,12 +168,7 @@
     /// needs a snapshot.
     pub fn stop_recording(&self) {
         let mut inner = self.inner();
-        if inner.recording {
-            // No cursor handed out so far may match the records that follow.
-            inner.serial += 1;
-            inner.records.clear();
-            inner.recording = false;
-            inner.complete_from = None;
+        if inner.recording.take().is_some() {
             let (serial, Position { era, revision }) = (inner.serial, inner.position);
             spdlog::info!(
                 "no host polls this one any more; registry events are not recorded",
@@ -179,30 +180,22 @@
     /// Appends an event and wakes the subscribers; does nothing while nothing is
     /// recorded.
     pub fn push(&self, event: &Event) {
-        if !self.inner().recording {
+        if self.inner().recording.is_none() {
             return;
         }
         let Some(json) = packed::pack(event) else { return };
-        let mut inner = self.inner();
-        inner.serial += 1;
-        let format = event.format();
-        let record = Record { serial: inner.serial, position: inner.position, format, json };
-        inner.records.push_back(record);
-        if inner.records.len() > CAPACITY {
-            let dropped = inner.records.pop_front().map(|r| r.position.next());
-            inner.complete_from = inner.complete_from.max(dropped);
-        }
-        drop(inner);
+        self.inner().record(event.format(), json);
         self.changes.send_modify(|c| *c += 1);
     }
 
     /// Starts a batch of events that reaches up to `position`.
     pub fn advance(&self, position: Position) {
         let mut inner = self.inner();
-        if inner.recording && position.era > inner.position.era {
+        let restored = position.era > inner.position.era;
+        if restored && let Some(recording) = &mut inner.recording {
             // The records say what changed in the state of this host. A host with another
             // state from before the restore needs a snapshot.
-            inner.complete_from = Some(position);
+            recording.complete_from = position;
         }
         inner.position = inner.position.max(position);
     }
@@ -232,24 +225,23 @@
     /// messages, `format`, does not have.
     pub fn delta(&self, cursor: Cursor, format: u32, now: Instant) -> Delta {
         let inner = self.inner();
-        let same_process = cursor.boot == self.boot;
-        let first = inner.records.front().map_or(inner.serial + 1, |r| r.serial);
-        let (basis, events) = if !inner.recording {
-            (Basis::Snapshot, None)
-        } else if same_process && cursor.serial + 1 >= first {
-            let events = inner.select(|r| r.serial > cursor.serial && r.format <= format);
-            (Basis::Serial, Some(events))
-        } else if cursor.position > Position::default()
-            && inner.complete_from.is_some_and(|from| cursor.position >= from)
-        {
-            // The cursor is of another process, so only its position counts. Some
-            // events may be sent twice, which is harmless: each states what holds
-            // from then on.
-            let events = inner.select(|r| r.position >= cursor.position && r.format <= format);
-            (Basis::Position, Some(events))
-        } else {
-            (Basis::Snapshot, None)
-        };
+        let recording = inner.recording.as_ref();
+        let basis = recording.map_or(Basis::Snapshot, |r| inner.basis(self.boot, r, cursor));
+        let events = recording.and_then(|recording| {
+            let readable = recording.records.iter().filter(|r| r.format <= format);
+            let json = |r: &Record| r.json.clone();
+            match basis {
+                Basis::Serial => {
+                    Some(readable.filter(|r| r.serial > cursor.serial).map(json).collect())
+                }
+                // Some events may be sent twice, which is harmless: each states what holds from
+                // then on.
+                Basis::Position => {
+                    Some(readable.filter(|r| r.position >= cursor.position).map(json).collect())
+                }
+                Basis::Snapshot => None,
+            }
+        });
         let age = inner.synced_at.map(|at| now.duration_since(at));
         let cursor = Cursor { boot: self.boot, serial: inner.serial, position: inner.position };
         Delta { basis, events, cursor, settled: inner.settled, age }
@@ -257,10 +249,43 @@
 }
 
 impl Inner {
-    fn select<Wanted>(&self, wanted: Wanted) -> Vec<Arc<str>>
-    where
-        Wanted: Fn(&Record) -> bool,
-    {
-        self.records.iter().filter(|r| wanted(r)).map(|r| r.json.clone()).collect()
+    /// Starts to record under a new sequence number: what was applied since the latest one may
+    /// not have been recorded, so that no cursor handed out so far is complete.
+    fn start_recording(&mut self) {
+        self.serial += 1;
+        self.recording = Some(Recording {
+            records: VecDeque::new(),
+            complete_after: self.serial,
+            // Events of the current position may have been applied before.
+            complete_from: self.position.next(),
+        });
+    }
+
+    fn record(&mut self, format: u32, json: Arc<str>) {
+        let Some(recording) = &mut self.recording else { return };
+        self.serial += 1;
+        let record = Record { serial: self.serial, position: self.position, format, json };
+        recording.records.push_back(record);
+        if recording.records.len() > CAPACITY
+            && let Some(dropped) = recording.records.pop_front()
+        {
+            recording.complete_after = dropped.serial;
+            recording.complete_from = recording.complete_from.max(dropped.position.next());
+        }
+    }
+
+    /// What shows that the records after a cursor are complete. A cursor of another process, or
+    /// of another recording, counts by its position only.
+    fn basis(&self, boot: u64, recording: &Recording, cursor: Cursor) -> Basis {
+        let serials = recording.complete_after..=self.serial;
+        if cursor.boot == boot && serials.contains(&cursor.serial) {
+            Basis::Serial
+        } else if cursor.position > Position::default()
+            && cursor.position >= recording.complete_from
+        {
+            Basis::Position
+        } else {
+            Basis::Snapshot
+        }
     }
 }
--- a/crates/front/tests/follow.rs
+++ b/crates/front/tests/follow.rs
@@ -11,10 +11,15 @@
 use chervil_base::HashSet;
 use chervil_front::core::Core;
 use chervil_front::host::HostSettings;
+use chervil_front::journal::Cursor;
+use chervil_front::packed::unpack_list;
 use chervil_front::peers;
+use chervil_front::peers::PeerClients;
+use chervil_front::peers::SyncRequest;
 use chervil_front::registry::Changes;
 use chervil_front::registry::Event;
 use chervil_front::registry::RegistryError;
+use chervil_route::peers::FORMAT;
 use tokio::net::TcpListener;
 
 use crate::support::ADDRESS;
@@ -244,6 +249,34 @@
     assert_eq!(ids(&host.core), HashSet::from_iter(["a".into()]));
 }
 
+/// Guards against a configuration that a host misses for good: the seed that gave it its full
+/// state applied the configuration while no host polled it.
+#[tokio::test]
+async fn changes_between_the_state_of_a_seed_and_the_first_poll_are_sent() {
+    let registry = ScriptedRegistry::default();
+    registry.lists.lock().unwrap().push(changes(5, vec![configuration(3), server("a")]));
+    registry.changes.lock().unwrap().push(changes(5, vec![]));
+    let (seed, address) = start_upstream(registry).await;
+    until(|| seed.lifecycle.is_ready()).await;
+    let mut client = PeerClients::new(&core());
+    let request = |cursor, wait_ms| SyncRequest {
+        host: "starting".into(),
+        cursor,
+        wait_ms,
+        stale_ms: 60_000,
+        age_ms: None,
+        format: FORMAT,
+    };
+    let seeded = client.sync(address, &request(Cursor::default(), 0)).await.unwrap();
+    seed.registry.changes.lock().unwrap().push(changes(7, vec![configuration(4)]));
+    until(|| seed.core.state().config.as_ref().is_some_and(|c| c.version == 4)).await;
+
+    let reply = client.sync(address, &request(seeded.cursor, 1)).await.unwrap();
+
+    let events = unpack_list(&reply.events).unwrap().events;
+    assert!(events.iter().any(|e| matches!(e, Event::Config(c) if c.version == 4)));
+}
+
 /// Guards against a host that is polled by more others than its link can carry: it
 /// turns them away, and they find another source.
 #[tokio::test]
--- a/crates/front/tests/journal.rs
+++ b/crates/front/tests/journal.rs
@@ -40,12 +40,13 @@
     assert!(journal.admit("follower", now));
     journal.advance(at(10));
     journal.push(&server("a"));
+    let same_process = journal.delta(Cursor::default(), FORMAT, now).cursor;
     journal.advance(at(12));
     journal.push(&server("b"));
 
     let delta_size = |cursor| journal.delta(cursor, FORMAT, now).events.map(|e| e.len());
 
-    let same_process = Cursor { boot: 7, serial: 1, position: at(10) };
+    assert_eq!((same_process.boot, same_process.position), (7, at(10)));
     assert_eq!(delta_size(same_process), Some(1));
     assert_eq!(delta_size(Cursor { boot: 9, serial: 99, position: at(11) }), Some(1));
     assert_eq!(delta_size(Cursor { boot: 9, serial: 99, position: at(12) }), Some(1));
@@ -63,6 +64,7 @@
     assert!(journal.admit("follower", now));
     journal.advance(at(58));
     journal.push(&server("a"));
+    let same_process = journal.delta(Cursor::default(), FORMAT, now).cursor;
     journal.advance(after(52));
     journal.push(&server("b"));
     journal.advance(after(60));
@@ -70,7 +72,8 @@
 
     let delta_size = |cursor| journal.delta(cursor, FORMAT, now).events.map(|e| e.len());
 
-    assert_eq!(delta_size(Cursor { boot: 7, serial: 1, position: at(58) }), Some(2));
+    assert_eq!((same_process.boot, same_process.position), (7, at(58)));
+    assert_eq!(delta_size(same_process), Some(2));
     assert_eq!(delta_size(Cursor { boot: 9, serial: 99, position: at(58) }), None);
     assert_eq!(delta_size(Cursor { boot: 9, serial: 99, position: at(61) }), None);
     assert_eq!(delta_size(Cursor { boot: 9, serial: 99, position: after(55) }), Some(1));
@@ -86,7 +89,7 @@
     journal.admit("follower", now);
     journal.advance(at(11));
     journal.push(&server("a"));
-    let cursor = journal.delta(Cursor { boot: 7, serial: 0, position: at(10) }, FORMAT, now).cursor;
+    let cursor = journal.delta(Cursor::default(), FORMAT, now).cursor;
 
     journal.stop_recording();
     journal.advance(at(12));
@@ -100,6 +103,40 @@
     assert!(after_restart.events.is_none());
 }
 
+/// Guards against a host that misses for good what was applied between its full state and its
+/// first poll: the state was handed out while no host polled, so that nothing was recorded.
+#[test]
+fn cursor_from_before_a_recording_is_not_complete() {
+    let (journal, now) = (Journal::new(7), Instant::now());
+    journal.advance(at(10));
+    let seeded = journal.delta(Cursor::default(), FORMAT, now).cursor;
+    journal.advance(at(11));
+    journal.push(&server("a"));
+    journal.admit("follower", now);
+
+    let first_poll = journal.delta(seeded, FORMAT, now);
+    journal.advance(at(12));
+    journal.push(&server("b"));
+    let second_poll = journal.delta(seeded, FORMAT, now);
+
+    assert!(first_poll.events.is_none());
+    assert!(second_poll.events.is_none());
+}
+
+/// Guards against a cursor that names an event which the journal does not have.
+#[test]
+fn cursor_beyond_the_latest_event_is_not_complete() {
+    let (journal, now) = (Journal::new(7), Instant::now());
+    journal.advance(at(10));
+    journal.admit("follower", now);
+    let Cursor { serial, .. } = journal.delta(Cursor::default(), FORMAT, now).cursor;
+
+    let delta =
+        journal.delta(Cursor { boot: 7, serial: serial + 1, position: at(10) }, FORMAT, now);
+
+    assert!(delta.events.is_none());
+}
+
 /// Guards against compression that alters large events, or does not reduce their
 /// size.
 #[test]
