Send the full state to hosts inside of a step of their new source

What callers would see: a host that changes its source goes on using a backend server that has left, or an evacuated zone.

Cause: a host that reaches its state in one step, by a list of the registry or the full state of another host, records how its states before and after differ. A server that came and went within the step is not recorded; a host whose position is inside of the step, from another source, has seen it come, and got the records as complete. A delta passes such a step on, so that a host records it that has read no list itself.

Change: a host knows the position from which on its events state each change. A full state raises it, replies state it (exact_from, a new field), and a host whose position is before it gets the full state. Replies without the field are of earlier builds and count as changes in sum.

--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -304,7 +304,7 @@
     fn apply_changes(&mut self, changes: Changes, polled_at: Instant, full: bool) {
         let Changes { events, position } = changes;
         self.hold_removals(polled_at);
-        self.advance(REGISTRY, position);
+        self.advance(REGISTRY, position, if full { position } else { Position::default() });
         self.replica.apply_events(Batch { source: REGISTRY.into(), position, events, full });
         self.cursor = Cursor { boot: 0, serial: 0, position };
         self.source_settled = position;
@@ -328,8 +328,9 @@
         }
     }
 
-    /// Starts to apply data of a source that reach up to `position`.
-    fn advance(&mut self, source: &str, position: Position) {
+    /// Starts to apply data of a source that reach up to `position`, and that may state what
+    /// changed before `exact_from` in sum.
+    fn advance(&mut self, source: &str, position: Position, exact_from: Position) {
         let Position { era, revision } = position;
         if era > self.applied.era {
             let previous = self.applied.revision;
@@ -337,6 +338,7 @@
             self.core.metrics.count("registry.eras");
         }
         self.journal.advance(position);
+        self.journal.require_exact_from(exact_from);
         self.applied = self.applied.max(position);
     }
 
@@ -484,7 +486,7 @@
             self.record_contact(source, at);
         }
         let position = reply.cursor.position;
-        self.advance(source, position);
+        self.advance(source, position, reply.exact_from());
         self.cursor = reply.cursor;
         self.source_settled = settled;
         let batch = Batch { source: source.into(), position, events, full: reply.full };
--- a/crates/front/src/journal.rs
+++ b/crates/front/src/journal.rs
@@ -54,6 +54,8 @@
     position: Position,
     /// Latest position whose state this host has in full.
     settled: Position,
+    /// Position from which on the events state each change, not only what changed in sum.
+    exact_from: Position,
     /// Hosts that poll for events.
     followers: Followers,
     /// `None` while no host polls.
@@ -70,8 +72,7 @@
     /// Sequence number before the first record. Cursors of this process with a lower one are from
     /// before the recording, or from before an event that is no longer kept.
     complete_after: u64,
-    /// Earliest position from which the records are complete for a host that has followed
-    /// another source.
+    /// Earliest position after which no record is missing.
     complete_from: Position,
 }
 
@@ -120,6 +121,8 @@
     pub cursor: Cursor,
     /// Latest position whose state this host has in full.
     pub settled: Position,
+    /// Position from which on the events state each change, not only what changed in sum.
+    pub exact_from: Position,
     /// Time since this host was last in sync with the registry; `None` if it
     /// never was.
     pub age: Option<Duration>,
@@ -132,6 +135,7 @@
             serial: 0,
             position: Position::default(),
             settled: Position::default(),
+            exact_from: Position::default(),
             followers: Followers::default(),
             recording: None,
             synced_at: None,
@@ -191,15 +195,22 @@
     /// Starts a batch of events that reaches up to `position`.
     pub fn advance(&self, position: Position) {
         let mut inner = self.inner();
-        let restored = position.era > inner.position.era;
-        if restored && let Some(recording) = &mut inner.recording {
+        if position.era > inner.position.era {
             // The records say what changed in the state of this host. A host with another
             // state from before the restore needs a snapshot.
-            recording.complete_from = position;
+            inner.exact_from = inner.exact_from.max(position);
         }
         inner.position = inner.position.max(position);
     }
 
+    /// Records that the events up to `position` state what changed in sum, as those do that bring
+    /// a host to a full state. A host that has followed another source and has applied a part of
+    /// these changes needs a snapshot.
+    pub fn require_exact_from(&self, position: Position) {
+        let mut inner = self.inner();
+        inner.exact_from = inner.exact_from.max(position);
+    }
+
     /// Records that this host's state is that of the registry at `position`. Until then,
     /// hosts that have this state in full use other sources.
     pub fn settle(&self, position: Position) {
@@ -244,7 +255,7 @@
         });
         let age = inner.synced_at.map(|at| now.duration_since(at));
         let cursor = Cursor { boot: self.boot, serial: inner.serial, position: inner.position };
-        Delta { basis, events, cursor, settled: inner.settled, age }
+        Delta { basis, events, cursor, settled: inner.settled, exact_from: inner.exact_from, age }
     }
 }
 
@@ -281,7 +292,7 @@
         if cursor.boot == boot && serials.contains(&cursor.serial) {
             Basis::Serial
         } else if cursor.position > Position::default()
-            && cursor.position >= recording.complete_from
+            && cursor.position >= recording.complete_from.max(self.exact_from)
         {
             Basis::Position
         } else {
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -108,6 +108,10 @@
     /// Era of that revision.
     #[serde(default)]
     pub settled_era: u64,
+    /// Position from which on the replying host has applied each change; `None` if it runs a
+    /// version that does not state it.
+    #[serde(default)]
+    exact_from: Option<Position>,
     /// Milliseconds since the replying host was last in sync with the
     /// registry; `None` if it never was.
     pub age_ms: Option<u64>,
@@ -124,6 +128,17 @@
         let settled = self.settled.map(|revision| Position { era: self.settled_era, revision });
         settled.unwrap_or(self.cursor.position)
     }
+
+    /// Position before which the events may state what changed in sum: always up to the cursor
+    /// for a full state, and for a version that does not state it.
+    pub fn exact_from(&self) -> Position {
+        let position = self.cursor.position;
+        match self.exact_from {
+            Some(from) if self.full => from.max(position),
+            Some(from) => from,
+            None => position,
+        }
+    }
 }
 
 /// Connections to other hosts, by address.
@@ -398,11 +413,12 @@
             (snapshot.cursor, snapshot.settled, snapshot.events, extra_age)
         }
     };
-    // A cursor consists of numbers, which serialise without errors.
+    // Cursors and positions consist of numbers, which serialise without errors.
     let cursor = serde_json::to_string(&cursor).unwrap_or_default();
     let age = delta.age.map_or("null".into(), |a| (a + extra_age).as_millis().to_string());
+    let exact_from = serde_json::to_string(&delta.exact_from).unwrap_or_default();
     let Position { era, revision } = settled;
     format!(
-        "{{\"cursor\":{cursor},\"settled\":{revision},\"settled_era\":{era},\"age_ms\":{age},\"full\":{full},\"events\":{events}}}"
+        "{{\"cursor\":{cursor},\"settled\":{revision},\"settled_era\":{era},\"exact_from\":{exact_from},\"age_ms\":{age},\"full\":{full},\"events\":{events}}}"
     )
 }
