Take a list in pages for exact only from its last page on

What callers would see: a host that changes its source misses a server or a zone for good.

Cause: a list of more than 500 items comes in pages, and continues from the revision of the first one. What changed before a later page was read is in the state already when the changes bring it, changes nothing then, and is not recorded. A host from another source whose position lies between the pages did not get it.

Change: a list states the revision of its last page, from which on its host's events state each change. Replies of earlier builds, which state no such position, are covered by a test.

--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -302,9 +302,9 @@
     }
 
     fn apply_changes(&mut self, changes: Changes, polled_at: Instant, full: bool) {
-        let Changes { events, position } = changes;
+        let Changes { events, position, read_until } = changes;
         self.hold_removals(polled_at);
-        self.advance(REGISTRY, position, if full { position } else { Position::default() });
+        self.advance(REGISTRY, position, if full { read_until } else { Position::default() });
         self.replica.apply_events(Batch { source: REGISTRY.into(), position, events, full });
         self.cursor = Cursor { boot: 0, serial: 0, position };
         self.source_settled = position;
--- a/crates/front/src/registry.rs
+++ b/crates/front/src/registry.rs
@@ -116,6 +116,9 @@
         /// Position from which the next call of [`Registry::changes`] continues. Events of
         /// [`Registry::changes`] in another era than before do not continue the state.
         pub position: Position,
+        /// Position at which the latest of the events was read. It is after `position` if a list
+        /// came in several pages while the registry changed.
+        pub read_until: Position,
     }
 
     /// The entry of this host in the registry. It is removed when its lease
--- a/crates/front/tests/builds.rs
+++ b/crates/front/tests/builds.rs
@@ -344,3 +344,26 @@
     assert_eq!(old, RelayReply::OutOfReach { sent: true, executed: None });
     assert_eq!(current, RelayReply::OutOfReach { sent: true, executed: Some(executed) });
 }
+
+/// Guards against a host that takes what an earlier build sends for single changes: its events may
+/// state what changed in sum, which it does not say.
+#[test]
+fn events_of_an_earlier_build_count_as_changes_in_sum() {
+    let reply = |exact_from: Value| {
+        let mut reply = json!({
+            "cursor": { "boot": 1, "serial": 2, "era": 0, "revision": 9 },
+            "age_ms": 5,
+            "full": false,
+            "events": [],
+        });
+        if !exact_from.is_null() {
+            reply["exact_from"] = exact_from;
+        }
+        serde_json::from_str::<SyncReply>(&reply.to_string()).unwrap()
+    };
+
+    let earlier = reply(Value::Null);
+    let present = reply(json!({ "era": 0, "revision": 4 }));
+
+    assert_eq!([earlier.exact_from().revision, present.exact_from().revision], [9, 4]);
+}
--- a/crates/front/tests/crashes.rs
+++ b/crates/front/tests/crashes.rs
@@ -74,7 +74,8 @@
     fn after(&self, revision: u64) -> Changes {
         let events = self.events.lock().unwrap();
         let position = Position { era: 0, revision: events.len() as u64 };
-        Changes { events: events[revision as usize..].to_vec(), position }
+        let events = events[revision as usize..].to_vec();
+        Changes { events, position, read_until: position }
     }
 }
 
--- a/crates/front/tests/follow.rs
+++ b/crates/front/tests/follow.rs
@@ -19,6 +19,7 @@
 use chervil_front::registry::Changes;
 use chervil_front::registry::Event;
 use chervil_front::registry::RegistryError;
+use chervil_route::history::Position;
 use chervil_route::peers::FORMAT;
 use tokio::net::TcpListener;
 
@@ -249,6 +250,36 @@
     assert_eq!(ids(&host.core), HashSet::from_iter(["a".into()]));
 }
 
+/// A poll of a host that has no data of its own to compare.
+fn poll(cursor: Cursor, wait_ms: u64) -> SyncRequest {
+    let host = "polling".into();
+    SyncRequest { host, cursor, wait_ms, stale_ms: 60_000, age_ms: None, format: FORMAT }
+}
+
+/// Guards against a server that a host misses for good, since its new source has read it with a
+/// later page of a list, and takes it for older than the host's position.
+#[tokio::test]
+async fn host_that_is_inside_of_a_list_in_pages_gets_the_full_state() {
+    let registry = ScriptedRegistry::default();
+    let list = changes(5, vec![configuration(3), server("a"), server("b")]).unwrap();
+    let read_until = Position { era: 0, revision: 8 };
+    registry.lists.lock().unwrap().push(Ok(Changes { read_until, ..list }));
+    registry.changes.lock().unwrap().push(changes(5, vec![]));
+    let (source, address) = start_upstream(registry).await;
+    until(|| source.lifecycle.is_ready()).await;
+    let mut client = PeerClients::new(&core());
+    client.sync(address, &poll(Cursor::default(), 1)).await.unwrap();
+    source.registry.changes.lock().unwrap().push(changes(9, vec![server("b"), server("c")]));
+    until(|| ids(&source.core).contains("c")).await;
+    let at =
+        |revision| poll(Cursor { boot: 0, serial: 0, position: Position { era: 0, revision } }, 1);
+
+    let inside = client.sync(address, &at(7)).await.unwrap();
+    let after = client.sync(address, &at(8)).await.unwrap();
+
+    assert_eq!([inside.full, after.full], [true, false]);
+}
+
 /// Guards against a configuration that a host misses for good: the seed that gave it its full
 /// state applied the configuration while no host polled it.
 #[tokio::test]
@@ -259,19 +290,11 @@
     let (seed, address) = start_upstream(registry).await;
     until(|| seed.lifecycle.is_ready()).await;
     let mut client = PeerClients::new(&core());
-    let request = |cursor, wait_ms| SyncRequest {
-        host: "starting".into(),
-        cursor,
-        wait_ms,
-        stale_ms: 60_000,
-        age_ms: None,
-        format: FORMAT,
-    };
-    let seeded = client.sync(address, &request(Cursor::default(), 0)).await.unwrap();
+    let seeded = client.sync(address, &poll(Cursor::default(), 0)).await.unwrap();
     seed.registry.changes.lock().unwrap().push(changes(7, vec![configuration(4)]));
     until(|| seed.core.state().config.as_ref().is_some_and(|c| c.version == 4)).await;
 
-    let reply = client.sync(address, &request(seeded.cursor, 1)).await.unwrap();
+    let reply = client.sync(address, &poll(seeded.cursor, 1)).await.unwrap();
 
     let events = unpack_list(&reply.events).unwrap().events;
     assert!(events.iter().any(|e| matches!(e, Event::Config(c) if c.version == 4)));
--- a/crates/front/tests/replication.rs
+++ b/crates/front/tests/replication.rs
@@ -70,6 +70,15 @@
     }
 }
 
+/// Name of the server or zone that an event of a list states.
+fn name(event: &Event) -> Option<&str> {
+    match event {
+        Event::Server(entry) => Some(&entry.id),
+        Event::Evacuated(zone) => Some(zone),
+        _ => None,
+    }
+}
+
 /// The registry and its whole history: one event a revision.
 struct History(Vec<Event>);
 
@@ -128,12 +137,17 @@
         self.apply(REGISTRY, events, false, cursor, Position::default());
     }
 
-    /// Lists the registry.
-    fn read_list(&mut self, history: &History) {
-        let position = Position { era: 0, revision: history.revision() };
+    /// Lists the registry in two pages, between which it may have changed.
+    fn read_list(&mut self, history: &History, rng: &mut SmallRng) {
+        let last = Position { era: 0, revision: history.revision() };
+        let earliest = self.position.revision.max(last.revision.saturating_sub(3)).max(1);
+        let position = Position { era: 0, revision: rng.random_range(earliest..=last.revision) };
+        let pages = [history.facts_at(position.revision), history.facts_at(last.revision)];
+        let on_first = |name: &str| name < "d";
+        let first = pages[0].list().into_iter().filter(|e| name(e).is_none_or(on_first));
+        let second = pages[1].list().into_iter().filter(|e| !name(e).is_none_or(on_first));
         let cursor = Cursor { boot: 0, serial: 0, position };
-        let events = history.facts_at(position.revision).list();
-        self.apply(REGISTRY, events, true, cursor, position);
+        self.apply(REGISTRY, first.chain(second).collect(), true, cursor, last);
     }
 
     /// Polls another host, as its follower or as one that loads its full state once.
@@ -187,7 +201,7 @@
             8..10 if hosts[index].cursor != Cursor::default() => {
                 hosts[index].read_changes(&history);
             }
-            8..11 => hosts[index].read_list(&history),
+            8..11 => hosts[index].read_list(&history, &mut rng),
             11 => hosts[index].journal.stop_recording(),
             12 => hosts[index] = Host::start(),
             kind => {
--- a/crates/front/tests/restored.rs
+++ b/crates/front/tests/restored.rs
@@ -35,12 +35,14 @@
 
 /// Events of the registry up to a revision of the history before the restore.
 fn before(revision: u64, events: Vec<Event>) -> Result<Changes, RegistryError> {
-    Ok(Changes { events, position: Position { era: 1, revision } })
+    let position = Position { era: 1, revision };
+    Ok(Changes { events, position, read_until: position })
 }
 
 /// Events of the registry up to a revision of the history after the restore.
 fn after(revision: u64, events: Vec<Event>) -> Result<Changes, RegistryError> {
-    Ok(Changes { events, position: Position { era: 2, revision } })
+    let position = Position { era: 2, revision };
+    Ok(Changes { events, position, read_until: position })
 }
 
 fn registry(
--- a/crates/front/tests/support/replica.rs
+++ b/crates/front/tests/support/replica.rs
@@ -25,7 +25,8 @@
 use super::location;
 
 pub fn changes(revision: u64, events: Vec<Event>) -> Result<Changes, RegistryError> {
-    Ok(Changes { events, position: Position { era: 0, revision } })
+    let position = Position { era: 0, revision };
+    Ok(Changes { events, position, read_until: position })
 }
 
 pub fn unreachable() -> Result<Changes, RegistryError> {
