Watch servers that may be executing requests nobody waits for

Cause: a crash was looked for when the connection of an attempt broke, and an attempt that is dropped takes its connection with it.

Change: an attempt that is dropped after its request was sent, in whatever way, leaves the request to a watch. Another connection to the server shows its crash: an idle one, or one opened in place of the closed one and kept. The crash counts against all requests watched there; the watch ends when the server is sound after the request's deadline, and is bounded in number and time. A loss that nobody waited for proves something only if the request was sent after an earlier crash of it was known, so that a mass crash does not block each request that was merely there. A complete answer acquits a request only once all servers that got it have survived it.

Two builds: records have a field more, and a value in the registry, that earlier builds pass over; they count each record. Records of other builds count as awaited.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -14,8 +13,8 @@
 use chervil_http::error::ExchangeError;
 use chervil_route::attempts::End;
 use chervil_route::attempts::Executions;
-use chervil_route::crashes::MAX_CRASHES_PER_SEND;
 use chervil_route::health::Outcome;
+use chervil_route::watch::Abandoned;
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::time;
@@ -24,11 +23,14 @@
 use crate::crashes;
 use crate::exchange::Connection;
 use crate::logs::Category;
+use crate::losses::Losses;
 use crate::outgoing::Outgoing;
 use crate::reply::LimitHeader;
 use crate::reply::MISDIRECTED_REQUEST;
 use crate::reply::Reply;
 use crate::state::Choice;
+use crate::watch;
+use crate::watch::Watched;
 
 /// Timeout for opening a connection: ten times the round trip and handshake between
 /// availability zones.
@@ -110,10 +112,15 @@
     choice: Choice,
     outcome: Outcome,
     start: Instant,
+    /// The request once it is sent, until the backend server has answered it.
+    unanswered: Option<Abandoned<Watched>>,
 }
 
 impl Drop for OutcomeGuard {
     fn drop(&mut self) {
+        if let Some(abandoned) = self.unanswered.take() {
+            watch::add(&self.core, &self.choice, abandoned);
+        }
         let now = self.core.now();
         if self.outcome == Outcome::NoReply {
             self.core.record_failed_attempt(self.start);
@@ -135,21 +142,6 @@
     }
 }
 
-/// What became of a request at backend servers that may have crashed.
-#[derive(Debug, Default)]
-pub struct Losses {
-    disconnected: AtomicBool,
-    /// Confirmed crashes.
-    crashes: AtomicU32,
-}
-
-impl Losses {
-    /// Whether another crash counts against the request; counts it if so.
-    pub fn count_crash(&self) -> bool {
-        self.crashes.fetch_add(1, Ordering::Relaxed) < MAX_CRASHES_PER_SEND
-    }
-}
-
 /// A request to forward, shared by all of its attempts.
 #[derive(Clone, Debug)]
 pub struct RequestSpec {
@@ -197,14 +189,9 @@
         }
     }
 
-    /// Records that a backend server disconnected while it executed the request.
-    pub fn record_disconnect(&self) {
-        self.losses.disconnected.store(true, Ordering::Relaxed);
-    }
-
     /// Whether a backend server disconnected while it executed the request.
     pub fn was_disconnected(&self) -> bool {
-        self.losses.disconnected.load(Ordering::Relaxed)
+        self.losses.was_disconnected()
     }
 
     /// The same request for one shard of a query. Its attempts are counted for each shard.
@@ -233,15 +220,21 @@
 /// health. Has no timeout of its own for the reply: drop the future when the
 /// request ends, at its deadline at the latest.
 pub async fn run(core: Arc<Core>, choice: Choice, spec: RequestSpec) -> Result<Reply, Failure> {
-    let mut guard =
-        OutcomeGuard { outcome: Outcome::Abandoned, start: core.now(), core: core.clone(), choice };
-    let result = send(&core, &guard.choice, &spec).await;
+    let mut guard = OutcomeGuard {
+        outcome: Outcome::Abandoned,
+        start: core.now(),
+        core: core.clone(),
+        choice,
+        unanswered: None,
+    };
+    let result = send(&core, &guard.choice, &spec, &mut guard.unanswered).await;
     guard.outcome = outcome(&result);
     if result == Err(Failure::Unacknowledged) {
         core.metrics.count("attempts.unconfirmed");
     }
     if result == Err(Failure::Disconnected) {
-        spec.record_disconnect();
+        guard.unanswered = None;
+        spec.losses.record_disconnect();
         crashes::suspect(&core, &guard.choice, &spec);
     }
     result
@@ -262,7 +255,14 @@
     }
 }
 
-async fn send(core: &Arc<Core>, choice: &Choice, spec: &RequestSpec) -> Result<Reply, Failure> {
+/// Sends a request and reads its reply. The request is in `unanswered` from the time at which it
+/// is sent until the reply has come.
+async fn send(
+    core: &Arc<Core>,
+    choice: &Choice,
+    spec: &RequestSpec,
+    unanswered: &mut Option<Abandoned<Watched>>,
+) -> Result<Reply, Failure> {
     let mut connection = acquire_connection(core, choice, spec.idempotent).await?;
     core.wait_for_fresh_data().await;
     // The backend server may have been drained or removed, and the deadline may have
@@ -281,6 +281,9 @@
     let message = spec.request.encode(&choice.id, left, &core.names);
     core.metrics.attempt_sent();
     spec.sends.fetch_add(1, Ordering::Relaxed);
+    spec.losses.record_send();
+    let watched = Watched { digest: spec.digest, losses: spec.losses.clone() };
+    *unanswered = Some(Abandoned::new(watched, sent_at, left));
     let result = connection.exchange(&message, &spec.request, &core.names).await;
     let reply = match result {
         Ok(reply) => reply,
@@ -297,6 +300,8 @@
             });
         }
     };
+    *unanswered = None;
+    spec.losses.record_survivor(core, spec.digest);
     core.record_sign();
     connection.is_new = false;
     apply_reply_headers(core, choice, &reply, sent_at);
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -32,6 +32,7 @@
 use crate::state::CheckTarget;
 use crate::state::Choice;
 use crate::state::State;
+use crate::watch::Watches;
 
 /// Interval at which a request that waits for fresh data checks for them.
 const FRESH_DATA_POLL: Duration = Duration::from_millis(20);
@@ -76,6 +77,8 @@
     pub metrics: Metrics,
     /// Requests that may have crashed a backend server.
     pub suspects: Suspects,
+    /// Requests that nobody waits for and that backend servers may be executing.
+    pub watches: Watches,
     /// Memory of the replies being read.
     pub reply_memory: Arc<ReplyMemory>,
     /// Memory of the replies of other hosts.
@@ -115,6 +118,7 @@
             log_limiter,
             metrics,
             suspects: Suspects::default(),
+            watches: Watches::default(),
             reply_memory: Arc::default(),
             call_memory,
             clock,
--- a/crates/front/src/crashes.rs
+++ b/crates/front/src/crashes.rs
@@ -15,15 +15,17 @@
 use chervil_route::crashes::CRASH_RETENTION;
 use chervil_route::crashes::CrashRecord;
 use chervil_route::crashes::Evidence;
+use chervil_route::crashes::Sighting;
 use chervil_route::fleet::BackendKey;
+use chervil_route::watch::Abandoned;
 use tokio::sync::Notify;
 use tokio::time;
 
 use crate::attempt;
-use crate::attempt::Losses;
 use crate::attempt::RequestSpec;
 use crate::core::Core;
 use crate::logs::Category;
+use crate::losses::Losses;
 use crate::outgoing::Outgoing;
 use crate::registry;
 use crate::registry::Registry;
@@ -66,6 +68,7 @@
 /// Requests that were lost with a connection, and crash records to publish.
 #[derive(Debug, Default)]
 pub struct Suspects {
+    /// Servers whose crash is being confirmed, with the requests whose answers were awaited.
     by_server: Mutex<HashMap<BackendKey, Vec<Suspect>>>,
     unpublished: Mutex<Vec<CrashRecord>>,
     wanted: Notify,
@@ -79,13 +82,18 @@
 }
 
 value! {
-    /// The instance whose crash is to be confirmed.
-    struct Instance {
-        key: BackendKey,
-        id: Box<str>,
-        address: SocketAddr,
-        max_connections: usize,
-        started_at_ms: Option<u64>,
+    /// An instance of a backend server that may crash.
+    pub struct Instance {
+        /// Key in the fleet.
+        pub key: BackendKey,
+        /// Instance id.
+        pub id: Box<str>,
+        /// Address for requests.
+        pub address: SocketAddr,
+        /// Most connections that this host may have open to it.
+        pub max_connections: usize,
+        /// Time of its start, if announced.
+        pub started_at_ms: Option<u64>,
     }
 }
 
@@ -102,33 +110,63 @@
     digest::request_digest(&text, &outgoing.body)
 }
 
+impl Instance {
+    /// The instance that was chosen for an attempt.
+    pub fn of(core: &Core, choice: &Choice) -> Instance {
+        let started_at_ms = core.state().fleet.get(choice.key).and_then(|b| b.entry.started_at_ms);
+        Instance {
+            key: choice.key,
+            id: choice.id.clone(),
+            address: choice.address,
+            max_connections: choice.max_connections,
+            started_at_ms,
+        }
+    }
+}
+
 /// Starts to confirm that a backend server crashed which closed or reset a connection before
 /// its reply. The disconnect alone proves nothing, as connections break for many other reasons.
 pub fn suspect(core: &Arc<Core>, choice: &Choice, spec: &RequestSpec) {
     let suspect = Suspect { digest: spec.digest, losses: spec.losses.clone() };
+    confirm(core, Instance::of(core, choice), Some(suspect));
+}
+
+/// Starts to confirm that a backend server crashed whose links are closed, and that may be
+/// executing requests nobody waits for.
+pub fn suspect_unwatched(core: &Arc<Core>, instance: Instance) {
+    confirm(core, instance, None);
+}
+
+/// Whether the crash of a backend server is being confirmed.
+pub fn is_suspected(core: &Core, key: BackendKey) -> bool {
+    lock(&core.suspects.by_server).contains_key(&key)
+}
+
+/// Starts to confirm the crash of an instance, unless that is in progress. If it has crashed, this
+/// counts against `suspect` and against all requests that it may have been executing.
+fn confirm(core: &Arc<Core>, instance: Instance, suspect: Option<Suspect>) {
     let mut by_server = lock(&core.suspects.by_server);
-    if let Some(waiting) = by_server.get_mut(&choice.key) {
+    if let Some(waiting) = by_server.get_mut(&instance.key) {
         if waiting.len() < MAX_SUSPECTS {
-            waiting.push(suspect);
+            waiting.extend(suspect);
         }
         return;
     }
-    by_server.insert(choice.key, vec![suspect]);
+    by_server.insert(instance.key, suspect.into_iter().collect());
     drop(by_server);
-    let started_at_ms = core.state().fleet.get(choice.key).and_then(|b| b.entry.started_at_ms);
-    let instance = Instance {
-        key: choice.key,
-        id: choice.id.clone(),
-        address: choice.address,
-        max_connections: choice.max_connections,
-        started_at_ms,
-    };
     let core = core.clone();
     tokio::spawn(async move {
         let crashed = collect_evidence(&core, &instance).await.shows_crash();
         let waiting = lock(&core.suspects.by_server).remove(&instance.key).unwrap_or_default();
-        if crashed {
-            waiting.iter().for_each(|suspect| record(&core, &instance, suspect));
+        if !crashed {
+            return;
+        }
+        for suspect in waiting {
+            record(&core, &instance, &suspect, Sighting::Awaited);
+        }
+        for Abandoned { request, sent_at, .. } in core.watches.take(instance.key) {
+            let suspect = Suspect { digest: request.digest, losses: request.losses };
+            record(&core, &instance, &suspect, Sighting::AbandonedSince(sent_at));
         }
     });
 }
@@ -167,7 +205,7 @@
 
 /// Counts the crash of an instance against a request, unless enough of them count against it
 /// since its caller sent it.
-fn record(core: &Core, instance: &Instance, suspect: &Suspect) {
+fn record(core: &Core, instance: &Instance, suspect: &Suspect, sighting: Sighting) {
     if !suspect.losses.count_crash() {
         return;
     }
@@ -175,14 +213,15 @@
     let server = digest::stable_hash(&format!("{} {start}", instance.id));
     let (digest, now) = (suspect.digest, core.now());
     let mut state = core.state();
-    let Some(record) = state.crashes.record_crash(digest, server, now) else { return };
+    let Some(record) = state.crashes.record_crash(digest, server, sighting, now) else { return };
     let crashes = state.crashes.count(digest);
     drop(state);
     core.metrics.count("crashes.seen");
+    let awaited = sighting == Sighting::Awaited;
     if core.log_limiter.allows(Category::Notable, now) {
         spdlog::warn!(
             "backend refuses connections after losing a request; crash counted against the request",
-            kv: { request = digest, backend = &*instance.id, crashes }
+            kv: { request = digest, backend = &*instance.id, crashes, awaited }
         );
     }
     let mut unpublished = lock(&core.suspects.unpublished);
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -415,8 +415,8 @@
             let timed_out = self.core.now() >= self.spec.deadline;
             return GatherOutcome::TooFewShards { may_have_run, timed_out, missing };
         }
-        if missing.is_empty() && !self.spec.was_disconnected() {
-            self.core.state().crashes.acquit(self.spec.digest);
+        if missing.is_empty() {
+            self.spec.losses.record_answer(self.core, self.spec.digest);
         }
         drain_late_replies(std::mem::take(&mut self.running));
         let replies: Vec<&Reply> = self.shards.iter().filter_map(|s| s.reply.as_ref()).collect();
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -36,6 +36,7 @@
 use crate::registry::Registry;
 use crate::state::Bounds;
 use crate::state::State;
+use crate::watch;
 
 /// Least number of hosts among which the limits are divided, which holds until
 /// more are known; the size of the existing deployments.
@@ -140,6 +141,7 @@
     ));
     tokio::spawn(follow::prune_connections(core.clone()));
     tokio::spawn(links::watch(core.clone()));
+    tokio::spawn(watch::run(core.clone()));
     tokio::spawn(ready::serve_ready(probe_listener, lifecycle.clone()));
     tokio::spawn(ready::serve_metrics(metrics_listener, core.clone()));
     tokio::spawn(listen::serve(caller_listener, core, lifecycle.clone()));
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -112,6 +112,11 @@
         let _ = self.client.count(name, 1);
     }
 
+    /// Adds to a counter. The sink never fails.
+    pub fn add(&self, name: &str, count: u64) {
+        let _ = self.client.count(name, count);
+    }
+
     /// Sets a gauge. The sink never fails.
     pub fn gauge(&self, name: &str, value: u64) {
         let _ = self.client.gauge(name, value);
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -30,6 +30,17 @@
     resets_until: Option<Instant>,
 }
 
+/// What the connections to a backend server show of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkState {
+    /// An idle connection is open.
+    Open,
+    /// All open connections are executing requests.
+    Busy,
+    /// There is none, or the server has closed the idle ones.
+    Closed,
+}
+
 #[derive(Debug, Default)]
 struct Pool {
     /// Most recently used last.
@@ -61,6 +72,19 @@
         None
     }
 
+    /// What the connections to a backend server show of it. Idle ones that are closed are removed.
+    pub fn link_state(&mut self, key: BackendKey) -> LinkState {
+        let Some(pool) = self.pools.get_mut(&key) else { return LinkState::Closed };
+        while let Some(connection) = pool.idle.last_mut() {
+            if connection.is_clean() {
+                return LinkState::Open;
+            }
+            pool.idle.pop();
+        }
+        // The pool itself holds one reference.
+        if Arc::strong_count(&pool.permit) > 1 { LinkState::Busy } else { LinkState::Closed }
+    }
+
     /// Whether the backend server has an idle connection.
     pub fn has_idle(&self, key: BackendKey) -> bool {
         self.pools.get(&key).is_some_and(|p| !p.idle.is_empty())
--- a/crates/front/src/single.rs
+++ b/crates/front/src/single.rs
@@ -196,11 +196,8 @@
             match result {
                 Ok(reply) => {
                     let latency = self.core.now().duration_since(started);
-                    let mut state = self.core.state();
-                    state.latency(self.route).record(latency);
-                    if !self.spec.was_disconnected() {
-                        state.crashes.acquit(self.spec.digest);
-                    }
+                    self.core.state().latency(self.route).record(latency);
+                    self.spec.losses.record_answer(self.core, self.spec.digest);
                     return SingleOutcome::Answered(Box::new(reply));
                 }
                 Err(failure) => {
--- a/crates/front/tests/builds.rs
+++ b/crates/front/tests/builds.rs
@@ -17,6 +17,7 @@
 use chervil_front::relayed::RelayedRequest;
 use chervil_route::attempts::Executions;
 use chervil_route::crashes::CrashRecord;
+use chervil_route::crashes::Loss;
 use chervil_route::peers::FORMAT;
 use chervil_route::peers::Peer;
 use hyper::Method;
@@ -238,7 +239,7 @@
         Event::ServerLimit { id: id(), rate: 1.0 },
         Event::ServerLimitEnded(id()),
         Event::ServerLeaving { id: id(), started_at_ms: None },
-        Event::RequestCrash(CrashRecord { digest: 1, crash: 2 }),
+        Event::RequestCrash(CrashRecord { digest: 1, crash: 2, loss: Loss::Awaited }),
         Event::Unreadable { key: id(), reason: id() },
     ];
     for event in events {
@@ -367,3 +368,18 @@
 
     assert_eq!([earlier.exact_from().revision, present.exact_from().revision], [9, 4]);
 }
+
+/// Guards against a crash seen by a host of another build that is not counted: an earlier one
+/// does not say whether the answer was awaited, a later one may know other kinds.
+#[test]
+fn crashes_seen_by_other_builds_count_as_awaited() {
+    let earlier = r#"{"RequestCrash":{"digest":1,"crash":2}}"#;
+    let later = r#"{"RequestCrash":{"digest":1,"crash":2,"loss":"Later","seen":3}}"#;
+
+    for text in [earlier, later] {
+        let event: Event = serde_json::from_str(text).unwrap();
+
+        let record = CrashRecord { digest: 1, crash: 2, loss: Loss::Awaited };
+        assert_eq!(event, Event::RequestCrash(record));
+    }
+}
--- a/crates/front/tests/crashes.rs
+++ b/crates/front/tests/crashes.rs
@@ -14,6 +14,7 @@
 use async_trait::async_trait;
 use chervil_front::core::Core;
 use chervil_front::crashes;
+use chervil_front::follow;
 use chervil_front::follow::Follower;
 use chervil_front::links;
 use chervil_front::listen;
@@ -24,11 +25,14 @@
 use chervil_front::registry::Registration;
 use chervil_front::registry::Registry;
 use chervil_front::registry::RegistryError;
+use chervil_front::watch;
 use chervil_route::config::Route;
+use chervil_route::config::Target;
 use chervil_route::crashes::CrashRecord;
 use chervil_route::fleet::BackendEntry;
 use chervil_route::history::Position;
 use chervil_route::peers::Peer;
+use futures::future::join_all;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
@@ -57,6 +61,9 @@
 /// seconds.
 const KNOWN_WITHIN: Duration = Duration::from_millis(4_000);
 
+/// Time that a server takes for a slow request.
+const SLOW_TIME: Duration = Duration::from_millis(600);
+
 /// Pause between two sends of the caller.
 const SEND_PAUSE: Duration = Duration::from_millis(250);
 
@@ -122,6 +129,8 @@
     Never,
     /// At each request whose path contains `fatal`.
     AtFatalRequests,
+    /// This long after each such request, whether or not its connection is still open.
+    AfterFatalRequests(Duration),
 }
 
 /// Backend servers that are back as new instances after they crash.
@@ -200,8 +209,15 @@
 
 async fn answer(mut stream: TcpStream, service: String, crashes: Crashes) -> Ended {
     while let Some(request) = read_message(&mut stream).await {
-        if crashes == Crashes::AtFatalRequests && request.contains("/fatal") {
-            return Ended::Fatal;
+        let is_fatal = request.contains("/fatal");
+        match crashes {
+            Crashes::AtFatalRequests if is_fatal => return Ended::Fatal,
+            Crashes::AfterFatalRequests(delay) if is_fatal => {
+                time::sleep(delay).await;
+                return Ended::Fatal;
+            }
+            _ if request.contains("/slow") => time::sleep(SLOW_TIME).await,
+            _ => {}
         }
         let id = support::header(&request, "x-id").unwrap();
         let text = reply(200, &format!("{service:>16}")).replace("{id}", &id);
@@ -223,6 +239,8 @@
     tokio::spawn(follower.run());
     tokio::spawn(peers::serve(listener, core.clone(), journal, lifecycle.clone()));
     tokio::spawn(links::watch(core.clone()));
+    tokio::spawn(watch::run(core.clone()));
+    tokio::spawn(follow::watch_for_pauses(core.clone()));
     tokio::spawn(crashes::publish(core.clone(), registry.clone()));
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
@@ -244,6 +262,8 @@
         route("/all/", gather(&["a", "b", "c", "quote"], 0.75), true),
         route("/half/", gather(&["a", "b"], 0.5), true),
         route("/two/", gather(&["a", "b"], 1.0), true),
+        route("/one/", Target::One("a".into()), true),
+        route("/order/", Target::One("a".into()), false),
     ]
 }
 
@@ -253,6 +273,26 @@
     registry
 }
 
+/// Sends a request 12 times, each time to the next host, and leaves after `patience`. The next
+/// send waits until the servers have crashed, which they do within `pause`. Returns the same as
+/// [`send_to_all`].
+async fn send_and_leave(
+    hosts: &[TestHost],
+    servers: &Servers,
+    path: &str,
+    (patience, pause): (Duration, Duration),
+) -> u32 {
+    let mut later = 0;
+    for host in hosts {
+        let before = servers.arrivals();
+        let known = servers.third_crash().is_some_and(|at| at.elapsed() > KNOWN_WITHIN);
+        let _ = time::timeout(patience, host.ask("POST", path, "rope")).await;
+        time::sleep(pause).await;
+        later += u32::from(known && servers.arrivals() > before);
+    }
+    later
+}
+
 /// Sends a request 24 times, each time to the next host. Returns how often it has reached a
 /// server later than all hosts must know of the third crash.
 async fn send_to_all(hosts: &[TestHost], servers: &Servers, path: &str) -> u32 {
@@ -368,3 +408,70 @@
 
     assert_eq!(answers.each_ref().map(|a| status(a)), [200; 2]);
 }
+
+/// Starts three servers of a service that crash some time after they began to execute a fatal
+/// request, and three sound ones of another service.
+async fn start_late_crashing(registry: &Arc<SharedRegistry>, delay: Duration) -> Servers {
+    let servers = Servers::new(registry.clone());
+    for number in 0..3 {
+        servers.start("a", number, Crashes::AfterFatalRequests(delay)).await;
+        servers.start("b", number, Crashes::Never).await;
+    }
+    servers
+}
+
+/// Guards against a crash that counts against no request because the caller has left before it:
+/// the request takes down servers each time that it is sent.
+#[tokio::test(flavor = "multi_thread")]
+async fn crash_after_the_caller_has_left_counts() {
+    for path in ["/one/fatal", "/order/fatal"] {
+        let registry = start_registry();
+        let servers = start_late_crashing(&registry, Duration::from_millis(200)).await;
+        let hosts = start_hosts(&registry).await;
+
+        let times = (Duration::from_millis(80), Duration::from_millis(700));
+        let later = send_and_leave(&hosts, &servers, path, times).await;
+
+        assert!(later <= 3, "{path}: {later} late sends, {} crashes", servers.arrivals());
+        assert!(servers.third_crash().is_some());
+    }
+}
+
+/// Guards against a crash that counts against no request because the answer has gone out without
+/// the shard of the server.
+#[tokio::test(flavor = "multi_thread")]
+async fn crash_after_an_answer_without_the_shard_counts() {
+    let registry = start_registry();
+    let servers = start_late_crashing(&registry, Duration::from_millis(900)).await;
+    let hosts = start_hosts(&registry).await;
+
+    let times = (Duration::from_secs(5), Duration::from_secs(1));
+    let later = send_and_leave(&hosts, &servers, "/half/fatal", times).await;
+
+    assert!(later <= 3, "{later} late sends, {} crashes", servers.arrivals());
+    assert!(servers.third_crash().is_some());
+}
+
+/// Guards against a sound request that is refused because its callers left early while servers
+/// crashed for another reason.
+#[tokio::test(flavor = "multi_thread")]
+async fn abandoned_victim_of_another_request_is_served_again() {
+    let registry = start_registry();
+    let servers = Servers::new(registry.clone());
+    for number in 0..3 {
+        servers.start("a", number, Crashes::AtFatalRequests).await;
+    }
+    let hosts = start_hosts(&registry).await;
+    join_all(hosts.iter().chain(&hosts).chain(&hosts).map(|host| {
+        let ask = host.ask("POST", "/one/slow", "rope");
+        time::timeout(Duration::from_millis(60), ask)
+    }))
+    .await;
+
+    join_all(hosts[..4].iter().map(|h| h.ask("POST", "/one/fatal", "rope"))).await;
+    time::sleep(Duration::from_secs(2)).await;
+    let answers = join_all(hosts.iter().map(|h| h.ask("POST", "/one/slow", "rope"))).await;
+
+    assert!(servers.third_crash().is_some());
+    assert_eq!(answers.iter().map(|a| status(a)).collect::<Vec<_>>(), [200; HOSTS]);
+}
--- a/crates/front/tests/passed_on.rs
+++ b/crates/front/tests/passed_on.rs
@@ -18,6 +18,7 @@
 use chervil_route::config::Route;
 use chervil_route::config::Target;
 use chervil_route::crashes::CrashRecord;
+use chervil_route::crashes::Loss;
 use chervil_route::fleet::BackendEntry;
 use chervil_route::peers::FORMAT_WITH_EXECUTIONS;
 use chervil_route::peers::Peer;
@@ -293,7 +294,11 @@
         let digest = digest::request_digest(&format!("127.0.0.1 GET {path} HTTP/1.1"), b"");
         let now = helper.core.now();
         for crash in 0..3 {
-            helper.core.state().crashes.add(CrashRecord { digest, crash }, now);
+            helper
+                .core
+                .state()
+                .crashes
+                .add(CrashRecord { digest, crash, loss: Loss::Awaited }, now);
         }
         let host = start_losing_links(routes(2), path, &[peer(address, 10)]).await;
         statuses.push(status(&host.ask("GET", path, "").await));
--- a/crates/front/tests/relay.rs
+++ b/crates/front/tests/relay.rs
@@ -11,6 +11,7 @@
 use chervil_front::peers;
 use chervil_route::config::Route;
 use chervil_route::crashes::CrashRecord;
+use chervil_route::crashes::Loss;
 use chervil_route::fleet::BackendEntry;
 use chervil_route::peers::FORMAT;
 use chervil_route::peers::Peer;
@@ -260,7 +261,7 @@
     let digest = digest::request_digest("127.0.0.1 GET /all/1 HTTP/1.1", b"");
     let now = relay.core.now();
     (0..3).for_each(|crash| {
-        relay.core.state().crashes.add(CrashRecord { digest, crash }, now);
+        relay.core.state().crashes.add(CrashRecord { digest, crash, loss: Loss::Awaited }, now);
     });
 
     let again = host.ask("GET", "/all/1", "").await;
--- a/crates/front/tests/support/mod.rs
+++ b/crates/front/tests/support/mod.rs
@@ -32,6 +32,7 @@
 use chervil_front::registry::RegistryError;
 use chervil_front::state::Bounds;
 use chervil_front::state::State;
+use chervil_front::watch;
 use chervil_route::budget::RetryLimit;
 use chervil_route::config::Config;
 use chervil_route::config::Gather;
@@ -344,6 +345,7 @@
     let address = listener.local_addr().unwrap();
     tokio::spawn(listen::serve(listener, core.clone(), lifecycle.clone()));
     tokio::spawn(links::watch(core.clone()));
+    tokio::spawn(watch::run(core.clone()));
     TestHost { core, lifecycle, address }
 }
 
--- a/crates/route/src/crashes.rs
+++ b/crates/route/src/crashes.rs
@@ -7,6 +7,12 @@
 //! Servers also crash for other reasons, many at the same time, and take down the requests
 //! that they execute. Such a request is lost once; one that causes the crashes is lost each
 //! time that it is sent.
+//!
+//! A server may also crash when nobody waits for its answer any more: the caller has left, a hedge
+//! was faster, or the answer went out without that shard. It may execute such requests for as
+//! long as their deadlines allow, many at a time, so that a crash for another reason hits more of
+//! them. They count against a request only if it happens again: if a server crashes that got the
+//! request after an earlier crash was known.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -36,6 +42,19 @@
 const SAME_CRASH_TIME: Duration = Duration::from_secs(1);
 
 message! {
+    /// What a crash shows about a request that the server was executing.
+    #[derive(Copy, Default, Eq)]
+    pub enum Loss {
+        /// No host was waiting for the answer any more.
+        Abandoned,
+        /// The same, and an earlier crash was known when the request was sent.
+        Repeated,
+        /// A host was waiting for the answer. Also what a later version adds.
+        #[default]
+        #[serde(other)]
+        Awaited,
+    }
+
     /// A backend server crashed while it executed a request.
     #[derive(Copy, Eq)]
     pub struct CrashRecord {
@@ -43,6 +62,20 @@
         pub digest: u64,
         /// Identifies the crash: the same on all hosts that saw it.
         pub crash: u64,
+        /// Versions before it was added count each crash as awaited.
+        #[serde(default)]
+        pub loss: Loss,
+    }
+}
+
+value! {
+    /// How a host saw that a server crashed.
+    #[derive(Copy, Eq)]
+    pub enum Sighting {
+        /// It was waiting for the answer.
+        Awaited,
+        /// It had sent the request at this time, and was not waiting any more.
+        AbandonedSince(Instant),
     }
 }
 
@@ -61,6 +94,7 @@
     #[derive(Copy)]
     struct Crash {
         id: u64,
+        loss: Loss,
         seen_at: Instant,
         /// Whether the request has not been answered in full since.
         counts: bool,
@@ -99,7 +133,7 @@
     /// Time until a blocked request may be sent again; zero if it is not blocked.
     pub fn block_time(&self, digest: u64, now: Instant) -> Duration {
         let Some(request) = self.requests.get(&digest) else { return Duration::ZERO };
-        if request.crashes.iter().filter(|c| c.counts).count() < CRASH_LIMIT {
+        if !request.is_proven() {
             return Duration::ZERO;
         }
         CRASH_RETENTION.saturating_sub(now.saturating_duration_since(request.last))
@@ -108,7 +142,13 @@
     /// Records that a backend server crashed that was executing the request; `server`
     /// identifies the instance. Returns the record for other hosts, or `None` if this crash
     /// is known already.
-    pub fn record_crash(&mut self, digest: u64, server: u64, now: Instant) -> Option<CrashRecord> {
+    pub fn record_crash(
+        &mut self,
+        digest: u64,
+        server: u64,
+        sighting: Sighting,
+        now: Instant,
+    ) -> Option<CrashRecord> {
         let known = self.requests.get(&digest).map_or(&[][..], |r| &r.crashes);
         let mut crash = server;
         // An instance that crashes again under the same identity.
@@ -118,13 +158,20 @@
             }
             crash = crash.wrapping_add(1);
         }
-        let record = CrashRecord { digest, crash };
+        let loss = match sighting {
+            Sighting::Awaited => Loss::Awaited,
+            Sighting::AbandonedSince(sent_at) => {
+                let is_repeated = known.iter().any(|c| c.counts && c.seen_at < sent_at);
+                if is_repeated { Loss::Repeated } else { Loss::Abandoned }
+            }
+        };
+        let record = CrashRecord { digest, crash, loss };
         self.add(record, now).then_some(record)
     }
 
     /// Adds a crash that this or another host saw. Returns whether it was not known.
     pub fn add(&mut self, record: CrashRecord, now: Instant) -> bool {
-        let CrashRecord { digest, crash: id } = record;
+        let CrashRecord { digest, crash: id, loss } = record;
         if self.requests.len() >= CAPACITY && !self.requests.contains_key(&digest) {
             let oldest = self.requests.iter().min_by_key(|(_, r)| r.last).map(|(d, _)| *d);
             oldest.and_then(|d| self.requests.remove(&d));
@@ -134,16 +181,24 @@
         if now.saturating_duration_since(request.last) >= CRASH_RETENTION {
             request.crashes.clear();
         }
-        if request.crashes.iter().any(|c| c.id == id) {
-            return false;
+        if let Some(known) = request.crashes.iter_mut().find(|c| c.id == id) {
+            let says_more = known.loss == Loss::Abandoned && loss != Loss::Abandoned;
+            if says_more {
+                known.loss = loss;
+            }
+            return says_more;
         }
         if request.crashes.len() >= MAX_CRASHES {
             request.crashes.retain(|c| c.counts);
         }
+        if request.crashes.len() >= MAX_CRASHES && loss != Loss::Abandoned {
+            let replaceable = request.crashes.iter().rposition(|c| c.loss == Loss::Abandoned);
+            replaceable.map(|index| request.crashes.remove(index));
+        }
         if request.crashes.len() >= MAX_CRASHES {
             return false;
         }
-        request.crashes.push(Crash { id, seen_at: now, counts: true });
+        request.crashes.push(Crash { id, loss, seen_at: now, counts: true });
         request.last = now;
         true
     }
@@ -167,9 +222,19 @@
         let is_recent =
             |r: &RequestCrashes| now.saturating_duration_since(r.last) < CRASH_RETENTION;
         let requests = self.requests.iter().filter(|(_, r)| is_recent(r));
-        let record = |digest: u64, c: &Crash| CrashRecord { digest, crash: c.id };
+        let record = |digest: u64, c: &Crash| CrashRecord { digest, crash: c.id, loss: c.loss };
         requests
             .flat_map(|(d, r)| r.crashes.iter().filter(|c| c.counts).map(|c| record(*d, c)))
             .collect()
     }
 }
+
+impl RequestCrashes {
+    /// Whether the crashes show that the request causes them.
+    fn is_proven(&self) -> bool {
+        let counted = |loss| self.crashes.iter().filter(|c| c.counts && c.loss == loss).count();
+        let (awaited, repeated) = (counted(Loss::Awaited), counted(Loss::Repeated));
+        let all = awaited + repeated + counted(Loss::Abandoned);
+        awaited >= CRASH_LIMIT || (all >= CRASH_LIMIT && repeated > 0)
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -31,3 +31,4 @@
 pub mod server_pause;
 pub mod stop;
 pub mod warmup;
+pub mod watch;
--- /dev/null
+++ b/crates/route/src/watch.rs
@@ -0,0 +1,117 @@
+//! Requests that backend servers may still be executing although no host waits for their answers.
+//!
+//! Load pattern: callers that leave early, hedges that win and answers that leave out a late shard,
+//! up to some hundred a second on a host. The connection is closed at once, so that the server
+//! can stop, but not every server does: it may execute the request until its deadline, and crash
+//! meanwhile.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use chervil_base::HashMap;
+use chervil_base::value;
+
+use crate::fleet::BackendKey;
+
+/// Most requests that are watched at one server. Servers execute fewer at a time; the oldest is
+/// dropped.
+const MAX_PER_SERVER: usize = 64;
+
+/// Most servers at which requests are watched.
+const MAX_SERVERS: usize = 2_048;
+
+/// Longest time for which a request is watched, whatever its deadline.
+const MAX_WATCH_TIME: Duration = Duration::from_secs(60);
+
+/// Time by which a server may exceed the deadline of a request.
+const DEADLINE_SLACK: Duration = Duration::from_millis(500);
+
+value! {
+    /// A request that was sent to a server and whose answer is not awaited any more.
+    pub struct Abandoned<Request> {
+        /// What the host keeps of the request.
+        pub request: Request,
+        /// Time at which it was sent.
+        pub sent_at: Instant,
+        /// Time until which the server may execute it.
+        pub until: Instant,
+    }
+}
+
+impl<Request> Abandoned<Request> {
+    /// A request that was sent at `sent_at` with this time left until its deadline.
+    pub fn new(request: Request, sent_at: Instant, left: Duration) -> Abandoned<Request> {
+        let until = sent_at + (left + DEADLINE_SLACK).min(MAX_WATCH_TIME);
+        Abandoned { request, sent_at, until }
+    }
+}
+
+/// Abandoned requests by the server that may be executing them.
+#[derive(Debug)]
+pub struct WatchList<Request> {
+    servers: HashMap<BackendKey, Vec<Abandoned<Request>>>,
+}
+
+impl<Request> Default for WatchList<Request> {
+    fn default() -> WatchList<Request> {
+        WatchList { servers: HashMap::default() }
+    }
+}
+
+impl<Request> WatchList<Request> {
+    /// Watches a request at a server. Returns false if it, or an older one in its place, is not
+    /// watched because there are too many.
+    pub fn add(&mut self, server: BackendKey, abandoned: Abandoned<Request>) -> bool {
+        if self.servers.len() >= MAX_SERVERS && !self.servers.contains_key(&server) {
+            return false;
+        }
+        let requests = self.servers.entry(server).or_default();
+        let is_full = requests.len() >= MAX_PER_SERVER;
+        if is_full {
+            requests.remove(0);
+        }
+        requests.push(abandoned);
+        !is_full
+    }
+
+    /// Whether no request is watched.
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty()
+    }
+
+    /// The servers at which requests are watched.
+    pub fn servers(&self) -> Vec<BackendKey> {
+        self.servers.keys().copied().collect()
+    }
+
+    /// Ends the watch of the requests that a server cannot be executing any more, as it was sound
+    /// at `sound_at`, and returns them.
+    pub fn end_sound(&mut self, server: BackendKey, sound_at: Instant) -> Vec<Abandoned<Request>> {
+        let Some(requests) = self.servers.get_mut(&server) else { return Vec::new() };
+        let ended = requests.extract_if(.., |r| r.until <= sound_at).collect();
+        if requests.is_empty() {
+            self.servers.remove(&server);
+        }
+        ended
+    }
+
+    /// Ends the watch at a server and returns its requests, the latest one first.
+    pub fn take(&mut self, server: BackendKey) -> Vec<Abandoned<Request>> {
+        let mut requests = self.servers.remove(&server).unwrap_or_default();
+        requests.reverse();
+        requests
+    }
+
+    /// Ends the watch of requests whose server has shown no sign for `patience` after the time for
+    /// which it may have executed them. Returns how many.
+    pub fn expire(&mut self, patience: Duration, now: Instant) -> usize {
+        let mut expired = 0;
+        self.servers.retain(|_, requests| {
+            let before = requests.len();
+            requests.retain(|r| r.until + patience > now);
+            expired += before - requests.len();
+            !requests.is_empty()
+        });
+        expired
+    }
+}
--- a/crates/route/tests/crashes.rs
+++ b/crates/route/tests/crashes.rs
@@ -8,7 +8,9 @@
 use chervil_route::crashes::CrashRecord;
 use chervil_route::crashes::CrashTracker;
 use chervil_route::crashes::Evidence;
+use chervil_route::crashes::Loss;
 use chervil_route::crashes::MAX_CRASHES_PER_SEND;
+use chervil_route::crashes::Sighting;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
@@ -33,26 +35,32 @@
     /// Sends the request to a host, which sends it to one server of each shard; `servers`
     /// numbers the servers that have crashed. Returns whether it reached any server.
     fn send(&mut self, host: usize, shards: u64, servers: &mut u64, now: Instant) -> bool {
-        let (due, waiting): (Vec<_>, Vec<_>) =
-            self.published.iter().partition(|(at, _)| *at + self.delay <= now);
-        self.published = waiting;
-        for (_, record) in due {
-            self.hosts.iter_mut().for_each(|h| {
-                h.add(record, now);
-            });
-        }
+        self.deliver(now);
         if self.hosts[host].is_blocked(DIGEST, now) {
             return false;
         }
         for shard in 0..shards {
             *servers += 1;
             if shard < u64::from(MAX_CRASHES_PER_SEND) {
-                let record = self.hosts[host].record_crash(DIGEST, *servers, now);
+                let host = &mut self.hosts[host];
+                let record = host.record_crash(DIGEST, *servers, Sighting::Awaited, now);
                 self.published.extend(record.map(|r| (now, r)));
             }
         }
         true
     }
+
+    /// Delivers the records that are due to all hosts.
+    fn deliver(&mut self, now: Instant) {
+        let (due, waiting): (Vec<_>, Vec<_>) =
+            self.published.iter().partition(|(at, _)| *at + self.delay <= now);
+        self.published = waiting;
+        for (_, record) in due {
+            self.hosts.iter_mut().for_each(|h| {
+                h.add(record, now);
+            });
+        }
+    }
 }
 
 /// Guards against a request that takes down three servers for each host. Load pattern: a caller
@@ -102,9 +110,9 @@
     let now = Instant::now();
     let (mut first, mut second) = (CrashTracker::default(), CrashTracker::default());
 
-    let seen = first.record_crash(DIGEST, 7, now).unwrap();
-    let again = first.record_crash(DIGEST, 7, now + Duration::from_millis(400));
-    let elsewhere = second.record_crash(DIGEST, 7, now).unwrap();
+    let seen = first.record_crash(DIGEST, 7, Sighting::Awaited, now).unwrap();
+    let again = first.record_crash(DIGEST, 7, Sighting::Awaited, now + Duration::from_millis(400));
+    let elsewhere = second.record_crash(DIGEST, 7, Sighting::Awaited, now).unwrap();
     let repeated = second.add(seen, now);
 
     assert_eq!((again, elsewhere, repeated), (None, seen, false));
@@ -118,20 +126,128 @@
     let mut tracker = CrashTracker::default();
 
     for second in 0..3 {
-        tracker.record_crash(DIGEST, 7, start + Duration::from_secs(second * 2));
+        tracker.record_crash(DIGEST, 7, Sighting::Awaited, start + Duration::from_secs(second * 2));
     }
 
     assert!(tracker.is_blocked(DIGEST, start + Duration::from_secs(5)));
 }
 
+/// Guards against a request that is refused because its callers left early while many servers
+/// crashed for another reason. Load pattern: a popular request with copies at all servers, whose
+/// callers have left when one moment takes down the servers, as hosts see within two seconds.
+#[test]
+fn crashes_of_one_moment_do_not_block_an_abandoned_request() {
+    let start = Instant::now();
+    let mut tracker = CrashTracker::default();
+
+    for server in 0..40 {
+        let sent_at = start - Duration::from_millis(server * 100);
+        let seen_at = start + Duration::from_millis(server * 50);
+        tracker.record_crash(DIGEST, server, Sighting::AbandonedSince(sent_at), seen_at);
+    }
+
+    assert!(!tracker.is_blocked(DIGEST, start + Duration::from_secs(2)));
+}
+
+/// Guards against a request that crashes servers after its callers have left, and is never
+/// refused: it does so again when it is sent again.
+#[test]
+fn abandoned_request_that_crashes_servers_again_is_blocked() {
+    let start = Instant::now();
+    let mut tracker = CrashTracker::default();
+    let at = |ms| start + Duration::from_millis(ms);
+
+    let kinds = [(1, 0, 500), (2, 100, 600), (3, 900, 1_400)].map(|(server, sent, seen)| {
+        let sighting = Sighting::AbandonedSince(at(sent));
+        tracker.record_crash(DIGEST, server, sighting, at(seen)).map(|r| r.loss)
+    });
+
+    let expected = [Loss::Abandoned, Loss::Abandoned, Loss::Repeated];
+    assert_eq!(kinds, expected.map(Some));
+    assert!(tracker.is_blocked(DIGEST, at(1_400)));
+}
+
+/// Guards against a request whose repeated crash is forgotten since those of its first moment take
+/// all the room.
+#[test]
+fn repeated_crash_counts_beside_many_of_one_moment() {
+    let start = Instant::now();
+    let mut tracker = CrashTracker::default();
+    for server in 0..100 {
+        tracker.record_crash(DIGEST, server, Sighting::AbandonedSince(start), start);
+    }
+
+    let (sent_at, seen_at) = (start + Duration::from_secs(1), start + Duration::from_secs(2));
+    tracker.record_crash(DIGEST, 200, Sighting::AbandonedSince(sent_at), seen_at);
+
+    assert!(tracker.is_blocked(DIGEST, seen_at));
+    assert!(tracker.count(DIGEST) <= 16);
+}
+
+/// Guards against a crash that counts for less since a host that did not wait for the answer saw
+/// it first, and against one that counts twice.
+#[test]
+fn awaited_loss_replaces_an_abandoned_one_of_the_same_crash() {
+    let now = Instant::now();
+    let (mut first, mut second) = (CrashTracker::default(), CrashTracker::default());
+    let abandoned = first.record_crash(DIGEST, 7, Sighting::AbandonedSince(now), now).unwrap();
+    let awaited = second.record_crash(DIGEST, 7, Sighting::Awaited, now).unwrap();
+
+    let news = [first.add(awaited, now), first.add(awaited, now), second.add(abandoned, now)];
+
+    assert_eq!(news, [true, false, false]);
+    assert_eq!([first.records(now), second.records(now)], [[awaited], [awaited]]);
+}
+
+/// Guards against a caller that crashes servers without end because it leaves before they crash.
+/// Load pattern: as above, but no host awaits the answers.
+#[test]
+fn abandoned_crashing_request_is_bounded_over_all_hosts() {
+    const DELAY: Duration = Duration::from_millis(1_500);
+    const CONTACT: Duration = Duration::from_millis(4_000);
+    for hosts in [1, 12, 138, 295] {
+        for seed in 0..20 {
+            let mut rng = SmallRng::seed_from_u64(seed);
+            let mut fleet = Fleet::new(hosts, DELAY);
+            let crash_after = Duration::from_millis(rng.random_range(50..2_000));
+            let mut crashes: Vec<(Instant, usize, u64, Instant)> = Vec::new();
+            let (mut now, mut third, mut later) = (Instant::now(), None, 0);
+
+            for server in 0..200 {
+                now += Duration::from_millis(rng.random_range(100..1_000));
+                let (due, waiting): (Vec<_>, Vec<_>) =
+                    crashes.into_iter().partition(|(at, ..)| *at <= now);
+                crashes = waiting;
+                for (at, host, server, sent_at) in due {
+                    let sighting = Sighting::AbandonedSince(sent_at);
+                    let record = fleet.hosts[host].record_crash(DIGEST, server, sighting, at);
+                    fleet.published.extend(record.map(|r| (at, r)));
+                    if server == 2 {
+                        third = Some(at);
+                    }
+                }
+                fleet.deliver(now);
+                let host = rng.random_range(0..hosts);
+                if !fleet.hosts[host].is_blocked(DIGEST, now) {
+                    later += u32::from(third.is_some_and(|at| now > at + CONTACT));
+                    crashes.push((now + crash_after, host, server, now));
+                }
+            }
+
+            assert!(later <= 3, "{hosts} hosts, seed {seed}: {later} sends later than allowed");
+        }
+    }
+}
+
 /// Guards against crashes that come back with a full list although the request has been
 /// answered since.
 #[test]
 fn acquitted_request_stays_acquitted() {
     let now = Instant::now();
     let mut tracker = CrashTracker::default();
-    let records: Vec<CrashRecord> =
-        (0..3).filter_map(|server| tracker.record_crash(DIGEST, server, now)).collect();
+    let records: Vec<CrashRecord> = (0..3)
+        .filter_map(|server| tracker.record_crash(DIGEST, server, Sighting::Awaited, now))
+        .collect();
 
     tracker.acquit(DIGEST);
     records.iter().for_each(|r| {
@@ -148,7 +264,7 @@
     let now = Instant::now();
     let (mut running, mut started) = (CrashTracker::default(), CrashTracker::default());
     (0..3).for_each(|server| {
-        running.record_crash(DIGEST, server, now);
+        running.record_crash(DIGEST, server, Sighting::Awaited, now);
     });
 
     running.records(now).into_iter().for_each(|r| {
@@ -165,10 +281,10 @@
     let now = Instant::now();
     let mut tracker = CrashTracker::default();
     for digest in 0..10_000 {
-        tracker.record_crash(digest, 1, now + Duration::from_micros(digest));
+        tracker.record_crash(digest, 1, Sighting::Awaited, now + Duration::from_micros(digest));
     }
     (0..100).for_each(|server| {
-        tracker.record_crash(9_999, server, now);
+        tracker.record_crash(9_999, server, Sighting::Awaited, now);
     });
 
     let records = tracker.records(now);
--- a/crates/route/tests/limits.rs
+++ b/crates/route/tests/limits.rs
@@ -7,6 +7,7 @@
 use chervil_route::budget::RetryBudget;
 use chervil_route::budget::RetryLimit;
 use chervil_route::crashes::CrashTracker;
+use chervil_route::crashes::Sighting;
 use chervil_route::warmup::WarmupLimit;
 use chervil_route::warmup::WarmupPacer;
 use proptest::prelude::ProptestConfig;
@@ -170,7 +171,7 @@
     let before: Vec<bool> = (0..4)
         .map(|server| {
             let blocked = tracker.is_blocked(9, now);
-            tracker.record_crash(9, server, now);
+            tracker.record_crash(9, server, Sighting::Awaited, now);
             blocked
         })
         .collect();
@@ -186,7 +187,7 @@
     let now = Instant::now();
     let mut tracker = CrashTracker::default();
     for server in 0..3 {
-        tracker.record_crash(9, server, now);
+        tracker.record_crash(9, server, Sighting::Awaited, now);
     }
 
     tracker.acquit(9);
--- /dev/null
+++ b/crates/route/tests/watch.rs
@@ -0,0 +1,74 @@
+//! Requests that servers may be executing although nobody waits for them.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use chervil_route::fleet::BackendKey;
+use chervil_route::watch::Abandoned;
+use chervil_route::watch::WatchList;
+use slotmap::SlotMap;
+
+fn keys(count: usize) -> Vec<BackendKey> {
+    let mut servers: SlotMap<BackendKey, ()> = SlotMap::with_key();
+    (0..count).map(|_| servers.insert(())).collect()
+}
+
+fn requests(abandoned: Vec<Abandoned<u32>>) -> Vec<u32> {
+    abandoned.into_iter().map(|a| a.request).collect()
+}
+
+/// Guards against a watch that ends while the server may still be executing the request, and
+/// against one that goes on for a request that it has survived.
+#[test]
+fn watch_ends_once_the_server_is_sound_after_the_deadline() {
+    let (server, start) = (keys(1)[0], Instant::now());
+    let mut list = WatchList::default();
+    list.add(server, Abandoned::new(1, start, Duration::from_secs(1)));
+    list.add(server, Abandoned::new(2, start, Duration::from_secs(4)));
+
+    let early = requests(list.end_sound(server, start + Duration::from_secs(1)));
+    let late = requests(list.end_sound(server, start + Duration::from_secs(2)));
+
+    assert_eq!((early, late), (vec![], vec![1]));
+    assert_eq!(requests(list.take(server)), [2]);
+    assert!(list.is_empty());
+}
+
+/// Guards against a crash that counts for the earliest of several copies, which was sent before an
+/// earlier crash was known.
+#[test]
+fn latest_request_comes_first() {
+    let (server, start) = (keys(1)[0], Instant::now());
+    let mut list = WatchList::default();
+    for request in 0..3 {
+        list.add(server, Abandoned::new(request, start, Duration::from_secs(1)));
+    }
+
+    assert_eq!(requests(list.take(server)), [2, 1, 0]);
+}
+
+/// Guards against memory that grows with the number of requests or servers, and against a watch
+/// without end at a server that shows no sign.
+#[test]
+fn watch_is_bounded_in_number_and_time() {
+    let start = Instant::now();
+    let mut list = WatchList::default();
+    let servers = keys(3_000);
+    let at_one = (0..100).filter(|r| {
+        let abandoned = Abandoned::new(*r, start, Duration::from_secs(3_600));
+        !list.add(servers[0], abandoned)
+    });
+    let replaced = at_one.count();
+    let refused = servers[1..]
+        .iter()
+        .filter(|server| !list.add(**server, Abandoned::new(0, start, Duration::from_secs(1))))
+        .count();
+
+    let patience = Duration::from_secs(5);
+    let kept = list.expire(patience, start + Duration::from_secs(6));
+    let rest = list.expire(patience, start + Duration::from_secs(66));
+
+    assert_eq!((replaced, refused), (36, 952));
+    assert_eq!((kept, rest), (0, 2_047 + 64));
+    assert!(list.is_empty());
+}
