Pass the watch over servers on when a host stops

What callers would see: a request that crashes its servers late is not refused if the host that sent it stops before the crash.

Change: a host that stops reports what it watches to one of the hosts that rank first. One that does not serve, or that runs an earlier build, is not used: version 3 of what hosts say to each other. A server whose entry is removed without a word that it leaves is checked once more instead of being dropped, and one that accepts connections again is connected to again without a pause.

crash_after_the_host_has_stopped_counts fails with nothing passed on. abandoned_victim_of_another_request_is_served_again once had fewer than three crashes, as its four requests were sent at once and met at the same servers: it sends them one after another now, until three servers have crashed.

--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -57,6 +57,23 @@
         /// Start times of backend servers that said that they leave.
         #[serde(default)]
         pub leaving: HashMap<Box<str>, Option<u64>>,
+        /// Requests that a host which stops has watched, for the host that gets the report.
+        #[serde(default)]
+        pub abandoned: Vec<AbandonedRequest>,
+    }
+
+    /// A request that nobody waits for and that a backend server may be executing.
+    pub struct AbandonedRequest {
+        /// Id of the backend server.
+        pub server: Box<str>,
+        /// Start time of the instance, if announced.
+        pub started_at_ms: Option<u64>,
+        /// Identifies repetitions of the request by its caller.
+        pub digest: u64,
+        /// Milliseconds since it was sent.
+        pub age_ms: u64,
+        /// Milliseconds for which the server may still execute it.
+        pub left_ms: u64,
     }
 }
 
--- a/crates/front/src/crashes.rs
+++ b/crates/front/src/crashes.rs
@@ -188,9 +188,12 @@
     evidence
 }
 
-/// Whether the port of an instance refuses connections. One that is accepted is kept.
+/// Whether the port of an instance refuses connections. One that is accepted is kept, if the
+/// instance is still listed.
 async fn refuses(core: &Arc<Core>, instance: &Instance) -> bool {
-    let permit = core.pools().try_permit(instance.key, instance.max_connections);
+    let is_listed = core.state().fleet.get(instance.key).is_some();
+    let permit = is_listed.then(|| core.pools().try_permit(instance.key, instance.max_connections));
+    let permit = permit.flatten();
     match time::timeout(PROBE_TIMEOUT, attempt::connect(instance.address)).await {
         Ok(Ok(stream)) => {
             if let Some(permit) = permit {
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -18,6 +18,7 @@
 use snafu::Snafu;
 use tokio::net::TcpListener;
 use tokio::signal::unix::Signal;
+use tokio::time;
 
 use crate::core::Core;
 use crate::crashes;
@@ -80,6 +81,9 @@
     pub reload: Signal,
 }
 
+/// Part of the grace period that is left when the process ends, so that it is not killed.
+const KILL_MARGIN: Duration = Duration::from_millis(50);
+
 /// Why a host cannot start.
 #[derive(Debug, Snafu)]
 pub enum HostError {
@@ -144,7 +148,7 @@
     tokio::spawn(watch::run(core.clone()));
     tokio::spawn(ready::serve_ready(probe_listener, lifecycle.clone()));
     tokio::spawn(ready::serve_metrics(metrics_listener, core.clone()));
-    tokio::spawn(listen::serve(caller_listener, core, lifecycle.clone()));
+    tokio::spawn(listen::serve(caller_listener, core.clone(), lifecycle.clone()));
     loop {
         tokio::select! {
             _ = signals.stop.recv() => break,
@@ -156,7 +160,11 @@
         }
     }
     spdlog::info!("stopping", kv: { host = &*settings.name });
+    let stop = time::Instant::now() + settings.grace;
     lifecycle.stop(settings.grace).await;
+    if time::timeout_at(stop - KILL_MARGIN, watch::hand_over(&core)).await.is_err() {
+        spdlog::warn!("no time left to pass the watch over servers on to another host");
+    }
     spdlog::info!("stopped", kv: { host = &*settings.name });
     Ok(())
 }
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -44,11 +44,13 @@
 use crate::listen::Lifecycle;
 use crate::logs::Category;
 use crate::packed;
+use crate::registry;
 use crate::registry::Event;
 use crate::registry::RegistryError;
 use crate::relay::OFFER_PATH;
 use crate::relay::QUERY_PATH;
 use crate::relay_service;
+use crate::watch;
 
 /// Longest time that a request for events is held open (long polling).
 const MAX_WAIT: Duration = Duration::from_secs(2);
@@ -163,6 +165,17 @@
     ) -> Result<SyncReply, RegistryError> {
         self.clients.get(address).call(Method::POST, SYNC_PATH, Some(request)).await
     }
+
+    /// Sends a report to a host. Fails if it does not accept it in time.
+    pub async fn report(
+        &mut self,
+        address: SocketAddr,
+        reports: &Reports,
+    ) -> Result<(), RegistryError> {
+        let client = self.clients.get(address);
+        let call = client.call::<_, bool>(Method::POST, REPORT_PATH, Some(reports));
+        registry::within(REPORT_TIMEOUT, call).await.map(drop)
+    }
 }
 
 /// Serves other hosts, and sends the reports of this host.
@@ -205,9 +218,7 @@
             service.process(&reports);
             continue;
         };
-        let client = peers.clients.get(address);
-        let call = client.call::<_, bool>(Method::POST, REPORT_PATH, Some(&reports));
-        if !matches!(time::timeout(REPORT_TIMEOUT, call).await, Ok(Ok(_))) {
+        if peers.report(address, &reports).await.is_err() {
             service.core.metrics.count("reports.lost");
             // Each host reports once that a server leaves; the rest is observed again.
             core.add_reports(&Reports { leaving: reports.leaving, ..Reports::default() });
@@ -336,6 +347,13 @@
     let Ok(reports) = serde_json::from_slice::<Reports>(body) else {
         return answer::plain_text(StatusCode::BAD_REQUEST, "the report is malformed\n");
     };
+    if !reports.abandoned.is_empty() {
+        if !service.lifecycle.is_ready() {
+            let text = "this host is not serving; report to another one\n";
+            return answer::plain_text(StatusCode::SERVICE_UNAVAILABLE, text);
+        }
+        watch::take_over(&service.core, &reports.abandoned);
+    }
     service.receive(&reports);
     answer::plain_text(StatusCode::OK, "true\n")
 }
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -469,7 +469,7 @@
         let mut rng = SmallRng::from_rng(&mut self.rng);
         let target = |key| {
             let entry = &self.fleet.get(key)?.entry;
-            let max_connections = (self.own_connections(&entry.service) as usize).max(1);
+            let max_connections = self.connection_limit(&entry.service);
             let (address, zone) = (entry.address, entry.zone.clone());
             Some(CheckTarget { key, address, zone, max_connections })
         };
@@ -478,6 +478,11 @@
         keys.into_iter().filter_map(target).collect()
     }
 
+    /// Most connections that this host may have open to a backend server of a service.
+    pub fn connection_limit(&self, service: &str) -> usize {
+        (self.own_connections(service) as usize).max(1)
+    }
+
     /// Connections to each backend server of a service that this host may have, a fraction
     /// if there are fewer than hosts.
     fn own_connections(&self, service: &str) -> f64 {
@@ -512,7 +517,7 @@
         };
         let is_connected = |key| pools.has_idle(key);
         let key = self.fleet.choose(&criteria, is_connected, &mut self.rng, now)?;
-        let max_connections = (own_connections as usize).max(1);
+        let max_connections = self.connection_limit(service);
         let backend = self.fleet.get_mut(key)?;
         backend.warmup.record_sent(now);
         backend.limit.record_sent(limit_share, now);
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -5,6 +5,7 @@
 //! connection to it: an idle one in the pool, or one that is opened in place of the closed one and
 //! kept for later requests.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -14,16 +15,22 @@
 
 use chervil_base::HashMap;
 use chervil_route::fleet::BackendKey;
+use chervil_route::peers::FORMAT_WITH_WATCHES;
 use chervil_route::watch::Abandoned;
+use chervil_route::watch::MAX_WATCH_TIME;
 use chervil_route::watch::WatchList;
 use tokio::sync::Notify;
 use tokio::time;
 
+use crate::core::AbandonedRequest;
 use crate::core::Core;
+use crate::core::Reports;
 use crate::crashes;
 use crate::crashes::Instance;
+use crate::gather::LATE_REPLY_WAIT;
 use crate::logs::Category;
 use crate::losses::Losses;
+use crate::peers::PeerClients;
 use crate::pool::LinkState;
 use crate::state::Choice;
 
@@ -33,6 +40,9 @@
 /// Pause after a server did not turn out to have crashed, before it is connected to again.
 const CONNECT_PAUSE: Duration = Duration::from_secs(1);
 
+/// Most hosts to which a host that stops offers its watch.
+const MAX_HAND_OVER_OFFERS: usize = 3;
+
 /// Time for which a server without a link is watched after the deadline of its last request.
 const PATIENCE: Duration = Duration::from_secs(5);
 
@@ -59,6 +69,28 @@
     instance: Instance,
     /// Time from which it may be connected to.
     connect_at: Instant,
+    /// Whether it has said that it leaves: its end is no crash then.
+    leaves: bool,
+    /// Whether it has been checked after its entry was removed.
+    is_last_check: bool,
+}
+
+/// What the registry says of a server.
+#[derive(Clone, Copy, PartialEq)]
+enum Presence {
+    Present,
+    /// It resets new connections.
+    AtLimit,
+    /// It leaves, as planned.
+    Leaving,
+    /// Its entry was removed, or is another instance's.
+    Gone,
+}
+
+impl Server {
+    fn new(instance: Instance, now: Instant) -> Server {
+        Server { instance, connect_at: now, leaves: false, is_last_check: false }
+    }
 }
 
 impl Watches {
@@ -70,6 +102,11 @@
         self.servers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether no request is watched.
+    pub fn is_empty(&self) -> bool {
+        self.list().is_empty()
+    }
+
     /// Ends the watch at a server and returns its requests, the latest one first.
     pub fn take(&self, key: BackendKey) -> Vec<Abandoned<Watched>> {
         self.list().take(key)
@@ -78,28 +115,112 @@
 
 /// Watches the server of an attempt that was dropped after the request was sent.
 pub fn add(core: &Core, choice: &Choice, abandoned: Abandoned<Watched>) {
+    insert(core, Instance::of(core, choice), abandoned);
+}
+
+fn insert(core: &Core, instance: Instance, abandoned: Abandoned<Watched>) {
     let now = core.now();
     let watches = &core.watches;
-    if !watches.list().add(choice.key, abandoned) {
+    if !watches.list().add(instance.key, abandoned) {
         core.metrics.count("crashes.unwatched");
         if core.log_limiter.allows(Category::Notable, now) {
-            let id = &*choice.id;
+            let backend = &*instance.id;
             spdlog::warn!(
                 "too many requests that nobody waits for; a crash may not count against the oldest",
-                kv: { backend = id }
+                kv: { backend }
             );
         }
     }
-    let server = || Server { instance: Instance::of(core, choice), connect_at: now };
-    watches.servers().entry(choice.key).or_insert_with(server);
+    let key = instance.key;
+    watches.servers().entry(key).or_insert_with(|| Server::new(instance, now));
     watches.wanted.notify_one();
 }
 
+/// Passes the watch of a host that stops on to another one, once late replies have come or their
+/// attempts have been dropped.
+pub async fn hand_over(core: &Core) {
+    time::sleep(LATE_REPLY_WAIT).await;
+    let abandoned = describe(core, core.watches.list().take_all());
+    if abandoned.is_empty() {
+        return;
+    }
+    let reports = Reports { abandoned, ..Reports::default() };
+    let requests = reports.abandoned.len();
+    let hosts: Vec<(Box<str>, SocketAddr)> = {
+        let state = core.state();
+        let heeding = state.peers.ranked().filter(|(_, p)| p.format >= FORMAT_WITH_WATCHES);
+        heeding.take(MAX_HAND_OVER_OFFERS).map(|(host, p)| (host.into(), p.address)).collect()
+    };
+    let mut peers = PeerClients::new(core);
+    for (host, address) in hosts {
+        if peers.report(address, &reports).await.is_ok() {
+            let host = &*host;
+            spdlog::info!("another host watches servers for this one", kv: { host, requests });
+            return;
+        }
+    }
+    core.metrics.add("crashes.unwatched", requests as u64);
+    spdlog::warn!(
+        "no other host watches servers for this one; their crashes count against no request",
+        kv: { requests }
+    );
+}
+
+/// Describes watched requests for another host. Those at servers that are gone are left out.
+fn describe(core: &Core, watched: Vec<(BackendKey, Abandoned<Watched>)>) -> Vec<AbandonedRequest> {
+    let now = core.now();
+    let state = core.state();
+    let describe = |(key, abandoned): (BackendKey, Abandoned<Watched>)| {
+        let entry = &state.fleet.get(key)?.entry;
+        Some(AbandonedRequest {
+            server: entry.id.clone(),
+            started_at_ms: entry.started_at_ms,
+            digest: abandoned.request.digest,
+            age_ms: now.saturating_duration_since(abandoned.sent_at).as_millis() as u64,
+            left_ms: abandoned.until.saturating_duration_since(now).as_millis() as u64,
+        })
+    };
+    watched.into_iter().filter_map(describe).collect()
+}
+
+/// Takes over the watch of another host that stops. Servers that this host does not know, or knows
+/// as other instances, are left out.
+pub fn take_over(core: &Core, requests: &[AbandonedRequest]) {
+    let now = core.now();
+    let mut losses: HashMap<u64, Arc<Losses>> = HashMap::default();
+    for request in requests {
+        let instance = {
+            let state = core.state();
+            let key = state.fleet.key(&request.server);
+            let backend = key.and_then(|key| state.fleet.get(key).map(|b| (key, b)));
+            backend.filter(|(_, b)| b.entry.started_at_ms == request.started_at_ms).map(
+                |(key, b)| Instance {
+                    key,
+                    id: b.entry.id.clone(),
+                    address: b.entry.address,
+                    max_connections: state.connection_limit(&b.entry.service),
+                    started_at_ms: b.entry.started_at_ms,
+                },
+            )
+        };
+        let Some(instance) = instance else { continue };
+        let losses = losses.entry(request.digest).or_default().clone();
+        losses.record_send();
+        let age = Duration::from_millis(request.age_ms);
+        let abandoned = Abandoned {
+            request: Watched { digest: request.digest, losses },
+            sent_at: now.checked_sub(age).unwrap_or(now),
+            until: now + Duration::from_millis(request.left_ms).min(MAX_WATCH_TIME),
+        };
+        insert(core, instance, abandoned);
+    }
+}
+
 /// Checks the servers of abandoned requests while there are any, until the task is dropped.
 pub async fn run(core: Arc<Core>) {
     loop {
         core.watches.wanted.notified().await;
-        while !core.watches.list().is_empty() {
+        while !core.watches.is_empty() {
             time::sleep(CHECK_INTERVAL).await;
             check_all(&core);
         }
@@ -122,9 +243,15 @@
 
 fn check(core: &Arc<Core>, key: BackendKey) {
     let now = core.now();
+    let presence = presence(core, key, now);
+    let mut servers = core.watches.servers();
+    let Some(server) = servers.get_mut(&key) else { return };
+    server.leaves |= presence == Presence::Leaving;
     let state = core.pools().link_state(key);
     match state {
         LinkState::Open => {
+            server.connect_at = now;
+            drop(servers);
             let ended = core.watches.list().end_sound(key, now);
             for Abandoned { request, .. } in ended {
                 request.losses.record_survivor(core, request.digest);
@@ -132,30 +259,29 @@
         }
         // The attempt that is being executed shows a crash.
         LinkState::Busy => {}
-        LinkState::Closed => connect(core, key, now),
+        LinkState::Closed if crashes::is_suspected(core, key) => {}
+        // Its end is planned, or it is gone and not known to have crashed.
+        LinkState::Closed if server.leaves || server.is_last_check => {
+            core.watches.take(key);
+        }
+        LinkState::Closed if presence == Presence::AtLimit || server.connect_at > now => {}
+        LinkState::Closed => {
+            server.connect_at = now + CONNECT_PAUSE;
+            server.is_last_check = presence == Presence::Gone;
+            let instance = server.instance.clone();
+            drop(servers);
+            core.metrics.count("crashes.watch_connects");
+            crashes::suspect_unwatched(core, instance);
+        }
     }
 }
 
-/// Connects to a server without an open link, unless it leaves as planned. The connection is kept
-/// if the server accepts it; if it refuses, this looks for its crash.
-fn connect(core: &Arc<Core>, key: BackendKey, now: Instant) {
-    let (leaves, at_limit) = {
-        let state = core.state();
-        let leaves = state.fleet.get(key).is_none_or(|b| b.leaving || b.entry.draining);
-        (leaves, state.fleet.is_at_connection_limit(key, now))
-    };
-    if leaves {
-        core.watches.take(key);
-        return;
-    }
-    if at_limit || crashes::is_suspected(core, key) {
-        return;
+fn presence(core: &Core, key: BackendKey, now: Instant) -> Presence {
+    let state = core.state();
+    match state.fleet.get(key) {
+        None => Presence::Gone,
+        Some(backend) if backend.leaving || backend.entry.draining => Presence::Leaving,
+        Some(_) if state.fleet.is_at_connection_limit(key, now) => Presence::AtLimit,
+        Some(_) => Presence::Present,
     }
-    let mut servers = core.watches.servers();
-    let Some(server) = servers.get_mut(&key).filter(|s| s.connect_at <= now) else { return };
-    server.connect_at = now + CONNECT_PAUSE;
-    let instance = server.instance.clone();
-    drop(servers);
-    core.metrics.count("crashes.watch_connects");
-    crashes::suspect_unwatched(core, instance);
 }
--- a/crates/front/tests/crashes.rs
+++ b/crates/front/tests/crashes.rs
@@ -468,10 +468,39 @@
     }))
     .await;
 
-    join_all(hosts[..4].iter().map(|h| h.ask("POST", "/one/fatal", "rope"))).await;
+    // Each of these requests takes down a server or two, and is another one for the hosts.
+    for host in &hosts {
+        if servers.third_crash().is_none() {
+            host.ask("POST", "/one/fatal", &format!("{}", servers.arrivals())).await;
+        }
+    }
     time::sleep(Duration::from_secs(2)).await;
     let answers = join_all(hosts.iter().map(|h| h.ask("POST", "/one/slow", "rope"))).await;
 
     assert!(servers.third_crash().is_some());
     assert_eq!(answers.iter().map(|a| status(a)).collect::<Vec<_>>(), [200; HOSTS]);
 }
+
+/// Guards against a crash that counts against no request because the host that was watching the
+/// server has stopped.
+#[tokio::test(flavor = "multi_thread")]
+async fn crash_after_the_host_has_stopped_counts() {
+    let registry = start_registry();
+    let servers = start_late_crashing(&registry, Duration::from_millis(1_500)).await;
+    let hosts = start_hosts(&registry).await;
+    let _ =
+        time::timeout(Duration::from_millis(80), hosts[0].ask("POST", "/one/fatal", "rope")).await;
+
+    let lifecycle = hosts[0].lifecycle.clone();
+    tokio::spawn(async move { lifecycle.stop(Duration::from_secs(10)).await });
+    until(|| !hosts[0].lifecycle.is_ready()).await;
+    watch::hand_over(&hosts[0].core).await;
+    let handed_over = hosts[0].core.watches.is_empty();
+
+    until(|| servers.arrivals() > 0).await;
+    let (core, now) = (&hosts[1].core, hosts[1].core.now());
+    let is_known = || !core.state().crashes.records(now).is_empty();
+    let known = time::timeout(KNOWN_WITHIN, until(is_known)).await;
+    assert!(handed_over);
+    assert!(known.is_ok());
+}
--- a/crates/route/src/peers.rs
+++ b/crates/route/src/peers.rs
@@ -48,11 +48,15 @@
 /// | 0 | hosts that state none |
 /// | 1 | events of unknown kinds are skipped; a host that executes a passed request again does not earn by it |
 /// | 2 | a passed request and the outcome of a host that gives it back state its executions |
-pub const FORMAT: u32 = 2;
+/// | 3 | reports state requests that nobody waits for and that servers may be executing |
+pub const FORMAT: u32 = 3;
 
 /// First version that heeds the executions of a passed request.
 pub const FORMAT_WITH_EXECUTIONS: u32 = 2;
 
+/// First version that takes over the watch of requests nobody waits for.
+pub const FORMAT_WITH_WATCHES: u32 = 3;
+
 /// Position of a host in the ranking; lower is better.
 type Rank = (u32, u64);
 
--- a/crates/route/src/watch.rs
+++ b/crates/route/src/watch.rs
@@ -21,7 +21,7 @@
 const MAX_SERVERS: usize = 2_048;
 
 /// Longest time for which a request is watched, whatever its deadline.
-const MAX_WATCH_TIME: Duration = Duration::from_secs(60);
+pub const MAX_WATCH_TIME: Duration = Duration::from_secs(60);
 
 /// Time by which a server may exceed the deadline of a request.
 const DEADLINE_SLACK: Duration = Duration::from_millis(500);
@@ -102,6 +102,15 @@
         requests
     }
 
+    /// Ends the watch at all servers and returns the requests.
+    pub fn take_all(&mut self) -> Vec<(BackendKey, Abandoned<Request>)> {
+        let servers = std::mem::take(&mut self.servers);
+        let with_server = |(server, requests): (BackendKey, Vec<Abandoned<Request>>)| {
+            requests.into_iter().map(move |request| (server, request))
+        };
+        servers.into_iter().flat_map(with_server).collect()
+    }
+
     /// Ends the watch of requests whose server has shown no sign for `patience` after the time for
     /// which it may have executed them. Returns how many.
     pub fn expire(&mut self, patience: Duration, now: Instant) -> usize {
