--- a/crates/front/tests/passed_on.rs
+++ b/crates/front/tests/passed_on.rs
@@ -36,6 +36,7 @@
 use crate::support::core_with;
 use crate::support::entry;
 use crate::support::gather;
+use crate::support::header;
 use crate::support::journal;
 use crate::support::peer;
 use crate::support::read_message;
@@ -371,3 +372,31 @@
     let metrics = helper.core.metrics.text();
     assert!(metrics.contains("relay.too_large 1"), "{metrics}");
 }
+
+/// Guards against a reply with status 000 of a server that another host asks, which the caller
+/// would get as an answer.
+#[tokio::test]
+async fn status_000_of_a_helpers_server_is_no_answer() {
+    let text = reply(200, "no").replace("200 X", "000 X");
+    let servers = [
+        Backend::start(vec![Step::ReplyAndClose(text.clone())]).await,
+        Backend::start(vec![Step::ReplyAndClose(text)]).await,
+    ];
+    let addresses = servers.each_ref().map(|server| server.address);
+    let entries = vec![
+        entry("i-quote", "quote", addresses[0]),
+        entry("i-a", "a", addresses[1]),
+        entry("i-b", "b", addresses[1]),
+    ];
+    for path in ["/safe/1", "/all/1"] {
+        let (_helper, address) = start_helper(routes(3), entries.clone()).await;
+        let host = start_losing_links(routes(3), path, &[peer(address, 10)]).await;
+
+        let answer = host.ask("GET", path, "").await;
+
+        assert!([502, 504].contains(&status(&answer)), "{path}: {answer}");
+        assert_eq!(header(&answer, "x-stamp"), None, "{path}: {answer}");
+        assert_eq!(header(&answer, "x-parts"), None, "{path}: {answer}");
+    }
+    assert!(servers.iter().all(|server| !server.received().is_empty()));
+}
--- a/crates/front/tests/relay.rs
+++ b/crates/front/tests/relay.rs
@@ -270,3 +270,18 @@
     assert!(header(&again, "retry-after").is_some());
     assert_eq!([a.received().len(), b.received().len()], [1; 2]);
 }
+
+/// Guards against a reply with status 000 that a relay takes for a part of an answer.
+#[tokio::test]
+async fn status_000_of_a_shard_is_no_part_of_a_relays_answer() {
+    let a = shard(Step::Reply(reply(200, LOW))).await;
+    let b = shard(Step::ReplyAndClose(reply(200, HIGH).replace("200 X", "000 X"))).await;
+    let (_relay, address) = start_relay(query_routes(), entries(&a, &b)).await;
+    let host = start_entry(Vec::new(), address).await;
+
+    let answer = host.ask("GET", "/all/1", "").await;
+
+    assert!([502, 504].contains(&status(&answer)), "{answer}");
+    assert_eq!(header(&answer, "x-parts"), None, "{answer}");
+    assert!(!b.received().is_empty());
+}
