Bound what a host that stops passes on, and describe the new cursors

The report with the watched requests was bounded by the watch only (2,048 servers with 64 requests each).

--- a/crates/front/src/crashes.rs
+++ b/crates/front/src/crashes.rs
@@ -122,6 +122,20 @@
             started_at_ms,
         }
     }
+
+    /// The instance with this id, if it is listed and has this start time.
+    pub fn listed(core: &Core, id: &str, started_at_ms: Option<u64>) -> Option<Instance> {
+        let state = core.state();
+        let key = state.fleet.key(id)?;
+        let entry = &state.fleet.get(key)?.entry;
+        (entry.started_at_ms == started_at_ms).then(|| Instance {
+            key,
+            id: id.into(),
+            address: entry.address,
+            max_connections: state.connection_limit(&entry.service),
+            started_at_ms,
+        })
+    }
 }
 
 /// Starts to confirm that a backend server crashed which closed or reset a connection before
@@ -131,9 +145,9 @@
     confirm(core, Instance::of(core, choice), Some(suspect));
 }
 
-/// Starts to confirm that a backend server crashed whose links are closed, and that may be
+/// Starts to confirm that a backend server crashed to which no link is open, and that may be
 /// executing requests nobody waits for.
-pub fn suspect_unwatched(core: &Arc<Core>, instance: Instance) {
+pub fn suspect_server(core: &Arc<Core>, instance: Instance) {
     confirm(core, instance, None);
 }
 
--- a/crates/front/src/journal.rs
+++ b/crates/front/src/journal.rs
@@ -89,7 +89,7 @@
     /// What shows that a delta is complete.
     #[derive(Copy, Eq)]
     pub enum Basis {
-        /// The cursor names an event of this journal.
+        /// The cursor names an event of the present recording, or its start.
         Serial,
         /// The cursor names a position in the registry's history from which events are kept.
         Position,
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -5,6 +5,7 @@
 //! connection to it: an idle one in the pool, or one that is opened in place of the closed one and
 //! kept for later requests.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -40,6 +41,9 @@
 /// Pause after a server did not turn out to have crashed, before it is connected to again.
 const CONNECT_PAUSE: Duration = Duration::from_secs(1);
 
+/// Most requests that a host which stops passes on: 128 KiB in a report.
+const MAX_HANDED_OVER: usize = 1_024;
+
 /// Most hosts to which a host that stops offers its watch.
 const MAX_HAND_OVER_OFFERS: usize = 3;
 
@@ -140,7 +144,15 @@
 /// attempts have been dropped.
 pub async fn hand_over(core: &Core) {
     time::sleep(LATE_REPLY_WAIT).await;
-    let abandoned = describe(core, core.watches.list().take_all());
+    let mut watched = core.watches.list().take_all();
+    watched.sort_by_key(|(_, abandoned)| Reverse(abandoned.sent_at));
+    let dropped = watched.len().saturating_sub(MAX_HANDED_OVER);
+    if dropped > 0 {
+        core.metrics.add("crashes.unwatched", dropped as u64);
+        spdlog::warn!("too many watched requests to pass on; dropping the oldest", kv: { dropped });
+    }
+    watched.truncate(MAX_HANDED_OVER);
+    let abandoned = describe(core, watched);
     if abandoned.is_empty() {
         return;
     }
@@ -189,20 +201,7 @@
     let now = core.now();
     let mut losses: HashMap<u64, Arc<Losses>> = HashMap::default();
     for request in requests {
-        let instance = {
-            let state = core.state();
-            let key = state.fleet.key(&request.server);
-            let backend = key.and_then(|key| state.fleet.get(key).map(|b| (key, b)));
-            backend.filter(|(_, b)| b.entry.started_at_ms == request.started_at_ms).map(
-                |(key, b)| Instance {
-                    key,
-                    id: b.entry.id.clone(),
-                    address: b.entry.address,
-                    max_connections: state.connection_limit(&b.entry.service),
-                    started_at_ms: b.entry.started_at_ms,
-                },
-            )
-        };
+        let instance = Instance::listed(core, &request.server, request.started_at_ms);
         let Some(instance) = instance else { continue };
         let losses = losses.entry(request.digest).or_default().clone();
         losses.record_send();
@@ -271,7 +270,7 @@
             let instance = server.instance.clone();
             drop(servers);
             core.metrics.count("crashes.watch_connects");
-            crashes::suspect_unwatched(core, instance);
+            crashes::suspect_server(core, instance);
         }
     }
 }
