Limit the connections that are opened only to watch servers

A host that abandons requests at many slow servers opened a connection to each of them that had no idle one, which loads servers that are late already. That the watch is the cause is suspected, not shown: the play did not repeat.

Change: five such connections a second on a host, ten at once, as a decision without I/O with its load pattern and a test. Requests that have lost a server before do not wait.

--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -18,6 +18,7 @@
 use chervil_route::fleet::BackendKey;
 use chervil_route::peers::FORMAT_WITH_WATCHES;
 use chervil_route::watch::Abandoned;
+use chervil_route::watch::ConnectBudget;
 use chervil_route::watch::MAX_WATCH_TIME;
 use chervil_route::watch::WatchList;
 use tokio::sync::Notify;
@@ -64,6 +65,7 @@
 pub struct Watches {
     list: Mutex<WatchList<Watched>>,
     servers: Mutex<HashMap<BackendKey, Server>>,
+    connects: Mutex<ConnectBudget>,
     /// Wakes the watch when there is a request.
     wanted: Notify,
 }
@@ -106,6 +108,11 @@
         self.servers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Spends a connection that is opened only to watch a server. Returns false if none is left.
+    fn try_spend_connect(&self, now: Instant) -> bool {
+        self.connects.lock().unwrap_or_else(PoisonError::into_inner).try_spend(now)
+    }
+
     /// Whether no request is watched.
     pub fn is_empty(&self) -> bool {
         self.list().is_empty()
@@ -243,6 +250,7 @@
 fn check(core: &Arc<Core>, key: BackendKey) {
     let now = core.now();
     let presence = presence(core, key, now);
+    let has_lost_server = has_lost_server(core, key);
     let mut servers = core.watches.servers();
     let Some(server) = servers.get_mut(&key) else { return };
     server.leaves |= presence == Presence::Leaving;
@@ -264,6 +272,9 @@
             core.watches.take(key);
         }
         LinkState::Closed if presence == Presence::AtLimit || server.connect_at > now => {}
+        LinkState::Closed if !has_lost_server && !core.watches.try_spend_connect(now) => {
+            core.metrics.count("crashes.watch_waits");
+        }
         LinkState::Closed => {
             server.connect_at = now + CONNECT_PAUSE;
             server.is_last_check = presence == Presence::Gone;
@@ -275,6 +286,13 @@
     }
 }
 
+/// Whether a request that is watched at a server has lost one before.
+fn has_lost_server(core: &Core, key: BackendKey) -> bool {
+    let digests: Vec<u64> = core.watches.list().requests(key).map(|r| r.digest).collect();
+    let state = core.state();
+    digests.into_iter().any(|digest| state.crashes.count(digest) > 0)
+}
+
 fn presence(core: &Core, key: BackendKey, now: Instant) -> Presence {
     let state = core.state();
     match state.fleet.get(key) {
--- a/crates/route/src/watch.rs
+++ b/crates/route/src/watch.rs
@@ -4,6 +4,10 @@
 //! up to some hundred a second on a host. The connection is closed at once, so that the server
 //! can stop, but not every server does: it may execute the request until its deadline, and crash
 //! meanwhile.
+//!
+//! While servers are slow, a host abandons requests at most of them at the same time. Connections
+//! that it opens only to watch them would load servers that are late already, so that their number
+//! is limited. Requests that have lost a server before do not wait for it.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -23,6 +27,13 @@
 /// Longest time for which a request is watched, whatever its deadline.
 pub const MAX_WATCH_TIME: Duration = Duration::from_secs(60);
 
+/// Connections a second that a host opens only to watch servers: two for each send of a few
+/// callers that leave early.
+const CONNECTS_PER_SECOND: f64 = 5.0;
+
+/// Such connections that it may open at once.
+const CONNECT_BURST: f64 = 10.0;
+
 /// Time by which a server may exceed the deadline of a request.
 const DEADLINE_SLACK: Duration = Duration::from_millis(500);
 
@@ -84,6 +95,11 @@
         self.servers.keys().copied().collect()
     }
 
+    /// The requests that are watched at a server.
+    pub fn requests(&self, server: BackendKey) -> impl Iterator<Item = &Request> {
+        self.servers.get(&server).into_iter().flatten().map(|abandoned| &abandoned.request)
+    }
+
     /// Ends the watch of the requests that a server cannot be executing any more, as it was sound
     /// at `sound_at`, and returns them.
     pub fn end_sound(&mut self, server: BackendKey, sound_at: Instant) -> Vec<Abandoned<Request>> {
@@ -124,3 +140,30 @@
         expired
     }
 }
+
+/// Limits the rate of connections that are opened only to watch servers.
+#[derive(Debug)]
+pub struct ConnectBudget {
+    connects: f64,
+    refilled_at: Option<Instant>,
+}
+
+impl Default for ConnectBudget {
+    fn default() -> ConnectBudget {
+        ConnectBudget { connects: CONNECT_BURST, refilled_at: None }
+    }
+}
+
+impl ConnectBudget {
+    /// Spends a connection. Returns false if none is left.
+    pub fn try_spend(&mut self, now: Instant) -> bool {
+        let refilled_at = self.refilled_at.replace(now).unwrap_or(now);
+        let time = now.saturating_duration_since(refilled_at).as_secs_f64();
+        self.connects = (self.connects + time * CONNECTS_PER_SECOND).min(CONNECT_BURST);
+        let may_spend = self.connects >= 1.0;
+        if may_spend {
+            self.connects -= 1.0;
+        }
+        may_spend
+    }
+}
--- a/crates/route/tests/watch.rs
+++ b/crates/route/tests/watch.rs
@@ -5,6 +5,7 @@
 
 use chervil_route::fleet::BackendKey;
 use chervil_route::watch::Abandoned;
+use chervil_route::watch::ConnectBudget;
 use chervil_route::watch::WatchList;
 use slotmap::SlotMap;
 
@@ -72,3 +73,20 @@
     assert_eq!((kept, rest), (0, 2_047 + 64));
     assert!(list.is_empty());
 }
+
+/// Guards against a host that loads slow servers with connections that it opens only to watch them.
+/// Load pattern: for ten seconds it abandons a request at each of 270 servers every 250 ms.
+#[test]
+fn connections_to_watch_servers_are_limited_while_all_are_slow() {
+    let start = Instant::now();
+    let mut budget = ConnectBudget::default();
+
+    let spent = (0..40).map(|check| {
+        let now = start + Duration::from_millis(250 * check);
+        (0..270).filter(|_| budget.try_spend(now)).count()
+    });
+    let spent = spent.sum::<usize>();
+
+    assert!(spent <= 10 + 50, "{spent} connections");
+    assert!(budget.try_spend(start + Duration::from_secs(60)));
+}
