--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -250,7 +250,6 @@
 fn check(core: &Arc<Core>, key: BackendKey) {
     let now = core.now();
     let presence = presence(core, key, now);
-    let has_lost_server = has_lost_server(core, key);
     let mut servers = core.watches.servers();
     let Some(server) = servers.get_mut(&key) else { return };
     server.leaves |= presence == Presence::Leaving;
@@ -272,7 +271,9 @@
             core.watches.take(key);
         }
         LinkState::Closed if presence == Presence::AtLimit || server.connect_at > now => {}
-        LinkState::Closed if !has_lost_server && !core.watches.try_spend_connect(now) => {
+        LinkState::Closed
+            if !has_lost_server(core, key) && !core.watches.try_spend_connect(now) =>
+        {
             core.metrics.count("crashes.watch_waits");
         }
         LinkState::Closed => {
