--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -49,7 +49,7 @@
 const MAX_HAND_OVER_OFFERS: usize = 3;
 
 /// Time for which a server without a link is watched after the deadline of its last request.
-const PATIENCE: Duration = Duration::from_secs(5);
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A request that nobody waits for.
 #[derive(Debug)]
@@ -241,7 +241,7 @@
     if !core.has_links_in_doubt() {
         servers.into_iter().for_each(|key| check(core, key));
     }
-    let expired = core.watches.list().expire(PATIENCE, core.now());
+    let expired = core.watches.list().expire(SILENCE_TIMEOUT, core.now());
     if expired > 0 {
         core.metrics.add("crashes.unwatched", expired as u64);
     }
--- a/crates/front/tests/crashes.rs
+++ b/crates/front/tests/crashes.rs
@@ -273,20 +273,20 @@
     registry
 }
 
-/// Sends a request 12 times, each time to the next host, and leaves after `patience`. The next
+/// Sends a request 12 times, each time to the next host, and leaves after `stay`. The next
 /// send waits until the servers have crashed, which they do within `pause`. Returns the same as
 /// [`send_to_all`].
 async fn send_and_leave(
     hosts: &[TestHost],
     servers: &Servers,
     path: &str,
-    (patience, pause): (Duration, Duration),
+    (stay, pause): (Duration, Duration),
 ) -> u32 {
     let mut later = 0;
     for host in hosts {
         let before = servers.arrivals();
         let known = servers.third_crash().is_some_and(|at| at.elapsed() > KNOWN_WITHIN);
-        let _ = time::timeout(patience, host.ask("POST", path, "rope")).await;
+        let _ = time::timeout(stay, host.ask("POST", path, "rope")).await;
         time::sleep(pause).await;
         later += u32::from(known && servers.arrivals() > before);
     }
--- a/crates/route/src/watch.rs
+++ b/crates/route/src/watch.rs
@@ -127,13 +127,13 @@
         servers.into_iter().flat_map(with_server).collect()
     }
 
-    /// Ends the watch of requests whose server has shown no sign for `patience` after the time for
+    /// Ends the watch of requests whose server has shown no sign within `timeout` after the time for
     /// which it may have executed them. Returns how many.
-    pub fn expire(&mut self, patience: Duration, now: Instant) -> usize {
+    pub fn expire(&mut self, timeout: Duration, now: Instant) -> usize {
         let mut expired = 0;
         self.servers.retain(|_, requests| {
             let before = requests.len();
-            requests.retain(|r| r.until + patience > now);
+            requests.retain(|r| r.until + timeout > now);
             expired += before - requests.len();
             !requests.is_empty()
         });
--- a/crates/route/tests/watch.rs
+++ b/crates/route/tests/watch.rs
@@ -65,9 +65,9 @@
         .filter(|server| !list.add(**server, Abandoned::new(0, start, Duration::from_secs(1))))
         .count();
 
-    let patience = Duration::from_secs(5);
-    let kept = list.expire(patience, start + Duration::from_secs(6));
-    let rest = list.expire(patience, start + Duration::from_secs(66));
+    let timeout = Duration::from_secs(5);
+    let kept = list.expire(timeout, start + Duration::from_secs(6));
+    let rest = list.expire(timeout, start + Duration::from_secs(66));
 
     assert_eq!((replaced, refused), (36, 952));
     assert_eq!((kept, rest), (0, 2_047 + 64));
