Watch a server whose connection broke while it was sound

What callers would see: a request whose connection breaks, and that its server goes on executing until it crashes, is never refused.

The same class as the attempts that are dropped.

Change: such a request goes to the watch over the server.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -233,9 +233,9 @@
         core.metrics.count("attempts.unconfirmed");
     }
     if result == Err(Failure::Disconnected) {
-        guard.unanswered = None;
         spec.losses.record_disconnect();
-        crashes::suspect(&core, &guard.choice, &spec);
+        let lost = guard.unanswered.take();
+        crashes::suspect(&core, &guard.choice, lost);
     }
     result
 }
--- a/crates/front/src/crashes.rs
+++ b/crates/front/src/crashes.rs
@@ -22,14 +22,14 @@
 use tokio::time;
 
 use crate::attempt;
-use crate::attempt::RequestSpec;
 use crate::core::Core;
 use crate::logs::Category;
-use crate::losses::Losses;
 use crate::outgoing::Outgoing;
 use crate::registry;
 use crate::registry::Registry;
 use crate::state::Choice;
+use crate::watch;
+use crate::watch::Watched;
 
 /// Delay before probing a backend server that closed or reset a connection before
 /// its reply: a crashed one has closed its port by then, and takes seconds to
@@ -69,18 +69,11 @@
 #[derive(Debug, Default)]
 pub struct Suspects {
     /// Servers whose crash is being confirmed, with the requests whose answers were awaited.
-    by_server: Mutex<HashMap<BackendKey, Vec<Suspect>>>,
+    by_server: Mutex<HashMap<BackendKey, Vec<Abandoned<Watched>>>>,
     unpublished: Mutex<Vec<CrashRecord>>,
     wanted: Notify,
 }
 
-/// A request that a backend server may have crashed on.
-#[derive(Debug)]
-struct Suspect {
-    digest: u64,
-    losses: Arc<Losses>,
-}
-
 value! {
     /// An instance of a backend server that may crash.
     pub struct Instance {
@@ -140,9 +133,8 @@
 
 /// Starts to confirm that a backend server crashed which closed or reset a connection before
 /// its reply. The disconnect alone proves nothing, as connections break for many other reasons.
-pub fn suspect(core: &Arc<Core>, choice: &Choice, spec: &RequestSpec) {
-    let suspect = Suspect { digest: spec.digest, losses: spec.losses.clone() };
-    confirm(core, Instance::of(core, choice), Some(suspect));
+pub fn suspect(core: &Arc<Core>, choice: &Choice, lost: Option<Abandoned<Watched>>) {
+    confirm(core, Instance::of(core, choice), lost);
 }
 
 /// Starts to confirm that a backend server crashed to which no link is open, and that may be
@@ -157,30 +149,33 @@
 }
 
 /// Starts to confirm the crash of an instance, unless that is in progress. If it has crashed, this
-/// counts against `suspect` and against all requests that it may have been executing.
-fn confirm(core: &Arc<Core>, instance: Instance, suspect: Option<Suspect>) {
+/// counts against `lost` and against all requests that it may have been executing. If not, it may be
+/// executing `lost` still, and is watched.
+fn confirm(core: &Arc<Core>, instance: Instance, lost: Option<Abandoned<Watched>>) {
     let mut by_server = lock(&core.suspects.by_server);
     if let Some(waiting) = by_server.get_mut(&instance.key) {
         if waiting.len() < MAX_SUSPECTS {
-            waiting.extend(suspect);
+            waiting.extend(lost);
         }
         return;
     }
-    by_server.insert(instance.key, suspect.into_iter().collect());
+    by_server.insert(instance.key, lost.into_iter().collect());
     drop(by_server);
     let core = core.clone();
     tokio::spawn(async move {
         let crashed = collect_evidence(&core, &instance).await.shows_crash();
         let waiting = lock(&core.suspects.by_server).remove(&instance.key).unwrap_or_default();
         if !crashed {
+            for lost in waiting {
+                watch::insert(&core, instance.clone(), lost);
+            }
             return;
         }
-        for suspect in waiting {
-            record(&core, &instance, &suspect, Sighting::Awaited);
+        for lost in waiting {
+            record(&core, &instance, &lost.request, Sighting::Awaited);
         }
         for Abandoned { request, sent_at, .. } in core.watches.take(instance.key) {
-            let suspect = Suspect { digest: request.digest, losses: request.losses };
-            record(&core, &instance, &suspect, Sighting::AbandonedSince(sent_at));
+            record(&core, &instance, &request, Sighting::AbandonedSince(sent_at));
         }
     });
 }
@@ -222,13 +217,13 @@
 
 /// Counts the crash of an instance against a request, unless enough of them count against it
 /// since its caller sent it.
-fn record(core: &Core, instance: &Instance, suspect: &Suspect, sighting: Sighting) {
-    if !suspect.losses.count_crash() {
+fn record(core: &Core, instance: &Instance, request: &Watched, sighting: Sighting) {
+    if !request.losses.count_crash() {
         return;
     }
     let start = instance.started_at_ms.unwrap_or_default();
     let server = digest::stable_hash(&format!("{} {start}", instance.id));
-    let (digest, now) = (suspect.digest, core.now());
+    let (digest, now) = (request.digest, core.now());
     let mut state = core.state();
     let Some(record) = state.crashes.record_crash(digest, server, sighting, now) else { return };
     let crashes = state.crashes.count(digest);
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -129,7 +129,8 @@
     insert(core, Instance::of(core, choice), abandoned);
 }
 
-fn insert(core: &Core, instance: Instance, abandoned: Abandoned<Watched>) {
+/// Watches an instance that may be executing a request.
+pub fn insert(core: &Core, instance: Instance, abandoned: Abandoned<Watched>) {
     let now = core.now();
     let watches = &core.watches;
     if !watches.list().add(instance.key, abandoned) {
--- a/crates/front/tests/crashes.rs
+++ b/crates/front/tests/crashes.rs
@@ -131,6 +131,8 @@
     AtFatalRequests,
     /// This long after each such request, whether or not its connection is still open.
     AfterFatalRequests(Duration),
+    /// The same, after the server has closed the connection.
+    AfterClosedRequests(Duration),
 }
 
 /// Backend servers that are back as new instances after they crash.
@@ -216,6 +218,11 @@
                 time::sleep(delay).await;
                 return Ended::Fatal;
             }
+            Crashes::AfterClosedRequests(delay) if is_fatal => {
+                drop(stream);
+                time::sleep(delay).await;
+                return Ended::Fatal;
+            }
             _ if request.contains("/slow") => time::sleep(SLOW_TIME).await,
             _ => {}
         }
@@ -504,3 +511,23 @@
     assert!(handed_over);
     assert!(known.is_ok());
 }
+
+/// Guards against a crash that counts against no request because the connection broke while the
+/// server was sound, and the server went on executing the request.
+#[tokio::test(flavor = "multi_thread")]
+async fn crash_after_the_connection_has_broken_counts() {
+    let registry = start_registry();
+    let servers = Servers::new(registry.clone());
+    for number in 0..3 {
+        let crashes = Crashes::AfterClosedRequests(Duration::from_millis(600));
+        servers.start("a", number, crashes).await;
+    }
+    let hosts = start_hosts(&registry).await;
+
+    hosts[0].ask("POST", "/order/fatal", "rope").await;
+
+    until(|| servers.arrivals() > 0).await;
+    let (core, now) = (&hosts[1].core, hosts[1].core.now());
+    let is_known = || !core.state().crashes.records(now).is_empty();
+    assert!(time::timeout(KNOWN_WITHIN, until(is_known)).await.is_ok());
+}
