Decide about a watched server apart from its connections

What to do about a server that is watched was decided between locks and sockets. No change of behaviour.

--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -6,6 +6,7 @@
 
 use chervil_base::HashMap;
 use chervil_route::fleet::BackendKey;
+use chervil_route::watch::LinkState;
 
 use crate::exchange::Connection;
 
@@ -30,17 +31,6 @@
     resets_until: Option<Instant>,
 }
 
-/// What the connections to a backend server show of it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LinkState {
-    /// An idle connection is open.
-    Open,
-    /// All open connections are executing requests.
-    Busy,
-    /// There is none, or the server has closed the idle ones.
-    Closed,
-}
-
 #[derive(Debug, Default)]
 struct Pool {
     /// Most recently used last.
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -19,7 +19,12 @@
 use chervil_route::peers::FORMAT_WITH_WATCHES;
 use chervil_route::watch::Abandoned;
 use chervil_route::watch::ConnectBudget;
+use chervil_route::watch::LinkState;
 use chervil_route::watch::MAX_WATCH_TIME;
+use chervil_route::watch::Observation;
+use chervil_route::watch::Presence;
+use chervil_route::watch::ServerWatch;
+use chervil_route::watch::Step;
 use chervil_route::watch::WatchList;
 use tokio::sync::Notify;
 use tokio::time;
@@ -33,15 +38,11 @@
 use crate::logs::Category;
 use crate::losses::Losses;
 use crate::peers::PeerClients;
-use crate::pool::LinkState;
 use crate::state::Choice;
 
 /// Interval at which the links to servers are checked. A crashed one takes seconds to restart.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Pause after a server did not turn out to have crashed, before it is connected to again.
-const CONNECT_PAUSE: Duration = Duration::from_secs(1);
-
 /// Most requests that a host which stops passes on: 128 KiB in a report.
 const MAX_HANDED_OVER: usize = 1_024;
 
@@ -73,30 +74,7 @@
 #[derive(Debug)]
 struct Server {
     instance: Instance,
-    /// Time from which it may be connected to.
-    connect_at: Instant,
-    /// Whether it has said that it leaves: its end is no crash then.
-    leaves: bool,
-    /// Whether it has been checked after its entry was removed.
-    is_last_check: bool,
-}
-
-/// What the registry says of a server.
-#[derive(Clone, Copy, PartialEq)]
-enum Presence {
-    Present,
-    /// It resets new connections.
-    AtLimit,
-    /// It leaves, as planned.
-    Leaving,
-    /// Its entry was removed, or is another instance's.
-    Gone,
-}
-
-impl Server {
-    fn new(instance: Instance, now: Instant) -> Server {
-        Server { instance, connect_at: now, leaves: false, is_last_check: false }
-    }
+    watch: ServerWatch,
 }
 
 impl Watches {
@@ -108,9 +86,8 @@
         self.servers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Spends a connection that is opened only to watch a server. Returns false if none is left.
-    fn try_spend_connect(&self, now: Instant) -> bool {
-        self.connects.lock().unwrap_or_else(PoisonError::into_inner).try_spend(now)
+    fn connects(&self) -> MutexGuard<'_, ConnectBudget> {
+        self.connects.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Whether no request is watched.
@@ -144,7 +121,10 @@
         }
     }
     let key = instance.key;
-    watches.servers().entry(key).or_insert_with(|| Server::new(instance, now));
+    watches
+        .servers()
+        .entry(key)
+        .or_insert_with(|| Server { instance, watch: ServerWatch::new(now) });
     watches.wanted.notify_one();
 }
 
@@ -250,38 +230,29 @@
 
 fn check(core: &Arc<Core>, key: BackendKey) {
     let now = core.now();
-    let presence = presence(core, key, now);
+    let link = core.pools().link_state(key);
+    let observation = Observation {
+        link,
+        presence: presence(core, key, now),
+        is_suspected: crashes::is_suspected(core, key),
+        has_lost_server: link == LinkState::Closed && has_lost_server(core, key),
+    };
     let mut servers = core.watches.servers();
     let Some(server) = servers.get_mut(&key) else { return };
-    server.leaves |= presence == Presence::Leaving;
-    let state = core.pools().link_state(key);
-    match state {
-        LinkState::Open => {
-            server.connect_at = now;
-            drop(servers);
+    let step = server.watch.next(observation, &mut core.watches.connects(), now);
+    let instance = server.instance.clone();
+    drop(servers);
+    match step {
+        Step::EndSound => {
             let ended = core.watches.list().end_sound(key, now);
             for Abandoned { request, .. } in ended {
                 request.losses.record_survivor(core, request.digest);
             }
         }
-        // The attempt that is being executed shows a crash.
-        LinkState::Busy => {}
-        LinkState::Closed if crashes::is_suspected(core, key) => {}
-        // Its end is planned, or it is gone and not known to have crashed.
-        LinkState::Closed if server.leaves || server.is_last_check => {
-            core.watches.take(key);
-        }
-        LinkState::Closed if presence == Presence::AtLimit || server.connect_at > now => {}
-        LinkState::Closed
-            if !has_lost_server(core, key) && !core.watches.try_spend_connect(now) =>
-        {
-            core.metrics.count("crashes.watch_waits");
-        }
-        LinkState::Closed => {
-            server.connect_at = now + CONNECT_PAUSE;
-            server.is_last_check = presence == Presence::Gone;
-            let instance = server.instance.clone();
-            drop(servers);
+        Step::Wait => {}
+        Step::WaitForConnect => core.metrics.count("crashes.watch_waits"),
+        Step::Drop => drop(core.watches.take(key)),
+        Step::Connect => {
             core.metrics.count("crashes.watch_connects");
             crashes::suspect_server(core, instance);
         }
--- a/crates/route/src/watch.rs
+++ b/crates/route/src/watch.rs
@@ -34,6 +34,9 @@
 /// Such connections that it may open at once.
 const CONNECT_BURST: f64 = 10.0;
 
+/// Pause after a server did not turn out to have crashed, before it is connected to again.
+const CONNECT_PAUSE: Duration = Duration::from_secs(1);
+
 /// Time by which a server may exceed the deadline of a request.
 const DEADLINE_SLACK: Duration = Duration::from_millis(500);
 
@@ -167,3 +170,107 @@
         may_spend
     }
 }
+
+value! {
+    /// What the connections to a server show of it.
+    #[derive(Copy, Eq)]
+    pub enum LinkState {
+        /// An idle connection is open.
+        Open,
+        /// All open connections are executing requests.
+        Busy,
+        /// There is none, or the server has closed the idle ones.
+        Closed,
+    }
+
+    /// What the registry says of a server.
+    #[derive(Copy, Eq)]
+    pub enum Presence {
+        /// It is listed.
+        Present,
+        /// It is listed, and resets new connections.
+        AtLimit,
+        /// It leaves, as planned.
+        Leaving,
+        /// Its entry was removed, or is another instance's.
+        Gone,
+    }
+
+    /// What a host sees of a server that it watches.
+    #[derive(Copy, Eq)]
+    pub struct Observation {
+        /// What the connections show.
+        pub link: LinkState,
+        /// What the registry says.
+        pub presence: Presence,
+        /// Whether its crash is being confirmed.
+        pub is_suspected: bool,
+        /// Whether a request that is watched at it has lost a server before.
+        pub has_lost_server: bool,
+    }
+
+    /// What a host does about a server that it watches.
+    #[derive(Copy, Eq)]
+    pub enum Step {
+        /// The server is sound: the watch of requests past their deadlines ends.
+        EndSound,
+        /// Nothing for now.
+        Wait,
+        /// Nothing, as no connection may be opened only to watch a server.
+        WaitForConnect,
+        /// The watch at the server ends without a result.
+        Drop,
+        /// The server is connected to. A refusal leads to the search for its crash.
+        Connect,
+    }
+
+    /// The watch over one server.
+    pub struct ServerWatch {
+        /// Time from which it may be connected to.
+        connect_at: Instant,
+        /// Whether it has said that it leaves: its end is no crash then.
+        leaves: bool,
+        /// Whether it has been connected to after its entry was removed.
+        is_last_check: bool,
+    }
+}
+
+impl ServerWatch {
+    /// The watch over a server that may be connected to.
+    pub fn new(now: Instant) -> ServerWatch {
+        ServerWatch { connect_at: now, leaves: false, is_last_check: false }
+    }
+
+    /// What to do about the server now.
+    pub fn next(
+        &mut self,
+        observation: Observation,
+        connects: &mut ConnectBudget,
+        now: Instant,
+    ) -> Step {
+        let Observation { link, presence, is_suspected, has_lost_server } = observation;
+        self.leaves |= presence == Presence::Leaving;
+        match link {
+            LinkState::Open => {
+                self.connect_at = now;
+                Step::EndSound
+            }
+            // The attempt that is being executed shows a crash.
+            LinkState::Busy => Step::Wait,
+            LinkState::Closed if is_suspected => Step::Wait,
+            // Its end is planned, or it is gone and not known to have crashed.
+            LinkState::Closed if self.leaves || self.is_last_check => Step::Drop,
+            LinkState::Closed if presence == Presence::AtLimit || self.connect_at > now => {
+                Step::Wait
+            }
+            LinkState::Closed if !has_lost_server && !connects.try_spend(now) => {
+                Step::WaitForConnect
+            }
+            LinkState::Closed => {
+                self.connect_at = now + CONNECT_PAUSE;
+                self.is_last_check = presence == Presence::Gone;
+                Step::Connect
+            }
+        }
+    }
+}
