--- /dev/null
+++ b/review/13/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+export PYTHONDONTWRITEBYTECODE=1
+exec python3 review/13/case.py
--- a/review/lib-3/rig.py
+++ b/review/lib-3/rig.py
@@ -366,7 +366,8 @@
     headers = {}
     for line in lines[1:]:
         name, value = line.split(":", 1)
-        headers[name.strip().lower()] = value.strip()
+        name, value = name.strip().lower(), value.strip()
+        headers[name] = headers[name] + ", " + value if name in headers else value
     length = int(headers["content-length"]) if "content-length" in headers else None
     while length is None or len(body) < length:
         part = connection.recv(65536)
