--- a/review/13/case.py
+++ b/review/13/case.py
@@ -48,7 +48,7 @@
         self.write, rig.record = rig.record, self.follow
 
     def follow(self, text):
-        """Records only what concerns a request that got no answer; there are thousands of others."""
+        """Keeps what was run; `ask` records it with the request."""
         words = text.split()
         if len(words) == 4 and words[2] == "ran":
             with self.lock:
@@ -61,6 +61,7 @@
         try:
             connection = socket.create_connection((host.ip, host.front), timeout=1)
         except OSError:
+            self.write("%s not sent: no connection to %s" % (request, host.name))
             return self.count("no connection")
         sent = time.monotonic()
         answer = lib.exchange(host, "GET", "/quote/status", request, deadline_ms=DEADLINE_MS, connection=connection)
@@ -68,6 +69,10 @@
         ended = time.monotonic()
         self.count(answer.status if answer else "closed without an answer")
         if answer is not None:
+            with self.lock:
+                ran = self.ran.get(request)
+            self.write("%s sent to %s, run by %s, answered %d" % (
+                request, host.name, ran[1] if ran else "none", answer.status))
             return
         time.sleep(0.2)
         with self.lock:
--- a/review/lib-3/rig.py
+++ b/review/lib-3/rig.py
@@ -12,6 +12,7 @@
 import tempfile
 import threading
 import time
+import traceback
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlparse
 
@@ -432,6 +433,8 @@
     except CannotRun as error:
         rig.record("cannot run: %s" % error)
         print("cannot run: %s" % error)
+    except Exception:
+        traceback.print_exc()
     finally:
         rig.close()
     sys.exit(code)
