--- a/review/11/case.py
+++ b/review/11/case.py
@@ -11,11 +11,13 @@
 
 UPLOAD = b"m" * 240000
 ROUNDS = 5
+# As at the installation; one of them is 0.14.
+BACKENDS = 7
 
 
 def play(rig):
     script = os.path.join(HERE, "backend.py")
-    backends = [lib.Backend(rig, "quote-desk", script) for _ in range(3)]
+    backends = [lib.Backend(rig, "quote-desk", script) for _ in range(BACKENDS)]
     routes = [lib.route("quote", "/quote/", "idempotent", {"service": "quote-desk"})]
     rig.store.put("op/config", lib.config(7, routes, ["quote-desk"]))
     rig.add_hosts(["rio-grande", "itajai"])
