Review case 13: stop one machine a second in the script

Cause: the script stopped two machines at a time; roll_term has x = 1. Change: the four hosts of a zone are stopped in turn, one each second, with 225 requests a second.

--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""Two of the three hosts of a zone are stopped and started again, several times."""
+"""The four hosts of a zone are stopped and started again in turn, one each second, several times."""
 
 import os
 import random
@@ -13,10 +13,14 @@
 import rig as lib
 
 BACKENDS = 7
-# A quarter of the 225 requests a second of the installation, which has four zones.
-RATE = 56.0
+# Requests a second, as many as the installation has in all of its zones; they all come to this one.
+RATE = 225.0
 LENGTH_S = 85.0
 GRACE_S = 6.0
+HOSTS = 4
+# roll_term: share 1, x 1 at a time, a step each second; seconds from one such entry to the next.
+GAP_S = 1.0
+ROUND_S = 9.0
 DEADLINE_MS = 1000
 
 
@@ -98,23 +102,36 @@
             time.sleep(random.expovariate(RATE))
 
 
-def restart(rig, consumers, host, delay, end):
-    time.sleep(delay)
-    while time.monotonic() < end - GRACE_S:
-        with consumers.lock:
-            consumers.stopped_at[host] = time.monotonic()
-        host.signal(signal.SIGTERM)
+def stop(rig, consumers, host):
+    """Stops a host and starts it again."""
+    with consumers.lock:
+        consumers.stopped_at[host] = time.monotonic()
+    host.signal(signal.SIGTERM)
+    start = time.monotonic()
+    try:
+        host.process.wait(GRACE_S)
+    except Exception:
+        host.process.kill()
+        host.process.wait()
+    rig.record("%s ended %.2f s after SIGTERM" % (host.name, time.monotonic() - start))
+    time.sleep(0.3)
+    host.start()
+    host.wait_ready()
+
+
+def roll(rig, consumers, end):
+    """Stops the hosts in turn, one each GAP_S, and begins again after ROUND_S."""
+    time.sleep(3)
+    while time.monotonic() < end - ROUND_S:
         start = time.monotonic()
-        try:
-            host.process.wait(GRACE_S)
-        except Exception:
-            host.process.kill()
-            host.process.wait()
-        rig.record("%s ended %.2f s after SIGTERM" % (host.name, time.monotonic() - start))
-        time.sleep(0.3)
-        host.start()
-        host.wait_ready()
-        time.sleep(1)
+        stops = []
+        for host in rig.hosts:
+            stops.append(threading.Thread(target=stop, args=(rig, consumers, host), daemon=True))
+            stops[-1].start()
+            time.sleep(GAP_S)
+        for one in stops:
+            one.join()
+        time.sleep(max(0, ROUND_S - (time.monotonic() - start)))
 
 
 def play(rig):
@@ -123,7 +140,7 @@
         lib.Backend(rig, "quote-desk", script)
     routes = [lib.route("quote", "/quote/", "idempotent", {"service": "quote-desk"}, timeout_ms=1000, latency_ms=100)]
     rig.store.put("op/config", lib.config(7, routes, ["quote-desk"]))
-    rig.add_hosts(["rio-grande"] * 3)
+    rig.add_hosts(["rio-grande"] * HOSTS)
     for host in rig.hosts:
         host.wait_ready()
     time.sleep(1)
@@ -133,8 +150,7 @@
     sender = threading.Thread(target=consumers.send, args=(end,))
     sender.start()
     if lib.TROUBLE:
-        for n, host in enumerate(rig.hosts[:2]):
-            threading.Thread(target=restart, args=(rig, consumers, host, 3 + 0.3 * n, end), daemon=True).start()
+        threading.Thread(target=roll, args=(rig, consumers, end), daemon=True).start()
     sender.join()
     time.sleep(GRACE_S + 2)
     for host in rig.hosts:
