Log requests that a backend server does not take in full

Two explanations fit what the caller sees: the failed write of the request took the error of the socket with it, so that the read ends like one of a closed connection; or the server's kernel ended the connection in order. The log line tells them apart: it holds the error of the write and what was read after it.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -285,6 +285,9 @@
     let watched = Watched { digest: spec.digest, losses: spec.losses.clone() };
     *unanswered = Some(Abandoned::new(watched, sent_at, left));
     let result = connection.exchange(&message, &spec.request, &core.names).await;
+    if let Some(error) = connection.send_error() {
+        log_unsent_rest(core, choice, spec, error, &result);
+    }
     let reply = match result {
         Ok(reply) => reply,
         Err(error) => {
@@ -315,6 +318,33 @@
     classify(reply, choice.slots)
 }
 
+/// Logs that a backend server did not take a whole request, and what it replied all the same.
+fn log_unsent_rest(
+    core: &Core,
+    choice: &Choice,
+    spec: &RequestSpec,
+    error: io::ErrorKind,
+    result: &Result<Reply, ExchangeError>,
+) {
+    core.metrics.count("attempts.unsent_rest");
+    if !core.log_limiter.allows(Category::Notable, core.now()) {
+        return;
+    }
+    let (status, bytes, outcome) = match result {
+        Ok(reply) => (reply.status, reply.body.len(), "replied".into()),
+        Err(error) => (0, 0, error.to_string()),
+    };
+    let error = error.to_string();
+    spdlog::info!("backend did not take a whole request", kv: {
+        id = &*String::from_utf8_lossy(&spec.request.request_id),
+        backend = &*choice.id,
+        error = error.as_str(),
+        outcome = outcome.as_str(),
+        status,
+        body = bytes,
+    });
+}
+
 fn classify(reply: Reply, slots: u32) -> Result<Reply, Failure> {
     if reply.is_success() {
         Ok(reply)
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -9,6 +9,7 @@
 //! limit on their memory; a reply that exceeds one fails its attempt and closes the
 //! connection.
 
+use std::io;
 use std::mem;
 use std::sync::Arc;
 use std::time::Duration;
@@ -87,6 +88,11 @@
         self.reader.is_clean()
     }
 
+    /// Error of the last request, if it was not sent in full.
+    pub fn send_error(&self) -> Option<io::ErrorKind> {
+        self.reader.send_error()
+    }
+
     /// Sends `message`, the encoded `request`, and reads its reply. Has no timeout.
     pub async fn exchange(
         &mut self,
--- a/crates/http/src/reader.rs
+++ b/crates/http/src/reader.rs
@@ -81,12 +81,14 @@
     memory: MemoryUse,
     /// Maximum size of a body.
     max_body: usize,
+    /// Error of a request that was not sent in full.
+    send_error: Option<io::ErrorKind>,
 }
 
 impl ReplyReader {
     /// Wraps an open stream.
     pub fn new(stream: TcpStream, memory: MemoryUse, max_body: usize) -> ReplyReader {
-        ReplyReader { stream, buffer: BytesMut::new(), memory, max_body }
+        ReplyReader { stream, buffer: BytesMut::new(), memory, max_body, send_error: None }
     }
 
     /// The connection.
@@ -103,7 +105,14 @@
 
     /// Sends a request.
     pub async fn send(&mut self, message: &[u8]) -> io::Result<()> {
-        self.stream.write_all(message).await
+        let sent = self.stream.write_all(message).await;
+        self.send_error = sent.as_ref().err().map(io::Error::kind);
+        sent
+    }
+
+    /// Error of the last request, if it was not sent in full.
+    pub fn send_error(&self) -> Option<io::ErrorKind> {
+        self.send_error
     }
 
     /// Ends the reading of a reply with this body, or of none, and prepares the connection for
