Do not take a reply that was reset for a whole one

Merged answers lacked records.

Cause: the failed write of the request has taken the error of the socket, so that the read of the reply gets a plain end, which ends a reply without a length. A server that has read all that has come closes in order first, and the reset follows when the rest of the request arrives: then no write fails at all.

Ruled out: a read that misses the reset (a test of its own gets the error from the read).

Change: the reader keeps the error of the write, and takes the end of a connection for the end of a reply only if the request was sent in full and the socket has no error after it.

--- a/crates/front/tests/support/exchange.rs
+++ b/crates/front/tests/support/exchange.rs
@@ -34,11 +34,20 @@
 
 /// Sends a request with this id and reads its reply.
 pub async fn exchange(connection: &mut Connection, id: &str) -> Result<Reply, ExchangeError> {
+    send_and_read(connection, b"GET / HTTP/1.1\r\n\r\n", id).await
+}
+
+/// Sends the encoded request with this id and reads its reply.
+pub async fn send_and_read(
+    connection: &mut Connection,
+    message: &[u8],
+    id: &str,
+) -> Result<Reply, ExchangeError> {
     let mut headers = HeaderMap::new();
     headers.insert("x-id", HeaderValue::from_str(id).unwrap());
     let request = Outgoing::new(&Method::GET, "/", &headers, Bytes::new(), &names());
     let names = names();
-    let exchange = connection.exchange(b"GET / HTTP/1.1\r\n\r\n", &request, &names);
+    let exchange = connection.exchange(message, &request, &names);
     time::timeout(TIMEOUT, exchange).await.expect("the exchange does not end")
 }
 
--- a/crates/http/src/reader.rs
+++ b/crates/http/src/reader.rs
@@ -1,6 +1,7 @@
 //! Reads HTTP/1.1 replies from a connection, within limits on the memory that they take.
 
 use std::io;
+use std::time::Duration;
 
 use bytes::Buf as _;
 use bytes::Bytes;
@@ -10,6 +11,7 @@
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpStream;
+use tokio::time;
 
 use crate::body::BodyParts;
 use crate::body::PART_BYTES;
@@ -33,6 +35,14 @@
 /// connections.
 const MAX_KEPT_BUFFER_BYTES: usize = 16 * 1024;
 
+/// Largest request that a server has received in whole when it replies: it fits into the receive
+/// window that each peer offers at first.
+pub const FIRST_WINDOW_BYTES: usize = 4 * 1024;
+
+/// Time in which the reset of a connection arrives whose server has ended without receiving the
+/// whole request: several round trips between availability zones.
+const RESET_WAIT: Duration = Duration::from_millis(20);
+
 /// Reason of a reply with a body over the limit of its connection.
 const BODY_TOO_LARGE: &str = "body exceeds its limit";
 
@@ -83,12 +93,21 @@
     max_body: usize,
     /// Error of a request that was not sent in full.
     send_error: Option<io::ErrorKind>,
+    /// Size of the last request.
+    sent_bytes: usize,
 }
 
 impl ReplyReader {
     /// Wraps an open stream.
     pub fn new(stream: TcpStream, memory: MemoryUse, max_body: usize) -> ReplyReader {
-        ReplyReader { stream, buffer: BytesMut::new(), memory, max_body, send_error: None }
+        ReplyReader {
+            stream,
+            buffer: BytesMut::new(),
+            memory,
+            max_body,
+            send_error: None,
+            sent_bytes: 0,
+        }
     }
 
     /// The connection.
@@ -105,6 +124,7 @@
 
     /// Sends a request.
     pub async fn send(&mut self, message: &[u8]) -> io::Result<()> {
+        self.sent_bytes = message.len();
         let sent = self.stream.write_all(message).await;
         self.send_error = sent.as_ref().err().map(io::Error::kind);
         sent
@@ -237,10 +257,28 @@
                 body.push(self.buffer.split().freeze());
             }
         }
+        self.confirm_end().await?;
         body.push(self.buffer.split().freeze());
         Ok(body.join())
     }
 
+    /// Fails if the server did not end the connection in order, which a reply without a length
+    /// needs to be whole.
+    async fn confirm_end(&self) -> Result<(), ExchangeError> {
+        // The failed write has taken the error of the socket, so that a reset reads as an end.
+        if self.send_error.is_some() {
+            return Err(ExchangeError::UnexpectedEof);
+        }
+        if self.sent_bytes > FIRST_WINDOW_BYTES {
+            // The end arrives before the reset that answers the rest of the request.
+            time::sleep(RESET_WAIT).await;
+        }
+        match self.stream.take_error().context(IoSnafu)? {
+            Some(source) => Err(ExchangeError::Io { source }),
+            None => Ok(()),
+        }
+    }
+
     async fn read_chunks(&mut self) -> Result<Bytes, ExchangeError> {
         let mut body = BodyParts::default();
         loop {
