Lift the user timeout for requests that may wait to be read

Cause: TCP_USER_TIMEOUT also ends connections whose peer keeps its receive window closed, although it acknowledges each probe. Such attempts count as unconfirmed and not towards the limit of the route.

Evidence: the attempts end with os error 110 while their servers live. Ruled out: resets by the server (no error 104), hedges beyond the limit (none once the timeout is lifted).

Smaller ones keep 500 ms.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -22,6 +22,7 @@
 use crate::core::Core;
 use crate::crashes;
 use crate::exchange::Connection;
+use crate::exchange::USER_TIMEOUT;
 use crate::logs::Category;
 use crate::losses::Losses;
 use crate::outgoing::Outgoing;
@@ -40,11 +41,6 @@
 /// doubt, unless one gives a sign.
 const OVERDUE_CONNECT: Duration = Duration::from_millis(30);
 
-/// `TCP_USER_TIMEOUT`: the kernel drops a connection whose sent bytes stay
-/// unacknowledged for this long. A hundred round trips between availability
-/// zones.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Time reserved for returning the answer to the caller; subtracted from the
 /// time left that is sent to the backend server.
 const REPLY_RESERVE: Duration = Duration::from_millis(8);
@@ -455,6 +451,6 @@
 pub async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
-    SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
+    SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT))?;
     Ok(stream)
 }
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -19,6 +19,7 @@
 use chervil_http::grammar::Framing;
 use chervil_http::memory::MemoryUse;
 use chervil_http::memory::ReplyMemory;
+use chervil_http::reader::FIRST_WINDOW_BYTES;
 use chervil_http::reader::ReplyReader;
 use socket2::SockRef;
 use tokio::net::TcpStream;
@@ -36,10 +37,17 @@
 /// fails.
 const MAX_STALE_REPLIES: u32 = 2;
 
+/// `TCP_USER_TIMEOUT` while a request is sent that the backend server's kernel acknowledges at once:
+/// the connection is dropped if bytes stay unacknowledged for this long. A hundred round trips
+/// between availability zones.
+pub const USER_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// A connection to a backend server.
 #[derive(Debug)]
 pub struct Connection {
     reader: ReplyReader,
+    /// Whether [`USER_TIMEOUT`] is in force.
+    has_user_timeout: bool,
     /// Whether replies on this connection carry the request id.
     echoes_id: bool,
     /// Start of the current idle period.
@@ -65,7 +73,7 @@
 }
 
 impl Connection {
-    /// Wraps an open stream; `permit` comes from `Pools::try_permit`.
+    /// Wraps an open stream that has [`USER_TIMEOUT`]; `permit` comes from `Pools::try_permit`.
     pub fn new(
         stream: TcpStream,
         permit: Arc<()>,
@@ -74,6 +82,7 @@
     ) -> Connection {
         Connection {
             reader: ReplyReader::new(stream, MemoryUse::new(memory), MAX_BODY_BYTES),
+            has_user_timeout: true,
             echoes_id: false,
             idle_since: now,
             idle_timeout: None,
@@ -101,6 +110,7 @@
         names: &HeaderNames,
     ) -> Result<Reply, ExchangeError> {
         self.is_busy = true;
+        self.adapt_user_timeout(message.len());
         // A backend server may reply without reading the whole request, so try to
         // read the reply even if the write failed.
         let written = self.reader.send(message).await;
@@ -121,6 +131,27 @@
         }
     }
 
+    /// Lifts the user timeout for a request that may have to wait until the backend server reads it.
+    /// The kernel applies the timeout to a closed receive window as well, which a server may keep
+    /// closed for as long as it works. The deadline of the request applies then.
+    fn adapt_user_timeout(&mut self, request_bytes: usize) {
+        let wanted = request_bytes <= FIRST_WINDOW_BYTES;
+        if wanted == self.has_user_timeout {
+            return;
+        }
+        let timeout = wanted.then_some(USER_TIMEOUT);
+        match SockRef::from(self.reader.stream()).set_tcp_user_timeout(timeout) {
+            Ok(()) => self.has_user_timeout = wanted,
+            Err(error) => {
+                let error = error.to_string();
+                spdlog::warn!(
+                    "cannot change the timeout of a connection; a long upload may be cut off",
+                    kv: { error = error.as_str() }
+                );
+            }
+        }
+    }
+
     /// Makes the close of the connection discard what the backend server has not received yet.
     fn discard_unsent(&self) {
         if let Err(error) = SockRef::from(self.reader.stream()).set_linger(Some(Duration::ZERO)) {
--- a/crates/front/tests/broken_off.rs
+++ b/crates/front/tests/broken_off.rs
@@ -126,6 +126,32 @@
     address
 }
 
+/// Starts a backend server that replies before it reads the body, and reads that only after a
+/// pause. The second half of its reply comes then.
+fn start_slow_reader(pause: Duration) -> SocketAddr {
+    let listener = listen();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            tokio::spawn(async move {
+                let mut head = [0; 512];
+                let size = stream.read(&mut head).await.unwrap();
+                let text = String::from_utf8_lossy(&head[..size]).to_string();
+                let (half, rest) = RECORDS.split_at(RECORDS.len() / 2);
+                stream.write_all(endless_reply("r-1", half).as_bytes()).await.unwrap();
+                time::sleep(pause).await;
+                let start = text.find("\r\n\r\n").map_or(0, |end| size - end - 4);
+                let length: usize = header(&text, "content-length").unwrap().parse().unwrap();
+                let mut left = vec![0; length - start];
+                stream.read_exact(&mut left).await.unwrap();
+                stream.write_all(rest.as_bytes()).await.unwrap();
+            });
+        }
+    });
+    address
+}
+
 /// A host that takes large bodies, with two servers at this address for each service.
 async fn host(address: SocketAddr) -> TestHost {
     let routes = || {
@@ -154,3 +180,14 @@
         assert!([502, 504].contains(&status(&answer)), "{path}: {answer}");
     }
 }
+
+/// Guards against an upload that is cut off because a sound server reads it slowly.
+#[tokio::test]
+async fn upload_that_a_server_reads_slowly_is_answered_whole() {
+    let host = host(start_slow_reader(Duration::from_millis(900))).await;
+
+    let answer = host.ask("POST", "/q/1", &"m".repeat(LONG_UPLOAD)).await;
+
+    assert_eq!(status(&answer), 200, "{answer}");
+    assert!(answer.ends_with(RECORDS), "{answer}");
+}
