Do not forward a status that denies that a request ran

What callers saw: a backend server runs a request that must not run twice and answers 503 with its stamp.

Cause: each stamped reply that does not say "not executed" is forwarded with its status, whatever that states to the caller.

Evidence: the forwarded 503 has the stamp of the server that ran the request. Ruled out: a refusal of the host after a lost answer (no stamp there), and a second run of the same attempt (each id ran once).

Change: for requests that must not run twice, a stamped 408, 421, 429 or 503 becomes an unknown outcome, answered 502 without the stamp; at the host that ran the request, for its own callers and for other hosts, and for what a host of an earlier build passes on. A stamped 421 counts as executed. All else is forwarded as before.

--- a/crates/front/src/execute.rs
+++ b/crates/front/src/execute.rs
@@ -74,7 +74,11 @@
         spec.executed = executed;
         let task = Task::Single { service };
         if let Some(passed) = relay::pass_to_helper(core, route, task, &mut spec).await {
-            return passed.into_single(core);
+            let mut passed = passed.into_single(core);
+            // A host of an earlier build passes each status on.
+            let outcome = passed.outcome.outcome;
+            passed.outcome.outcome = single::withhold_denial(core, route, &spec, outcome);
+            return passed;
         }
         let sent = sent || spec.executed.any();
         result.outcome = if sent || core.has_lost_links() {
--- a/crates/front/src/reply.rs
+++ b/crates/front/src/reply.rs
@@ -77,6 +77,10 @@
 /// the one that the request was meant for.
 pub const MISDIRECTED_REQUEST: u16 = 421;
 
+/// Statuses by which callers know that a request has not run and will not: 408 Request Timeout, 421
+/// Misdirected Request, 429 Too Many Requests and 503 Service Unavailable.
+const NOT_RUN_STATUSES: [u16; 4] = [408, MISDIRECTED_REQUEST, 429, UNAVAILABLE];
+
 /// Time that a `retry-after` header states: seconds, which may have a fraction, or a date, which
 /// counts from the `date` of the same reply. Zero, a time that is over and what can't be read
 /// state none.
@@ -142,9 +146,15 @@
         self.pause.filter(|_| self.status == UNAVAILABLE)
     }
 
-    /// Whether the backend server reported that it did not execute the request.
+    /// Whether the backend server reported that it did not execute the request. A stamp proves
+    /// that it did, unless it says otherwise in so many words.
     pub fn is_not_run(&self) -> bool {
-        self.refused || self.status == MISDIRECTED_REQUEST
+        self.refused || (self.status == MISDIRECTED_REQUEST && self.stamp.is_none())
+    }
+
+    /// Whether callers take the status for a statement that the request has not run.
+    pub fn denies_execution(&self) -> bool {
+        NOT_RUN_STATUSES.contains(&self.status)
     }
 
     /// Whether the status is 2xx and the reply can be forwarded.
--- a/crates/front/src/single.rs
+++ b/crates/front/src/single.rs
@@ -20,6 +20,7 @@
 use crate::attempt::Failure;
 use crate::attempt::RequestSpec;
 use crate::core::Core;
+use crate::logs::Category;
 use crate::reply::Reply;
 
 /// Maximum number of attempts per request that end before any byte of it was sent.
@@ -124,9 +125,38 @@
     if gave_up && is_out_of_reach && request.spend_repeat() {
         outcome = SingleOutcome::OutOfReach { sent: false, executed: request.executed() };
     }
+    let outcome = withhold_denial(core, route, &request.spec, outcome);
     SingleResult { outcome, asked: request.asked }
 }
 
+/// Replaces a reply that is passed on with a status by which the caller would take a request that
+/// must not run twice for one that has not run, and send it again. It is unknown then what the
+/// backend server did.
+pub fn withhold_denial(
+    core: &Core,
+    route: &Route,
+    spec: &RequestSpec,
+    outcome: SingleOutcome,
+) -> SingleOutcome {
+    match outcome {
+        SingleOutcome::Answered(reply) if !route.idempotent && reply.denies_execution() => {
+            core.metrics.count("requests.withheld_status");
+            if core.log_limiter.allows(Category::Notable, core.now()) {
+                spdlog::warn!(
+                    "a backend replied with a status that denies that the request ran, and with a stamp; \
+                     have it send the not-executed header or another status",
+                    kv: {
+                        id = &*String::from_utf8_lossy(&spec.request.request_id),
+                        status = reply.status
+                    }
+                );
+            }
+            SingleOutcome::Unknown { timed_out: false }
+        }
+        outcome => outcome,
+    }
+}
+
 impl<'a> SingleRequest<'a> {
     fn new(
         core: &'a Arc<Core>,
--- a/crates/front/tests/single.rs
+++ b/crates/front/tests/single.rs
@@ -151,6 +151,29 @@
     assert_eq!(header(&answer, "x-stamp").as_deref(), Some("s-422"));
 }
 
+/// Guards against a status by which the caller of a request that ran takes it for one that has not
+/// run, and sends it again. Every other status, and each one for a request that may be repeated, is
+/// forwarded unchanged.
+#[tokio::test]
+async fn status_that_denies_execution_is_not_forwarded_for_a_request_that_ran() {
+    for code in [400, 404, 408, 409, 421, 429, 500, 502, 503, 504] {
+        let backend = Backend::start(vec![Step::Reply(reply(code, "own failure"))]).await;
+        let other = Backend::start(vec![Step::Reply(reply(code, "own failure"))]).await;
+        for idempotent in [false, true] {
+            let host = start_quotes(idempotent, &[&backend, &other]).await;
+            let before = total_received(&[&backend, &other]);
+
+            let answer = host.ask("POST", "/q/1", "rope").await;
+
+            let denies = [408, 421, 429, 503].contains(&code) && !idempotent;
+            assert_eq!(status(&answer), if denies { 502 } else { code }, "{answer}");
+            assert_eq!(header(&answer, "x-stamp").is_some(), !denies, "{answer}");
+            let runs = total_received(&[&backend, &other]) - before;
+            assert!(idempotent || runs == 1, "{code}: ran {runs} times");
+        }
+    }
+}
+
 /// Guards against failing requests while one backend server is unreachable and
 /// another is up.
 #[tokio::test]
--- a/crates/front/tests/stranded.rs
+++ b/crates/front/tests/stranded.rs
@@ -5,11 +5,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
 use chervil_front::peers;
 use chervil_route::config::Route;
 use chervil_route::config::Target;
 use chervil_route::config::WeightedService;
 use chervil_route::fleet::BackendEntry;
+use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
@@ -23,6 +26,7 @@
 use crate::support::header;
 use crate::support::journal;
 use crate::support::peer;
+use crate::support::read_message;
 use crate::support::refusal;
 use crate::support::reply;
 use crate::support::route;
@@ -169,6 +173,49 @@
     assert_eq!(servers.quote.received().len(), 1);
 }
 
+/// Guards against a status by which the caller takes a request that ran for one that has not run,
+/// from a helper of this build that returns it, and from one of an earlier build that passes it on.
+#[tokio::test]
+async fn status_that_denies_execution_is_not_passed_on_by_another_host() {
+    let text = reply(503, "own failure");
+    let quote = Backend::start(vec![Step::Reply(text.clone())]).await;
+    let sound = Servers::start().await;
+    let servers = entries([sound.a.address, sound.b.address, quote.address]);
+    let (_helper, helper) = start_helper(servers).await;
+    let links = cut_links(Cut::Refuses).await;
+    for address in [helper, start_forwarding(&text.replace("{id}", "r-1")).await] {
+        let host = start_with(entries(links.addresses), &[address]).await;
+
+        let answer = host.ask("POST", "/once/1", "rope").await;
+
+        assert_eq!(status(&answer), 502, "{answer}");
+        assert_eq!(header(&answer, "x-stamp"), None, "{answer}");
+    }
+    assert_eq!(quote.received().len(), 1);
+}
+
+/// Starts a host of an earlier build that accepts each offer and passes this reply of a backend
+/// server on.
+async fn start_forwarding(text: &str) -> SocketAddr {
+    let (head, body) = text.split_at(text.find("\r\n\r\n").unwrap() + 4);
+    let (head, body) = (STANDARD.encode(head), STANDARD.encode(body));
+    let outcome = json!({ "Answered": { "status": 503, "head": head, "body": body, "asked": [] } });
+    let replies = ["true".to_string(), outcome.to_string()];
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        for body in replies.iter().cycle() {
+            if read_message(&mut stream).await.is_none() {
+                return;
+            }
+            let text = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+            support::write(&mut stream, &text, "").await;
+        }
+    });
+    address
+}
+
 /// Starts a backend server that reads one request, never replies, and accepts no further
 /// connection.
 async fn start_going_silent() -> SocketAddr {
