Log what is open when the connections are drained and when a host ends

Several explanations fit: the drain ends too early, a connection is closed under its request, the grace period ends, or requests come after the drain. The two log lines tell them apart.

--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -162,10 +162,13 @@
     spdlog::info!("stopping", kv: { host = &*settings.name });
     let stop = time::Instant::now() + settings.grace;
     lifecycle.stop(settings.grace).await;
+    spdlog::info!("connections drained", kv: { open = lifecycle.open_connections() });
     if time::timeout_at(stop - KILL_MARGIN, watch::hand_over(&core)).await.is_err() {
         spdlog::warn!("no time left to pass the watch over servers on to another host");
     }
-    spdlog::info!("stopped", kv: { host = &*settings.name });
+    // Callers whose requests are in progress now get no answer.
+    let (open, relayed) = (lifecycle.open_connections(), lifecycle.relayed());
+    spdlog::info!("stopped", kv: { host = &*settings.name, open, relayed });
     Ok(())
 }
 
--- a/crates/front/src/listen.rs
+++ b/crates/front/src/listen.rs
@@ -125,6 +125,11 @@
         self.relayed.load(Ordering::Relaxed)
     }
 
+    /// Number of open connections of callers.
+    pub fn open_connections(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
     /// Moves from [`Stage::Starting`] to [`Stage::Serving`]; no effect in any other
     /// stage.
     pub fn start_serving(&self) {
@@ -166,7 +171,7 @@
 
 impl Lifecycle {
     fn is_busy(&self) -> bool {
-        self.open.load(Ordering::Relaxed) > 0 || self.relayed() > 0
+        self.open_connections() > 0 || self.relayed() > 0
     }
 }
 
