Close the listener before a stopping host passes its watch on

Cause: the listener stayed open until the process ended, while the host waited for late replies and passed its watch on, after its connections had been drained.

Ruled out: a drain that ends too early, the end of the grace period (the cuts come after 3 s of 6), connections that are closed under a request.

Change: the listener is closed once all earlier connections are, after those in its queue were accepted, and the stop waits for the rest. Until then new connections are served, since the host waits anyway and may be the best that the load balancer has.

no_request_is_read_after_the_drain failed before (a new connection is accepted after the stop), and new_connections_are_accepted_while_earlier_requests_run as well (the stop lasts for the whole grace period).

--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -160,18 +160,24 @@
         }
     }
     spdlog::info!("stopping", kv: { host = &*settings.name });
-    let stop = time::Instant::now() + settings.grace;
-    lifecycle.stop(settings.grace).await;
-    spdlog::info!("connections drained", kv: { open = lifecycle.open_connections() });
-    if time::timeout_at(stop - KILL_MARGIN, watch::hand_over(&core)).await.is_err() {
-        spdlog::warn!("no time left to pass the watch over servers on to another host");
-    }
+    stop(&core, &lifecycle, settings.grace).await;
     // Callers whose requests are in progress now get no answer.
     let (open, relayed) = (lifecycle.open_connections(), lifecycle.relayed());
     spdlog::info!("stopped", kv: { host = &*settings.name, open, relayed });
     Ok(())
 }
 
+/// Drains a host within the grace period, and passes on what it still knows. When it returns, the
+/// process may end.
+pub async fn stop(core: &Core, lifecycle: &Lifecycle, grace: Duration) {
+    let end = time::Instant::now() + grace;
+    lifecycle.stop(grace).await;
+    spdlog::info!("connections drained", kv: { open = lifecycle.open_connections() });
+    if time::timeout_at(end - KILL_MARGIN, watch::hand_over(core)).await.is_err() {
+        spdlog::warn!("no time left to pass the watch over servers on to another host");
+    }
+}
+
 async fn listen_on(address: SocketAddr) -> Result<TcpListener, HostError> {
     TcpListener::bind(address).await.context(ListenSnafu { address })
 }
--- a/crates/front/src/listen.rs
+++ b/crates/front/src/listen.rs
@@ -1,6 +1,7 @@
 //! Accepts connections of callers, and drains them at shutdown.
 
 use std::convert::Infallible;
+use std::io;
 use std::net::IpAddr;
 use std::pin::pin;
 use std::sync::Arc;
@@ -58,7 +59,7 @@
 /// callers send it right after the connection is open.
 const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(500);
 
-/// Interval at which a host that shuts down checks for open connections.
+/// Interval at which a host that shuts down checks whether it is drained.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
 value! {
@@ -74,6 +75,8 @@
         Stopping,
         /// Idle connections are closed too.
         Closing,
+        /// New connections are refused.
+        Draining,
         /// Requests that are still running are answered as unknown.
         Ending,
     }
@@ -85,8 +88,12 @@
     stage: watch::Sender<Stage>,
     /// Time of [`Stage::Ending`] once the host is stopping.
     ends_at: OnceLock<time::Instant>,
+    /// Listeners for callers.
+    listening: AtomicUsize,
     /// Open connections of callers.
     open: AtomicUsize,
+    /// Those of them that were accepted before [`Stage::Closing`].
+    early: AtomicUsize,
     /// Queries in progress that other hosts have passed on.
     relayed: AtomicUsize,
 }
@@ -104,7 +111,14 @@
     fn default() -> Lifecycle {
         let stage = watch::Sender::new(Stage::Starting);
         let ends_at = OnceLock::new();
-        Lifecycle { stage, ends_at, open: AtomicUsize::new(0), relayed: AtomicUsize::new(0) }
+        Lifecycle {
+            stage,
+            ends_at,
+            listening: AtomicUsize::new(0),
+            open: AtomicUsize::new(0),
+            early: AtomicUsize::new(0),
+            relayed: AtomicUsize::new(0),
+        }
     }
 }
 
@@ -151,27 +165,35 @@
 
     /// Makes readiness probes fail, drains the connections, and returns when all
     /// of them are closed or the grace period ends.
+    ///
+    /// New connections are accepted while the host has to wait for earlier ones anyway: if many
+    /// hosts stop at once, the load balancer may have no other. From then on the operating system
+    /// refuses them, so that callers can go to another host at once.
     pub async fn stop(&self, grace: Duration) {
         let deadline = time::Instant::now() + grace.saturating_sub(EXIT_MARGIN);
         let ends_at = *self.ends_at.get_or_init(|| deadline);
         self.stage.send_replace(Stage::Stopping);
         time::sleep(LOAD_BALANCER_DELAY.min(grace / 2)).await;
         self.stage.send_replace(Stage::Closing);
-        // Twice in a row, since a connection may just have been accepted.
-        let mut idle_polls = 0;
-        while idle_polls < 2 && time::Instant::now() < ends_at + LAST_ANSWERS {
+        while self.is_busy() && time::Instant::now() < ends_at + LAST_ANSWERS {
             time::sleep(DRAIN_POLL).await;
             if time::Instant::now() >= ends_at {
                 self.stage.send_replace(Stage::Ending);
+            } else if !self.has_early_requests() {
+                self.stage.send_replace(Stage::Draining);
             }
-            idle_polls = if self.is_busy() { 0 } else { idle_polls + 1 };
         }
     }
-}
 
-impl Lifecycle {
+    /// Whether connections from before [`Stage::Closing`] are open, or queries of other hosts run.
+    fn has_early_requests(&self) -> bool {
+        self.early.load(Ordering::Relaxed) > 0 || self.relayed() > 0
+    }
+
+    /// Whether callers or other hosts still wait for answers, or callers can still connect.
     fn is_busy(&self) -> bool {
-        self.open_connections() > 0 || self.relayed() > 0
+        let listens = self.listening.load(Ordering::Relaxed) > 0;
+        listens || self.open_connections() > 0 || self.relayed() > 0
     }
 }
 
@@ -197,34 +219,92 @@
     }
 }
 
-/// Accepts connections of callers until the task is dropped.
+/// Counts a connection of a caller as open for as long as it exists.
+struct OpenConnection {
+    lifecycle: Arc<Lifecycle>,
+    is_early: bool,
+}
+
+impl OpenConnection {
+    fn new(lifecycle: Arc<Lifecycle>) -> OpenConnection {
+        let is_early = *lifecycle.stage.borrow() < Stage::Closing;
+        lifecycle.open.fetch_add(1, Ordering::Relaxed);
+        lifecycle.early.fetch_add(usize::from(is_early), Ordering::Relaxed);
+        OpenConnection { lifecycle, is_early }
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.lifecycle.open.fetch_sub(1, Ordering::Relaxed);
+        self.lifecycle.early.fetch_sub(usize::from(self.is_early), Ordering::Relaxed);
+    }
+}
+
+/// Accepts connections of callers until the host reaches [`Stage::Draining`], and closes the
+/// listener then.
 pub async fn serve(listener: TcpListener, core: Arc<Core>, lifecycle: Arc<Lifecycle>) {
+    lifecycle.listening.fetch_add(1, Ordering::Relaxed);
+    let mut stage = lifecycle.stage.subscribe();
     loop {
-        // Accepting fails when file descriptors run out; the next call waits for
-        // a free one.
-        let Ok((stream, caller)) = listener.accept().await else { continue };
-        // Errors are ignored: a connection that is already broken fails at its
-        // first read.
-        let _ = stream.set_nodelay(true);
-        tokio::spawn(track_connection(stream, caller.ip(), core.clone(), lifecycle.clone()));
+        tokio::select! {
+            // Accepting fails when file descriptors run out; the next call waits for a free one.
+            accepted = listener.accept() => if let Ok((stream, caller)) = accepted {
+                spawn_connection(stream, caller.ip(), &core, &lifecycle);
+            },
+            _ = stage.wait_for(|s| *s >= Stage::Draining) => break,
+        }
+    }
+    if let Err(error) = accept_waiting(listener, &core, &lifecycle) {
+        let error = error.to_string();
+        spdlog::warn!("cannot accept the last connections of callers", kv: { error = error.as_str() });
     }
+    lifecycle.listening.fetch_sub(1, Ordering::Relaxed);
 }
 
-/// Serves a connection and counts it as open meanwhile.
-async fn track_connection(
+/// Accepts the connections that wait in the queue of a listener, and closes it. Callers may have
+/// sent requests on them.
+fn accept_waiting(
+    listener: TcpListener,
+    core: &Arc<Core>,
+    lifecycle: &Arc<Lifecycle>,
+) -> io::Result<()> {
+    // Asks the operating system: the runtime may not have heard of the last ones yet.
+    let listener = listener.into_std()?;
+    loop {
+        match listener.accept() {
+            Ok((stream, caller)) => {
+                stream.set_nonblocking(true)?;
+                spawn_connection(TcpStream::from_std(stream)?, caller.ip(), core, lifecycle);
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            // The caller has broken this connection.
+            Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+            Err(error) => return Err(error),
+        }
+    }
+}
+
+/// Serves a connection in a task of its own.
+fn spawn_connection(
     stream: TcpStream,
     caller: IpAddr,
-    core: Arc<Core>,
-    lifecycle: Arc<Lifecycle>,
+    core: &Arc<Core>,
+    lifecycle: &Arc<Lifecycle>,
 ) {
-    lifecycle.open.fetch_add(1, Ordering::Relaxed);
-    let activity = Activity {
-        in_flight: AtomicUsize::new(0),
-        requests: AtomicUsize::new(0),
-        last_used: Mutex::new(core.now()),
-    };
-    serve_connection(stream, caller, &core, &lifecycle, &Arc::new(activity)).await;
-    lifecycle.open.fetch_sub(1, Ordering::Relaxed);
+    // Counted before the task runs, so that a stop waits for it.
+    let open = OpenConnection::new(lifecycle.clone());
+    let core = core.clone();
+    tokio::spawn(async move {
+        // Errors are ignored: a connection that is already broken fails at its first read.
+        let _ = stream.set_nodelay(true);
+        let activity = Arc::new(Activity {
+            in_flight: AtomicUsize::new(0),
+            requests: AtomicUsize::new(0),
+            last_used: Mutex::new(core.now()),
+        });
+        serve_connection(stream, caller, &core, &open.lifecycle, &activity).await;
+    });
 }
 
 /// Serves a connection until it is closed, has been idle for too long, or the
--- a/crates/front/tests/stop.rs
+++ b/crates/front/tests/stop.rs
@@ -2,13 +2,20 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
+use std::time::Instant;
 
+use chervil_front::host;
 use chervil_route::config::Route;
 use chervil_route::config::Target;
 use futures::future::join_all;
 use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 use tokio::time;
 
 use crate::support::Backend;
@@ -172,3 +179,102 @@
     assert_eq!(status(&answer), 200);
     stop.await.unwrap();
 }
+
+/// Starts another host that takes reports after a delay, and returns its address and the texts of
+/// the reports.
+async fn start_slow_peer(delay: Duration) -> (SocketAddr, Arc<Mutex<Vec<String>>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let reports = Arc::new(Mutex::new(Vec::new()));
+    let received = reports.clone();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            while let Some(report) = read_message(&mut stream).await {
+                time::sleep(delay).await;
+                received.lock().unwrap().push(report);
+                support::write(&mut stream, "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ntrue", "")
+                    .await;
+            }
+        }
+    });
+    (address, reports)
+}
+
+/// Load pattern: hosts stop in series, so that the load balancer has no better one and opens new
+/// connections to each until it is gone. Guards against requests that a host still reads while it
+/// passes its watch on, and cuts off when the process ends.
+#[tokio::test]
+async fn no_request_is_read_after_the_drain() {
+    let (peer_address, reports) = start_slow_peer(Duration::from_millis(200)).await;
+    let quick = Backend::start(vec![Step::ReplyAfter(30, reply(200, "ok"))]).await;
+    let silent = Backend::start(vec![Step::NeverReply]).await;
+    let routes = vec![
+        route("/q/", Target::One("quote".into()), true),
+        route("/left/", Target::One("a".into()), false),
+    ];
+    let entries = vec![entry("i-1", "quote", quick.address), entry("i-2", "a", silent.address)];
+    let host = Arc::new(start_host(routes, entries).await);
+    host.core.state().peers.insert("other".into(), support::peer(peer_address, 10));
+    // The caller leaves, so that its server is watched.
+    let _ = time::timeout(Duration::from_millis(60), host.ask("POST", "/left/1", "")).await;
+    let asking = host.clone();
+    let callers = tokio::spawn(async move {
+        let mut requests = JoinSet::new();
+        // Ends when the host refuses connections.
+        while let Ok(mut stream) = TcpStream::connect(asking.address).await {
+            requests.spawn(async move {
+                send_request(&mut stream, "GET", "/q/1", "").await;
+                read_message(&mut stream).await.is_some()
+            });
+            time::sleep(Duration::from_millis(5)).await;
+        }
+        requests.join_all().await
+    });
+
+    host::stop(&host.core, &host.lifecycle, GRACE).await;
+
+    let open = host.lifecycle.open_connections();
+    let refused = TcpStream::connect(host.address).await.is_err();
+    assert!(open == 0 && refused, "{open} connections are open, new ones are refused: {refused}");
+    assert!(callers.await.unwrap().into_iter().all(|answered| answered));
+    let reports = reports.lock().unwrap();
+    assert!(reports.iter().any(|r| r.contains("i-2")), "the watch reaches no other host");
+}
+
+/// Load pattern: as above, with earlier requests that keep the host from ending. Guards against new
+/// connections that are refused while the host waits anyway, and against a host that waits for new
+/// ones without end.
+#[tokio::test]
+async fn new_connections_are_accepted_while_earlier_requests_run() {
+    let slow = Backend::start(vec![Step::ReplyAfter(1_300, reply(200, "slow"))]).await;
+    let quick = Backend::start(vec![Step::ReplyAfter(30, reply(200, "ok"))]).await;
+    let routes = vec![
+        route("/q/", Target::One("quote".into()), true),
+        route("/slow/", Target::One("a".into()), false),
+    ];
+    let entries = vec![entry("i-1", "quote", quick.address), entry("i-2", "a", slow.address)];
+    let host = Arc::new(start_host(routes, entries).await);
+    let asking = host.clone();
+    let early = tokio::spawn(async move { asking.ask("POST", "/slow/1", "").await });
+    until(|| slow.received().len() == 1).await;
+    let (lifecycle, start) = (host.lifecycle.clone(), Instant::now());
+    let stop = tokio::spawn(async move { lifecycle.stop(GRACE).await });
+    // After half of the grace period, at which the host begins to close.
+    time::sleep(GRACE / 2 + Duration::from_millis(100)).await;
+    let mut answers = Vec::new();
+    while let Ok(mut stream) = TcpStream::connect(host.address).await
+        && start.elapsed() < GRACE
+    {
+        send_request(&mut stream, "GET", "/q/1", "").await;
+        answers.push(status(&read_message(&mut stream).await.unwrap()));
+    }
+
+    stop.await.unwrap();
+
+    assert_eq!(status(&early.await.unwrap()), 200);
+    // Late ones may be refused, since too little time is left for them.
+    assert_eq!(answers.first(), Some(&200), "{answers:?}");
+    assert!(answers.iter().all(|status| [200, 503].contains(status)), "{answers:?}");
+    assert!(start.elapsed() < GRACE, "waits for new connections");
+}
