Decline requests of other hosts after the drain, and finish those before

What callers would see: 502 for a request that their host has passed to one that is stopping, and that ends before its outcome has arrived.

Cause: a stopping host declines offers but takes each request, also after its drain; the other host may have been suspended in between. And a request counted as in progress only until its outcome was encoded, not until it was sent.

Change: from the drain on such requests are declined with the answer that hosts of all builds take for "nothing was sent"; the body of an outcome keeps its request in progress until it has been sent.

Both tests failed before: the late request ran on two servers, and no request was in progress while its outcome was unread.

--- a/crates/front/src/listen.rs
+++ b/crates/front/src/listen.rs
@@ -75,7 +75,7 @@
         Stopping,
         /// Idle connections are closed too.
         Closing,
-        /// New connections are refused.
+        /// New connections of callers are refused, and requests of other hosts declined.
         Draining,
         /// Requests that are still running are answered as unknown.
         Ending,
@@ -128,6 +128,11 @@
         *self.stage.borrow() == Stage::Serving
     }
 
+    /// Whether the host takes nothing new any more.
+    pub fn is_draining(&self) -> bool {
+        *self.stage.borrow() >= Stage::Draining
+    }
+
     /// Counts a query that another host has passed on as in progress.
     pub fn track_relayed(self: &Arc<Lifecycle>) -> RelayedQuery {
         self.relayed.fetch_add(1, Ordering::Relaxed);
--- a/crates/front/src/relay_service.rs
+++ b/crates/front/src/relay_service.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use bytes::Bytes;
 use chervil_route::attempts::Executions;
 use chervil_route::config::Config;
 use chervil_route::config::Route;
@@ -18,6 +19,7 @@
 use crate::gather;
 use crate::gather::GatherOutcome;
 use crate::listen::Lifecycle;
+use crate::listen::RelayedQuery;
 use crate::logs::Category;
 use crate::relayed::Offer;
 use crate::relayed::RelayReply;
@@ -42,8 +44,20 @@
     answer::plain_text(StatusCode::OK, if accepted { "true\n" } else { "false\n" })
 }
 
+/// Body of an answer to another host, whose request is in progress until it has been sent.
+struct RunningBody {
+    json: Vec<u8>,
+    _running: RelayedQuery,
+}
+
+impl AsRef<[u8]> for RunningBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.json
+    }
+}
+
 /// Executes a request of another host. The answer is `null` if this host has another version
-/// of the route; nothing has been sent to a backend server then.
+/// of the route, or is about to end; nothing has been sent to a backend server then.
 pub async fn answer_request(core: &Arc<Core>, lifecycle: &Arc<Lifecycle>, body: &[u8]) -> Answer {
     let request = serde_json::from_slice::<RelayedRequest>(body).ok();
     let Some((request, outgoing)) = request.and_then(|r| r.outgoing().map(|o| (r, o))) else {
@@ -53,7 +67,13 @@
         return answer::plain_text(StatusCode::OK, "null\n");
     };
     let route = &config.routes[index];
-    let _running = lifecycle.track_relayed();
+    let running = lifecycle.track_relayed();
+    // Checked once it is counted: a stop that has not seen it has begun to drain. The other host
+    // may have been suspended since its offer was accepted.
+    if lifecycle.is_draining() {
+        core.metrics.count("relay.late");
+        return answer::plain_text(StatusCode::OK, "null\n");
+    }
     // Lets the connection notice that the other host has closed it, before anything is
     // sent: this host may have been paused since.
     tokio::task::yield_now().await;
@@ -77,7 +97,7 @@
         return answer::plain_text(StatusCode::OK, "null\n");
     };
     log_served(core, &id, route, &reply, start);
-    encode(core, reply).unwrap_or_else(|problem| {
+    encode(core, reply, running).unwrap_or_else(|problem| {
         if core.log_limiter.allows(Category::Notable, core.now()) {
             spdlog::error!("cannot return the outcome of a request", kv: { problem = &*problem });
         }
@@ -88,9 +108,10 @@
 
 /// Encodes an outcome. The other host may read a large one slowly, so it counts as memory of a
 /// reply until it has been sent.
-fn encode(core: &Core, reply: RelayReply) -> Result<Answer, Box<str>> {
+fn encode(core: &Core, reply: RelayReply, running: RelayedQuery) -> Result<Answer, Box<str>> {
     let json = serde_json::to_vec(&reply).map_err(|e| e.to_string())?;
-    match core.reply_memory.hold(json.into()) {
+    let body = Bytes::from_owner(RunningBody { json, _running: running });
+    match core.reply_memory.hold(body) {
         Some(body) => Ok(Response::new(body.into())),
         None => {
             core.metrics.count("relay.too_large");
--- a/crates/front/tests/passed_on.rs
+++ b/crates/front/tests/passed_on.rs
@@ -4,6 +4,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use chervil_base::HashSet;
@@ -373,6 +374,46 @@
     assert!(metrics.contains("relay.too_large 1"), "{metrics}");
 }
 
+/// Guards against a request that a stopping host takes from another one when its own callers are
+/// gone, and cuts off when its process ends: the other host may have been suspended between the
+/// offer and the request.
+#[tokio::test]
+async fn request_that_comes_after_the_drain_is_declined() {
+    let servers = FailingServers::start().await;
+    let (helper, address) = start_helper(routes(2), servers.entries()).await;
+    helper.lifecycle.stop(Duration::from_secs(1)).await;
+
+    let outcome = pass_as_earlier_build(&helper, address, false).await;
+
+    assert_eq!(outcome, Value::Null);
+    assert_eq!(servers.executed("quote"), 0);
+}
+
+/// Guards against a host that ends while another one still reads the outcome of its request.
+#[tokio::test]
+async fn request_is_in_progress_until_its_outcome_is_sent() {
+    const SIZE: usize = 6 * 1024 * 1024;
+    let large = Backend::start(vec![Step::Reply(reply(200, &"x".repeat(SIZE)))]).await;
+    let entries = vec![entry("i-0", "quote", large.address)];
+    let (helper, address) = start_helper(routes(2), entries).await;
+    let request = request_of_earlier_build(&helper, false).to_string();
+    let length = request.len();
+    let head = format!("POST /relay/query HTTP/1.1\r\nhost: h\r\ncontent-length: {length}\r\n\r\n");
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    support::write(&mut stream, &(head + &request), "").await;
+    let mut status_line = [0; 12];
+    stream.read_exact(&mut status_line).await.unwrap();
+
+    let while_unread = helper.lifecycle.relayed();
+    let mut rest = vec![0; 64 * 1024];
+    let mut left = SIZE;
+    while left > 0 {
+        left = left.saturating_sub(stream.read(&mut rest).await.unwrap());
+    }
+
+    assert_eq!(while_unread, 1);
+}
+
 /// Guards against a reply with status 000 of a server that another host asks, which the caller
 /// would get as an answer.
 #[tokio::test]
