Pass on what a stopping host has not reported yet

What callers would see: one more send of a request that crashes its servers for each crash that only a stopping host has seen.

Cause: a stopping host passes the requests on that it watches, not those that wait for the confirmation of a crash, and not its next report, with which it names each departure once. It asks three hosts; if those stop as well, the watch ends.

Change: both go with the watch; up to 16 hosts are asked, of which three may stay silent. Reports of other hosts that come after that are declined, and the host waits until its crash records are written. The fixed wait for late replies ends with the last attempt.

Red before: crash_that_is_being_confirmed_is_passed_on, next_report_of_a_stopping_host_is_sent, watch_reaches_a_host_beyond_those_that_decline (no report each). crash_is_written_before_the_host_ends guards the shorter wait.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -5,6 +5,7 @@
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -101,6 +102,35 @@
     }
 }
 
+/// Number of attempts in progress.
+#[derive(Debug, Default)]
+pub struct RunningAttempts {
+    count: AtomicUsize,
+}
+
+impl RunningAttempts {
+    /// The number.
+    pub fn running(&self) -> usize {
+        self.count.load(Ordering::Relaxed)
+    }
+}
+
+/// Counts an attempt until it is dropped.
+struct Running(Arc<Core>);
+
+impl Running {
+    fn new(core: Arc<Core>) -> Running {
+        core.attempts.count.fetch_add(1, Ordering::Relaxed);
+        Running(core)
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.attempts.count.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Records the outcome of an attempt on drop, so that an attempt whose future is
 /// cancelled is recorded as well.
 struct OutcomeGuard {
@@ -216,6 +246,8 @@
 /// health. Has no timeout of its own for the reply: drop the future when the
 /// request ends, at its deadline at the latest.
 pub async fn run(core: Arc<Core>, choice: Choice, spec: RequestSpec) -> Result<Reply, Failure> {
+    // Dropped after the guard, which hands the request to the watch.
+    let _running = Running::new(core.clone());
     let mut guard = OutcomeGuard {
         outcome: Outcome::Abandoned,
         start: core.now(),
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -22,6 +22,7 @@
 use tokio::sync::watch;
 use tokio::time;
 
+use crate::attempt::RunningAttempts;
 use crate::client::Clients;
 use crate::crashes::Suspects;
 use crate::exchange::Connection;
@@ -92,6 +93,8 @@
     pub log_limiter: LogLimiter,
     /// Counters and latencies.
     pub metrics: Metrics,
+    /// Attempts in progress.
+    pub attempts: RunningAttempts,
     /// Requests that may have crashed a backend server.
     pub suspects: Suspects,
     /// Requests that nobody waits for and that backend servers may be executing.
@@ -134,6 +137,7 @@
             names,
             log_limiter,
             metrics,
+            attempts: RunningAttempts::default(),
             suspects: Suspects::default(),
             watches: Watches::default(),
             reply_memory: Arc::default(),
--- a/crates/front/src/crashes.rs
+++ b/crates/front/src/crashes.rs
@@ -59,6 +59,13 @@
 /// Pause after a call to the registry that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
+/// Longest time for which a host that stops waits for these calls: the delay, and a call to a slow
+/// registry.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Interval at which it checks whether they are done.
+const FLUSH_POLL: Duration = Duration::from_millis(10);
+
 /// Most records in one call to the registry.
 const MAX_RECORDS_PER_CALL: usize = 16;
 
@@ -90,6 +97,22 @@
     }
 }
 
+impl Suspects {
+    /// Whether the crash of any server is being confirmed.
+    pub fn is_confirming(&self) -> bool {
+        !lock(&self.by_server).is_empty()
+    }
+
+    /// Takes the requests that wait for the confirmation of a crash.
+    pub fn take_unconfirmed(&self) -> Vec<(BackendKey, Abandoned<Watched>)> {
+        let by_server = std::mem::take(&mut *lock(&self.by_server));
+        let with_server = |(key, lost): (BackendKey, Vec<Abandoned<Watched>>)| {
+            lost.into_iter().map(move |lost| (key, lost))
+        };
+        by_server.into_iter().flat_map(with_server).collect()
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -246,6 +269,23 @@
     core.suspects.wanted.notify_one();
 }
 
+/// Waits until the crashes that this host has seen are written. For a host that stops.
+pub async fn flush(core: &Core) {
+    let end = time::Instant::now() + FLUSH_TIMEOUT;
+    let unwritten = || lock(&core.suspects.unpublished).len();
+    while unwritten() > 0 && time::Instant::now() < end {
+        time::sleep(FLUSH_POLL).await;
+    }
+    let records = unwritten();
+    if records > 0 {
+        core.metrics.add("crashes.unpublished", records as u64);
+        spdlog::warn!(
+            "crashes of backend servers are not in the registry; other hosts do not know them",
+            kv: { records }
+        );
+    }
+}
+
 /// Writes the crashes that this host sees to the registry, from which all hosts learn them and
 /// which keeps them while hosts restart.
 pub async fn publish(core: Arc<Core>, registry: Arc<dyn Registry>) {
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -32,7 +32,7 @@
 /// Time for which late replies are still read after the answer, so that their
 /// connections can be reused. Must stay below 500 ms: by then, backend servers must
 /// have stopped working for a caller that disconnected.
-pub const LATE_REPLY_WAIT: Duration = Duration::from_millis(350);
+const LATE_REPLY_WAIT: Duration = Duration::from_millis(350);
 
 /// First delay before a shard for which no backend server was available looks for
 /// one again; doubles with each further try.
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -173,8 +173,12 @@
     let end = time::Instant::now() + grace;
     lifecycle.stop(grace).await;
     spdlog::info!("connections drained", kv: { open = lifecycle.open_connections() });
-    if time::timeout_at(end - KILL_MARGIN, watch::hand_over(core)).await.is_err() {
-        spdlog::warn!("no time left to pass the watch over servers on to another host");
+    let pass_on = async {
+        watch::hand_over(core).await;
+        crashes::flush(core).await;
+    };
+    if time::timeout_at(end - KILL_MARGIN, pass_on).await.is_err() {
+        spdlog::warn!("no time left to pass on what this host knows of backend servers");
     }
 }
 
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -347,11 +347,14 @@
     let Ok(reports) = serde_json::from_slice::<Reports>(body) else {
         return answer::plain_text(StatusCode::BAD_REQUEST, "the report is malformed\n");
     };
+    let lifecycle = &service.lifecycle;
+    // What it has passed on already, or will pass on, does not include this report.
+    let is_late = lifecycle.is_draining();
+    if is_late || (!reports.abandoned.is_empty() && !lifecycle.is_ready()) {
+        let text = "this host is not serving; report to another one\n";
+        return answer::plain_text(StatusCode::SERVICE_UNAVAILABLE, text);
+    }
     if !reports.abandoned.is_empty() {
-        if !service.lifecycle.is_ready() {
-            let text = "this host is not serving; report to another one\n";
-            return answer::plain_text(StatusCode::SERVICE_UNAVAILABLE, text);
-        }
         watch::take_over(&service.core, &reports.abandoned);
     }
     service.receive(&reports);
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -34,10 +34,10 @@
 use crate::core::Reports;
 use crate::crashes;
 use crate::crashes::Instance;
-use crate::gather::LATE_REPLY_WAIT;
 use crate::logs::Category;
 use crate::losses::Losses;
 use crate::peers::PeerClients;
+use crate::registry::RegistryError;
 use crate::state::Choice;
 
 /// Interval at which the links to servers are checked. A crashed one takes seconds to restart.
@@ -46,8 +46,18 @@
 /// Most requests that a host which stops passes on: 128 KiB in a report.
 const MAX_HANDED_OVER: usize = 1_024;
 
-/// Most hosts to which a host that stops offers its watch.
-const MAX_HAND_OVER_OFFERS: usize = 3;
+/// Most hosts to which a host that stops offers what it knows: more than stop at the same time.
+const MAX_HAND_OVER_OFFERS: usize = 16;
+
+/// Most of them that may stay silent.
+const MAX_SILENT_OFFERS: usize = 3;
+
+/// Longest time for which a host that stops waits for attempts that are dropped soon, and for
+/// crashes that are being confirmed.
+const SETTLE_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Interval at which it checks that.
+const SETTLE_POLL: Duration = Duration::from_millis(10);
 
 /// Time for which a server without a link is watched after the deadline of its last request.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -128,11 +138,22 @@
     watches.wanted.notify_one();
 }
 
-/// Passes the watch of a host that stops on to another one, once late replies have come or their
-/// attempts have been dropped.
+/// Waits until late replies have come or their attempts have been dropped, and until crashes are
+/// confirmed.
+async fn settle(core: &Core) {
+    let end = time::Instant::now() + SETTLE_TIMEOUT;
+    let is_busy = || core.attempts.running() > 0 || core.suspects.is_confirming();
+    while is_busy() && time::Instant::now() < end {
+        time::sleep(SETTLE_POLL).await;
+    }
+}
+
+/// Passes on to another host what one that stops knows of backend servers and has not reported: its
+/// watch, with the crashes that it has not confirmed, and its next report.
 pub async fn hand_over(core: &Core) {
-    time::sleep(LATE_REPLY_WAIT).await;
+    settle(core).await;
     let mut watched = core.watches.list().take_all();
+    watched.extend(core.suspects.take_unconfirmed());
     watched.sort_by_key(|(_, abandoned)| Reverse(abandoned.sent_at));
     let dropped = watched.len().saturating_sub(MAX_HANDED_OVER);
     if dropped > 0 {
@@ -141,10 +162,10 @@
     }
     watched.truncate(MAX_HANDED_OVER);
     let abandoned = describe(core, watched);
-    if abandoned.is_empty() {
+    let reports = Reports { abandoned, ..core.take_reports() };
+    if reports == Reports::default() {
         return;
     }
-    let reports = Reports { abandoned, ..Reports::default() };
     let requests = reports.abandoned.len();
     let hosts: Vec<(Box<str>, SocketAddr)> = {
         let state = core.state();
@@ -152,11 +173,20 @@
         heeding.take(MAX_HAND_OVER_OFFERS).map(|(host, p)| (host.into(), p.address)).collect()
     };
     let mut peers = PeerClients::new(core);
+    let mut silent = 0;
     for (host, address) in hosts {
-        if peers.report(address, &reports).await.is_ok() {
-            let host = &*host;
-            spdlog::info!("another host watches servers for this one", kv: { host, requests });
-            return;
+        match peers.report(address, &reports).await {
+            Ok(()) => {
+                let host = &*host;
+                spdlog::info!("another host watches servers for this one", kv: { host, requests });
+                return;
+            }
+            // It is stopping as well.
+            Err(RegistryError::Refused { .. }) => {}
+            Err(_) => silent += 1,
+        }
+        if silent >= MAX_SILENT_OFFERS {
+            break;
         }
     }
     core.metrics.add("crashes.unwatched", requests as u64);
--- a/crates/front/tests/stop.rs
+++ b/crates/front/tests/stop.rs
@@ -8,7 +8,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use chervil_front::crashes;
 use chervil_front::host;
+use chervil_front::listen;
+use chervil_front::listen::Lifecycle;
+use chervil_front::watch;
 use chervil_route::config::Route;
 use chervil_route::config::Target;
 use futures::future::join_all;
@@ -19,8 +23,10 @@
 use tokio::time;
 
 use crate::support::Backend;
+use crate::support::ScriptedRegistry;
 use crate::support::Step;
 use crate::support::TestHost;
+use crate::support::config;
 use crate::support::entry;
 use crate::support::header;
 use crate::support::read_message;
@@ -183,6 +189,12 @@
 /// Starts another host that takes reports after a delay, and returns its address and the texts of
 /// the reports.
 async fn start_slow_peer(delay: Duration) -> (SocketAddr, Arc<Mutex<Vec<String>>>) {
+    start_peer(delay, "200 OK").await
+}
+
+/// The same with the status that it replies with.
+async fn start_peer(delay: Duration, status: &str) -> (SocketAddr, Arc<Mutex<Vec<String>>>) {
+    let text = format!("HTTP/1.1 {status}\r\ncontent-length: 4\r\n\r\ntrue");
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let reports = Arc::new(Mutex::new(Vec::new()));
@@ -193,8 +205,7 @@
             while let Some(report) = read_message(&mut stream).await {
                 time::sleep(delay).await;
                 received.lock().unwrap().push(report);
-                support::write(&mut stream, "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ntrue", "")
-                    .await;
+                support::write(&mut stream, &text, "").await;
             }
         }
     });
@@ -278,3 +289,91 @@
     assert!(answers.iter().all(|status| [200, 503].contains(status)), "{answers:?}");
     assert!(start.elapsed() < GRACE, "waits for new connections");
 }
+
+/// Gives the host that ranks last this address.
+fn insert_last(host: &TestHost, address: SocketAddr) {
+    let mut state = host.core.state();
+    let last: Box<str> = state.peers.ranked().last().unwrap().0.into();
+    state.peers.insert(last, support::peer(address, 10));
+}
+
+/// Load pattern: hosts stop in series, so that the first ones that are asked are stopping as well.
+/// Guards against a watch that ends with its host although another one would take it.
+#[tokio::test]
+async fn watch_reaches_a_host_beyond_those_that_decline() {
+    let silent = Backend::start(vec![Step::NeverReply]).await;
+    let host = host(&silent).await;
+    let (declining, _) = start_peer(Duration::ZERO, "503 Service Unavailable").await;
+    let (taking, reports) = start_slow_peer(Duration::ZERO).await;
+    for i in 0..6 {
+        host.core.state().peers.insert(format!("host-{i}").into(), support::peer(declining, 10));
+    }
+    insert_last(&host, taking);
+    let _ = time::timeout(Duration::from_millis(60), host.ask("POST", "/q/1", "")).await;
+
+    host::stop(&host.core, &host.lifecycle, GRACE).await;
+
+    assert_eq!(reports.lock().unwrap().len(), 1);
+}
+
+/// Guards against a crash that counts against no request because its host ends while it confirms
+/// the crash, since its links are in doubt.
+#[tokio::test]
+async fn crash_that_is_being_confirmed_is_passed_on() {
+    let (peer_address, reports) = start_slow_peer(Duration::ZERO).await;
+    let (core, lifecycle) = (support::core(), Arc::new(Lifecycle::default()));
+    core.state().adopt(config(1, vec![route("/q/", Target::One("quote".into()), false)]));
+    let crashing = entry("i-1", "quote", support::start_crashing().await);
+    let now = core.now();
+    core.state().fleet.upsert(crashing, now);
+    core.state().peers.insert("other".into(), support::peer(peer_address, 10));
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    // Nothing checks the links.
+    tokio::spawn(listen::serve(listener, core.clone(), lifecycle.clone()));
+    let host = TestHost { core, lifecycle, address };
+    let asked = host.ask("POST", "/q/1", "").await;
+    host.core.record_failed_attempt(host.core.now());
+
+    host::stop(&host.core, &host.lifecycle, GRACE).await;
+
+    assert_eq!(status(&asked), 502);
+    let reports = reports.lock().unwrap();
+    assert!(reports.iter().any(|r| r.contains("\"server\":\"i-1\"")), "{reports:?}");
+}
+
+/// Guards against a crash that no other host learns of, because its host ends before it has written
+/// it to the registry.
+#[tokio::test]
+async fn crash_is_written_before_the_host_ends() {
+    let registry = Arc::new(ScriptedRegistry::default());
+    let sound = Backend::start(vec![Step::Reply(reply(200, "ok"))]).await;
+    let routes = vec![route("/q/", Target::One("quote".into()), false)];
+    let crashing = support::start_crashing().await;
+    let entries = vec![entry("i-1", "quote", crashing), entry("i-2", "a", sound.address)];
+    let host = start_host(routes, entries).await;
+    tokio::spawn(crashes::publish(host.core.clone(), registry.clone()));
+    let asked = host.ask("POST", "/q/1", "").await;
+
+    watch::hand_over(&host.core).await;
+    crashes::flush(&host.core).await;
+
+    assert_eq!(status(&asked), 502);
+    assert_eq!(registry.crashes.lock().unwrap().len(), 1);
+}
+
+/// Guards against observations that end with their host: it reports each departure once.
+#[tokio::test]
+async fn next_report_of_a_stopping_host_is_sent() {
+    let (peer_address, reports) = start_slow_peer(Duration::ZERO).await;
+    let backend = Backend::start(vec![Step::Reply(reply(200, "ok"))]).await;
+    let host = host(&backend).await;
+    host.core.state().peers.insert("other".into(), support::peer(peer_address, 10));
+    let key = host.core.state().fleet.key("i-1").unwrap();
+    host.core.mark_leaving(key);
+
+    host::stop(&host.core, &host.lifecycle, GRACE).await;
+
+    let reports = reports.lock().unwrap();
+    assert!(reports.iter().any(|r| r.contains("\"leaving\":{\"i-1\"")), "{reports:?}");
+}
