--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -2,9 +2,6 @@
 //! long as possible, and checks each answer.
 
 use std::io;
-use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -18,6 +15,7 @@
 use crate::backend;
 use crate::platform;
 use crate::recorder::Recorder;
+use crate::rotation::Rotation;
 
 /// Time that a caller allows for a request, sent as its deadline.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -31,9 +29,6 @@
 /// Share of quotes, which are not idempotent, among the requests.
 const QUOTE_SHARE: f64 = 0.3;
 
-/// Ports of the hosts that are in the load balancer's rotation.
-pub type Rotation = Arc<Mutex<Vec<u16>>>;
-
 struct Answer {
     status: u16,
     headers: Vec<(String, String)>,
@@ -74,7 +69,8 @@
                     check_answer(&recorder, &id, quote, &answer);
                     kept_alive = (!closing).then_some(stream);
                 }
-                Ok(Err(_)) | Err(_) => recorder.record_failure(),
+                Ok(Err(_)) => recorder.record_cut(&id, port),
+                Err(_) => recorder.record_failure(),
             }
         } else {
             recorder.record_failure();
@@ -83,15 +79,9 @@
     }
 }
 
-/// Connects to a random host in rotation and returns its port, too.
+/// Connects to a host that the load balancer chooses, and returns its port, too.
 async fn connect(rotation: &Rotation, rng: &mut SmallRng) -> Option<(TcpStream, u16)> {
-    let port = {
-        let ports = rotation.lock().unwrap_or_else(PoisonError::into_inner);
-        if ports.is_empty() {
-            return None;
-        }
-        ports[rng.random_range(0..ports.len())]
-    };
+    let port = rotation.choose(rng)?;
     TcpStream::connect(("127.0.0.1", port)).await.ok().map(|stream| (stream, port))
 }
 
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod platform;
 pub mod proxy;
 pub mod recorder;
+pub mod rotation;
 pub mod run;
 pub mod store;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -15,7 +15,7 @@
 
 Usage:
     chervil-soak --binary FILE [--seed N] [--count N] [--seconds S] [--hosts N]
-                 [--previous FILE]
+                 [--previous FILE] [--stops-in-series]
     chervil-soak --help
 
 Options:
@@ -26,6 +26,7 @@
     --hosts N       Number of hosts [default: 4].
     --previous FILE Program of another build, which the hosts run first. They are replaced
                     one after the other.
+    --stops-in-series  Stops all hosts in turn, again and again, beside the other faults.
 ";
 
 struct Args {
@@ -35,6 +36,7 @@
     seconds: u64,
     hosts: usize,
     previous: Option<PathBuf>,
+    stops_in_series: bool,
 }
 
 fn parse(mut args: Arguments) -> Result<Args, pico_args::Error> {
@@ -45,6 +47,7 @@
         seconds: args.opt_value_from_str("--seconds")?.unwrap_or(12),
         hosts: args.opt_value_from_fn("--hosts", parse_hosts)?.unwrap_or(4),
         previous: args.opt_value_from_str("--previous")?,
+        stops_in_series: args.contains("--stops-in-series"),
     };
     let unknown = args.finish();
     if let Some(option) = unknown.first() {
@@ -83,6 +86,7 @@
             binary: args.binary.clone(),
             previous: args.previous.clone(),
             later_faults: true,
+            stops_in_series: args.stops_in_series,
             dir: dir.clone(),
         };
         match run::run(&options).await {
--- a/crates/soak/src/recorder.rs
+++ b/crates/soak/src/recorder.rs
@@ -27,6 +27,9 @@
     runs: HashMap<Box<str>, Vec<Box<str>>>,
     /// Ids of the requests that were refused as not executed.
     not_run: Vec<Box<str>>,
+    /// Requests whose connection a host closed without an answer while the bounds on planned
+    /// changes applied, with the port of the host.
+    cut: Vec<(Box<str>, u16)>,
     violations: Vec<String>,
     answered: u64,
     failed: u64,
@@ -132,6 +135,17 @@
         seen.not_run.push(request.into());
     }
 
+    /// Counts a failed request whose connection ended without an answer. It may not have been read;
+    /// if it ran, it must not have been cut off.
+    pub fn record_cut(&self, request: &str, port: u16) {
+        let is_planned = self.bounds_apply(Instant::now());
+        let mut seen = self.lock();
+        seen.failed += 1;
+        if is_planned {
+            seen.cut.push((request.into(), port));
+        }
+    }
+
     /// Records the violation of a guarantee.
     pub fn record_violation(&self, text: String) {
         let mut seen = self.lock();
@@ -152,8 +166,8 @@
         self.lock().unplanned_until.is_none_or(|end| now > end + SETTLE_TIME)
     }
 
-    /// Checks what is known only at the end of a run: no refused request ran, and
-    /// no quote ran more than once. Returns the totals.
+    /// Checks what is known only at the end of a run: no refused request ran, none that ran was cut
+    /// off, and no quote ran more than once. Returns the totals.
     pub fn finish(&self) -> Summary {
         let mut seen = self.lock();
         let mut found = Vec::new();
@@ -162,6 +176,14 @@
                 found.push(format!("{id} was refused as not executed, but ran on {runs:?}"));
             }
         }
+        for (id, port) in &seen.cut {
+            if let Some(runs) = seen.runs.get(id) {
+                found.push(format!(
+                    "{id} ran on {runs:?}, and the host at port {port} closed its connection \
+                     without an answer"
+                ));
+            }
+        }
         for (id, runs) in seen.runs.iter().filter(|(id, _)| id.starts_with("quote")) {
             if runs.len() > 1 {
                 found.push(format!(
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -22,7 +22,6 @@
 use crate::announcement::Announcement;
 use crate::backend::BackendMode;
 use crate::caller;
-use crate::caller::Rotation;
 use crate::faults::Fault;
 use crate::host::Host;
 use crate::operator::Operator;
@@ -31,6 +30,7 @@
 use crate::proxy::Proxy;
 use crate::recorder::Recorder;
 use crate::recorder::Summary;
+use crate::rotation::Rotation;
 use crate::store::Store;
 use crate::store::StoreMode;
 
@@ -52,6 +52,12 @@
 /// Pause between two faults of the second series in milliseconds: minimum, and exclusive maximum.
 const LATER_FAULT_PAUSE_MS: (u64, u64) = (400, 1_400);
 
+/// Time between two stops of a series: shorter than a stop takes.
+const SERIES_GAP: Duration = Duration::from_millis(350);
+
+/// Pause between two series.
+const SERIES_PAUSE: Duration = Duration::from_millis(1_000);
+
 /// Hosts from which on relays send the queries of others, so that a backend server cannot tell
 /// which host a request came from.
 const RELAYED_HOSTS: usize = 12;
@@ -122,6 +128,8 @@
     /// Whether backend servers announce that they leave or want a pause, and links to them lose
     /// replies. Not for seeds that failed before these faults existed.
     pub later_faults: bool,
+    /// Whether all hosts are stopped in series, again and again, beside the other faults.
+    pub stops_in_series: bool,
     /// Directory for settings and logs of the hosts; created if missing.
     pub dir: PathBuf,
 }
@@ -167,7 +175,11 @@
         let harness = harness.clone();
         tokio::spawn(harness.upgrade(options.clone()))
     });
-    tokio::join!(harness.inject_faults(options, &mut rng), harness.inject_later_faults(options),);
+    tokio::join!(
+        harness.inject_faults(options, &mut rng),
+        harness.inject_later_faults(options),
+        harness.stop_in_series(options),
+    );
     if let Some(upgrade) = upgrade {
         // Panics are violations of the soak itself.
         upgrade.await.unwrap_or_else(|error| recorder.record_violation(error.to_string()));
@@ -223,22 +235,13 @@
             let host = Host::start(name, ports[0], binary, &options.dir, &settings)
                 .context(SetupSnafu { action: "start a host" })?;
             harness.recorder.set_unaware(ports[0], options.previous.is_some());
-            harness.set_in_rotation(ports[0], true);
+            harness.rotation.set(ports[0], true);
             harness.hosts.push(Arc::new(Mutex::new(host)));
             harness.store_links.push(link);
         }
         Ok(harness)
     }
 
-    /// Puts a host into the load balancer's rotation or takes it out.
-    fn set_in_rotation(&self, port: u16, in_rotation: bool) {
-        let mut ports = self.rotation.lock().unwrap_or_else(PoisonError::into_inner);
-        ports.retain(|p| *p != port);
-        if in_rotation {
-            ports.push(port);
-        }
-    }
-
     /// Starts callers that send requests until `end`. Their ids have a
     /// random part, so that two groups are unlikely to share request ids.
     fn start_callers(&self, recorder: &Recorder, rng: &mut SmallRng, end: Instant) -> JoinSet<()> {
@@ -318,6 +321,20 @@
         running.join_all().await;
     }
 
+    /// Stops all hosts, the next one before the last one is back, so that the load balancer has to
+    /// use those that stop.
+    async fn stop_in_series(self: &Arc<Harness>, options: &Options) {
+        let (start, mut running) = (Instant::now(), JoinSet::new());
+        while options.stops_in_series && start.elapsed() < options.fault_time {
+            for host in 0..self.hosts.len() {
+                running.spawn(self.clone().inject(Fault::StopHost(host), Duration::ZERO));
+                time::sleep(SERIES_GAP).await;
+            }
+            time::sleep(SERIES_PAUSE).await;
+        }
+        running.join_all().await;
+    }
+
     /// Replaces the hosts one after the other by hosts of the new program, spread over the time
     /// of the faults.
     async fn upgrade(self: Arc<Harness>, options: Options) {
@@ -460,7 +477,7 @@
         let signalled = Instant::now();
         self.signal(host, Signal::TERM);
         time::sleep(BALANCER_DELAY).await;
-        self.set_in_rotation(port, false);
+        self.rotation.set(port, false);
         let end = Instant::now() + Duration::from_secs(platform::GRACE_PERIOD_S) + BALANCER_DELAY;
         loop {
             // Another fault may have restarted the host in the meantime.
@@ -485,7 +502,7 @@
         }
         self.restart(host);
         time::sleep(RETURN_DELAY).await;
-        self.set_in_rotation(port, true);
+        self.rotation.set(port, true);
     }
 
     fn signal(&self, host: usize, signal: Signal) {
@@ -523,7 +540,7 @@
             self.signal(index, Signal::CONT);
             self.restart(index);
             let port = lock(&self.hosts[index]).port;
-            self.set_in_rotation(port, true);
+            self.rotation.set(port, true);
         }
     }
 }
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -14,30 +14,35 @@
     hosts: usize,
     /// See `Options::later_faults`.
     later_faults: bool,
+    /// See `Options::stops_in_series`.
+    stops_in_series: bool,
 }
 
 /// Regular runs, the third with relays, and each run that once failed, with its cause.
 const CASES: [Case; 6] = [
-    Case { seed: 1, seconds: 5, hosts: 3, later_faults: false },
-    Case { seed: 2, seconds: 5, hosts: 3, later_faults: false },
-    Case { seed: 3, seconds: 5, hosts: 13, later_faults: false },
-    Case { seed: 4, seconds: 8, hosts: 3, later_faults: true },
+    Case { seed: 1, seconds: 5, hosts: 3, later_faults: false, stops_in_series: false },
+    Case { seed: 2, seconds: 5, hosts: 3, later_faults: false, stops_in_series: false },
+    Case { seed: 3, seconds: 5, hosts: 13, later_faults: false, stops_in_series: false },
+    Case { seed: 4, seconds: 8, hosts: 3, later_faults: true, stops_in_series: false },
     // After three lost answers to requests with the same path and body, further
     // such requests were refused for two minutes.
-    Case { seed: 53, seconds: 12, hosts: 4, later_faults: false },
+    Case { seed: 53, seconds: 12, hosts: 4, later_faults: false, stops_in_series: false },
     // After a kill of all hosts, one took up the empty state of another that had named too
     // low a revision, and served nothing from then on.
-    Case { seed: 633, seconds: 12, hosts: 4, later_faults: false },
+    Case { seed: 633, seconds: 12, hosts: 4, later_faults: false, stops_in_series: false },
+    // Hosts that were stopped in series read requests after their drain, and cut them off when
+    // they ended.
+    Case { seed: 12, seconds: 12, hosts: 4, later_faults: true, stops_in_series: true },
 ];
 
 /// Guards against answers that belong to another request, quotes that run twice,
 /// requests that run although they were refused as not executed, bounds on
-/// planned changes that are exceeded, and service that does not recover, while
-/// links, hosts, backend servers and the store fail.
+/// planned changes that are exceeded, requests that are cut off by planned stops, and service that
+/// does not recover, while links, hosts, backend servers and the store fail.
 #[tokio::test(flavor = "multi_thread")]
 async fn guarantees_hold_under_faults() {
     let binary = binary();
-    for Case { seed, seconds, hosts, later_faults } in CASES {
+    for Case { seed, seconds, hosts, later_faults, stops_in_series } in CASES {
         let dir = std::env::temp_dir().join(format!("chervil-soak-{}-{seed}", std::process::id()));
         let fault_time = Duration::from_secs(seconds);
         let options = Options {
@@ -47,6 +52,7 @@
             binary: binary.clone(),
             previous: None,
             later_faults,
+            stops_in_series,
             dir: dir.clone(),
         };
 
