Let backend servers of the soak deny what they have run

One server of each quote service answers one in eight quotes that it runs with 503 and its stamp, as a service does whose own dependency fails. The checks that find it are there already: no failure with a stamp is forwarded, and no refused quote ran.

--- a/crates/soak/src/backend.rs
+++ b/crates/soak/src/backend.rs
@@ -54,6 +54,9 @@
 /// on top of that.
 const LIMIT_BOUND: (f64, f64) = (1.5, 5.0);
 
+/// One in this many requests that a denying backend server runs gets such an answer.
+const DENIAL_INTERVAL: u64 = 8;
+
 /// Fault of a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BackendMode {
@@ -78,6 +81,8 @@
     withdrawn_at: Option<Instant>,
     limit: Option<Limit>,
     announced: Option<Announced>,
+    /// Whether it answers some requests that it runs with a status that denies it.
+    denies: bool,
 }
 
 /// A rate limit that a backend server names.
@@ -138,6 +143,7 @@
                 withdrawn_at: None,
                 limit: None,
                 announced: None,
+                denies: false,
             })),
             recorder,
         };
@@ -174,6 +180,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner).limit = limit;
     }
 
+    /// Sets whether it answers some requests that it runs with a status that denies it.
+    pub fn set_denies(&self, denies: bool) {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner).denies = denies;
+    }
+
     /// Sets what the backend server announces in its answers, or ends it.
     pub fn set_announcement(&self, announcement: Option<Announcement>) {
         let announced = announcement.map(Announced::new);
@@ -207,10 +218,10 @@
             return Ok(response(421, &id, Bytes::new()));
         }
         let deadline = header(platform::DEADLINE_MS).parse::<u64>().unwrap_or(0);
-        let (mode, request_count, withdrawn_at) = {
+        let (mode, request_count, withdrawn_at, denies) = {
             let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
             state.request_count += 1;
-            (state.mode, state.request_count, state.withdrawn_at)
+            (state.mode, state.request_count, state.withdrawn_at, state.denies)
         };
         let host = header(platform::VIA_HOST).parse().unwrap_or(0);
         // A truncated body needs no handling here: the caller sees a failure.
@@ -240,6 +251,10 @@
         let loses_reply = mode == BackendMode::LostReplies && request_count.is_multiple_of(2);
         // Hosts of earlier builds pass some broken answers on.
         let breaks_reply = request_count.is_multiple_of(4) && !self.recorder.has_unaware_hosts();
+        let is_denied = denies && request_count.is_multiple_of(DENIAL_INTERVAL);
+        if is_denied && !self.recorder.has_unaware_hosts() {
+            return Ok(self.stamped(503, &id, Bytes::new()));
+        }
         if loses_reply && breaks_reply {
             let mut success = self.success(&id);
             success.headers_mut().insert(broken::BREAK_REPLY, (request_count / 4).into());
@@ -288,16 +303,22 @@
         }
     }
 
+    /// A reply that proves that the request ran.
+    fn stamped(&self, status: u16, id: &str, body: Bytes) -> Response<Full<Bytes>> {
+        let mut response = response(status, id, body);
+        if let Ok(stamp) = stamp(&self.service, id).try_into() {
+            response.headers_mut().insert(platform::RESPONSE_STAMP, stamp);
+        }
+        response
+    }
+
     fn success(&self, id: &str) -> Response<Full<Bytes>> {
         let body = if self.service.starts_with("quote") {
             Bytes::from(format!("quote for {id}"))
         } else {
             Bytes::from(records(&self.service, id).concat())
         };
-        let mut response = response(200, id, body);
-        if let Ok(stamp) = stamp(&self.service, id).try_into() {
-            response.headers_mut().insert(platform::RESPONSE_STAMP, stamp);
-        }
+        let mut response = self.stamped(200, id, body);
         let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         let rate = state.limit.as_ref().map(|limit| limit.rate.to_string().try_into());
         if let Some(Ok(rate)) = rate {
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -22,7 +22,7 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(600);
 
 /// Number of backend servers of each service.
-const REPLICAS_PER_SERVICE: usize = 3;
+pub const REPLICAS_PER_SERVICE: usize = 3;
 
 /// A backend server, the link to it, and its state in the registry.
 #[derive(Clone, Debug)]
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -25,6 +25,7 @@
 use crate::faults::Fault;
 use crate::host::Host;
 use crate::operator::Operator;
+use crate::operator::REPLICAS_PER_SERVICE;
 use crate::platform;
 use crate::proxy::LinkMode;
 use crate::proxy::Proxy;
@@ -261,13 +262,19 @@
     }
 
     /// Injects faults that may overlap: planned changes only in the first half of the time,
-    /// any faults in the second one. One backend server names a limit all the time. Returns
-    /// when all faults have ended.
+    /// any faults in the second one. One backend server names a limit all the time, and with later
+    /// faults, one of each quote service denies some of what it runs. Returns when all faults have
+    /// ended.
     async fn inject_faults(self: &Arc<Harness>, options: &Options, rng: &mut SmallRng) {
         let (start, mut running) = (Instant::now(), JoinSet::new());
         // Not drawn from `rng`, so that earlier seeds keep their sequence of faults.
         let limited = options.seed as usize % self.operator.replicas.len();
         self.operator.replicas[limited].backend.set_limit(Some(LIMITED_RATE));
+        let quotes =
+            self.operator.replicas.iter().filter(|r| r.backend.service.starts_with("quote"));
+        for replica in quotes.step_by(REPLICAS_PER_SERVICE) {
+            replica.backend.set_denies(options.later_faults);
+        }
         // The same: with even seeds, the store is restored in the second half of the time.
         let mut restore = options.seed.is_multiple_of(2).then_some(Fault::RestoreStore(COPY_AGE));
         while start.elapsed() < options.fault_time {
@@ -533,6 +540,7 @@
             replica.proxy.set_mode(LinkMode::Open);
             replica.backend.set_mode(BackendMode::Healthy);
             replica.backend.set_limit(None);
+            replica.backend.set_denies(false);
             self.operator.restore(replica);
             self.operator.replace(replica);
         }
