--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -19,7 +19,7 @@
 }
 
 /// Regular runs, the third with relays, and each run that once failed, with its cause.
-const CASES: [Case; 6] = [
+const CASES: [Case; 7] = [
     Case { seed: 1, seconds: 5, hosts: 3, later_faults: false, stops_in_series: false },
     Case { seed: 2, seconds: 5, hosts: 3, later_faults: false, stops_in_series: false },
     Case { seed: 3, seconds: 5, hosts: 13, later_faults: false, stops_in_series: false },
