--- a/crates/front/tests/unconfirmed.rs
+++ b/crates/front/tests/unconfirmed.rs
@@ -91,17 +91,23 @@
     address
 }
 
+/// Four such servers of the service that a request to this path needs.
+async fn stalling_servers(path: &str, arrivals: &Arrivals) -> Vec<BackendEntry> {
+    let service = if path == "/all/1" { "a" } else { "quote" };
+    let mut entries = Vec::new();
+    for i in 0..4 {
+        entries.push(entry(&format!("i-{i}"), service, start_stalling(arrivals).await));
+    }
+    entries
+}
+
 /// Guards against repeats that the retry budget does not see: a request that a server has
 /// begun to read has arrived, although not all of its bytes were acknowledged.
 #[tokio::test]
 async fn unacknowledged_request_is_not_repeated_without_budget() {
     for path in ["/safe/1", "/all/1"] {
         let arrivals = Arrivals::default();
-        let mut entries = Vec::new();
-        for i in 0..4 {
-            let service = if path == "/all/1" { "a" } else { "quote" };
-            entries.push(entry(&format!("i-{i}"), service, start_stalling(&arrivals).await));
-        }
+        let entries = stalling_servers(path, &arrivals).await;
         let host = start_without_retries(entries).await;
 
         let answer = host.ask("POST", path, &"x".repeat(LARGE_BODY)).await;
@@ -117,11 +123,7 @@
 async fn upload_to_slow_readers_keeps_the_attempt_limit() {
     for path in ["/safe/1", "/all/1"] {
         let arrivals = Arrivals::default();
-        let mut entries = Vec::new();
-        for i in 0..4 {
-            let service = if path == "/all/1" { "a" } else { "quote" };
-            entries.push(entry(&format!("i-{i}"), service, start_stalling(&arrivals).await));
-        }
+        let entries = stalling_servers(path, &arrivals).await;
         let retry_limit = RetryLimit { slack: 10_000.0, ..BOUNDS.retry_limit };
         let host = start_with(Bounds { retry_limit, ..BOUNDS }, entries).await;
         let mut caller = host.connect().await;
@@ -164,6 +166,16 @@
     stream.write_all(text.as_bytes()).await.unwrap();
 }
 
+/// Four such servers of the service that a request to this path needs.
+async fn stalling_servers(path: &str, arrivals: &Arrivals) -> Vec<BackendEntry> {
+    let service = if path == "/all/1" { "a" } else { "quote" };
+    let mut entries = Vec::new();
+    for i in 0..4 {
+        entries.push(entry(&format!("i-{i}"), service, start_stalling(arrivals).await));
+    }
+    entries
+}
+
 /// Guards against repeats that the retry budget does not see: a request may have arrived although
 /// the host that sent it has heard of no server since.
 #[tokio::test]
