--- a/crates/front/tests/unconfirmed.rs
+++ b/crates/front/tests/unconfirmed.rs
@@ -166,16 +166,6 @@
     stream.write_all(text.as_bytes()).await.unwrap();
 }
 
-/// Four such servers of the service that a request to this path needs.
-async fn stalling_servers(path: &str, arrivals: &Arrivals) -> Vec<BackendEntry> {
-    let service = if path == "/all/1" { "a" } else { "quote" };
-    let mut entries = Vec::new();
-    for i in 0..4 {
-        entries.push(entry(&format!("i-{i}"), service, start_stalling(arrivals).await));
-    }
-    entries
-}
-
 /// Guards against repeats that the retry budget does not see: a request may have arrived although
 /// the host that sent it has heard of no server since.
 #[tokio::test]
