Keep the ports of servers that refuse connections reserved in a test

Cause: the fixture closes listeners so that their ports refuse connections, and other tests get these ports for listeners of their own. The check of the links then finds a server, and the host does not take its links for lost. Evidence: the request's log line has a sign of a server 121 ms after it was sent (silent_ms 1367 of 1488 ms), when the check ran. Eight copies of the file at once, four times: 9 of 32 failed, in four of the tests; with ports that stay bound and do not listen, 0 of 32. No check, bound or literal has changed.

--- a/crates/front/tests/passed_on.rs
+++ b/crates/front/tests/passed_on.rs
@@ -28,6 +28,7 @@
 use serde_json::json;
 use tokio::io::AsyncReadExt as _;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
 use crate::support::BOUNDS;
@@ -63,13 +64,28 @@
     if path == "/all/1" { &["a", "b"] } else { &["quote"] }
 }
 
+/// A listener at a port that no other test gets while this process lives, whether the listener is
+/// open or not.
+fn listen_at_reserved_port() -> TcpListener {
+    let bind = |address: &str| {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_reuseaddr(true).unwrap();
+        socket.bind(address.parse().unwrap()).unwrap();
+        socket
+    };
+    let reserved = bind("127.0.0.1:0");
+    let listening = bind(&reserved.local_addr().unwrap().to_string());
+    std::mem::forget(reserved);
+    listening.listen(16).unwrap()
+}
+
 /// Servers of which those that a request needs read it, never reply and accept no further
 /// connection, while the others refuse connections: a host that has sent the request finds its
 /// links lost.
 async fn start_going_silent(path: &str) -> Vec<BackendEntry> {
     let mut entries = Vec::new();
     for service in ["a", "b", "quote"] {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let listener = listen_at_reserved_port();
         entries.push(entry(&format!("i-{service}"), service, listener.local_addr().unwrap()));
         if needed(path).contains(&service) {
             tokio::spawn(async move {
